--- /dev/null
+++ b/internal/agent/announce.go
@@ -0,0 +1,56 @@
+package agent
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/valyala/fasthttp"
+
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
+)
+
+// serveAnnounce takes the announcements of upstreams until the context ends.
+func (a *agent) serveAnnounce(ctx context.Context, l net.Listener) error {
+	server := &fasthttp.Server{Handler: a.handleAnnounce, Name: "coltsfootspoke", CloseOnShutdown: true}
+	stop := context.AfterFunc(ctx, func() { _ = server.Shutdown() })
+	defer stop()
+	return server.Serve(l)
+}
+
+func (a *agent) handleAnnounce(rc *fasthttp.RequestCtx) {
+	if string(rc.Path()) != "/announce" || !rc.IsPost() {
+		rc.Error("want POST /announce", fasthttp.StatusNotFound)
+		return
+	}
+	var an announcement
+	dec := json.NewDecoder(bytes.NewReader(rc.PostBody()))
+	dec.DisallowUnknownFields()
+	err := dec.Decode(&an)
+	if err == nil {
+		err = an.validate()
+	}
+	if err != nil {
+		rc.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	a.do(func(now rollout.Millis) { a.announce(now, an) })
+}
+
+type metrics struct {
+	registry *prometheus.Registry
+	attempts *prometheus.CounterVec
+}
+
+func newMetrics() *metrics {
+	m := &metrics{
+		registry: prometheus.NewRegistry(),
+		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "coltsfootspoke_attempts_total", Help: "Attempts at upstreams, by outcome.",
+		}, []string{"outcome"}),
+	}
+	m.registry.MustRegister(m.attempts)
+	return m
+}
--- /dev/null
+++ b/internal/agent/call.go
@@ -0,0 +1,127 @@
+package agent
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/coltsfootspoke/coltsfootspoke/internal/wire"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
+)
+
+const (
+	upstreamDialTimeout = 500 * time.Millisecond
+	idlePerUpstream     = 256
+	readBufferBytes     = 32 << 10
+	// maxAnswerBytes bounds one answer.
+	maxAnswerBytes = 64 << 20
+)
+
+// newClient returns the HTTP client towards upstreams. Connections that may
+// not be reused serve requests that may not be repeated, because the client
+// would send such a request again over a new connection by itself.
+func newClient(reuse bool) *http.Client {
+	dialer := &net.Dialer{Timeout: upstreamDialTimeout}
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext:         dialer.DialContext,
+			MaxIdleConnsPerHost: idlePerUpstream,
+			DisableKeepAlives:   !reuse,
+			DisableCompression:  true,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
+// outcome is how a call of an upstream ended.
+type outcome struct {
+	err *rollout.Error
+	// broken is true when the connection failed, as after a crash.
+	broken bool
+	bytes  uint64
+}
+
+// call sends a request to an upstream and writes what it answers.
+func call(ctx context.Context, client *http.Client, base string, req *wire.RunRequest, ans *answer, obs *observer) outcome {
+	hreq, err := http.NewRequestWithContext(ctx, req.Method, base+req.Path, bytes.NewReader(req.Body))
+	if err != nil {
+		return outcome{err: rollout.NewError(rollout.KindInvalidInput, "request").WithCause(err).WithNotRun()}
+	}
+	hreq.GetBody = nil
+	for _, h := range req.Headers {
+		hreq.Header.Add(h.Name, h.Value)
+	}
+	resp, err := client.Do(hreq)
+	if err != nil {
+		return failedCall(ctx, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	obs.streamed = strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
+	ans.add(&wire.RunChunk{Attempt: req.Attempt, Head: headOf(resp)})
+	return copyBody(ctx, req.Attempt, resp, ans, obs)
+}
+
+func copyBody(ctx context.Context, attempt string, resp *http.Response, ans *answer, obs *observer) outcome {
+	var out outcome
+	buf := make([]byte, readBufferBytes)
+	for {
+		n, err := resp.Body.Read(buf)
+		if n > 0 {
+			data := bytes.Clone(buf[:n])
+			obs.add(data)
+			out.bytes += uint64(n)
+			ans.add(&wire.RunChunk{Attempt: attempt, Data: data})
+		}
+		if out.bytes > maxAnswerBytes {
+			out.err = rollout.NewError(rollout.KindUpstreamFailed, "answer exceeds %d bytes", maxAnswerBytes)
+			return out
+		}
+		if errors.Is(err, io.EOF) {
+			obs.finish()
+			if !obs.done {
+				out.err = rollout.NewError(rollout.KindTruncated, "the stream of the upstream has no end marker")
+			}
+			return out
+		}
+		if err != nil {
+			failed := failedCall(ctx, err)
+			failed.bytes = out.bytes
+			if failed.err.Kind == rollout.KindUpstreamFailed {
+				failed.err.Kind = rollout.KindTruncated
+			}
+			return failed
+		}
+	}
+}
+
+// failedCall turns a transport error into an outcome. Only a connection that
+// was never made is known not to have run the request.
+func failedCall(ctx context.Context, err error) outcome {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return outcome{err: rollout.NewError(rollout.KindDeadlineExceeded, "the deadline passed at the upstream")}
+	}
+	if ctx.Err() != nil {
+		return outcome{err: rollout.NewError(rollout.KindUnavailable, "the caller went away")}
+	}
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		e := rollout.NewError(rollout.KindUnavailable, "the upstream takes no connection").WithCause(err).WithNotRun()
+		return outcome{err: e, broken: true}
+	}
+	return outcome{err: rollout.NewError(rollout.KindUpstreamFailed, "the upstream failed").WithCause(err), broken: true}
+}
+
+func headOf(resp *http.Response) *wire.Head {
+	head := &wire.Head{Status: int32(resp.StatusCode)}
+	for name, values := range resp.Header {
+		for _, v := range values {
+			head.Headers = append(head.Headers, &wire.Header{Name: name, Value: v})
+		}
+	}
+	return head
+}
--- /dev/null
+++ b/internal/agent/run.go
@@ -0,0 +1,154 @@
+package agent
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/coltsfootspoke/coltsfootspoke/internal/wire"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/gate"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/usage"
+)
+
+// defaultDeadline bounds a request that brings no deadline.
+const defaultDeadline = 10 * time.Minute
+
+// target is what a traffic thread must know of an upstream.
+type target struct {
+	url      string
+	pool     string
+	engine   bool
+	versions map[string]uint64
+}
+
+// Run begins an attempt or takes part in one, and streams its answer.
+func (a *agent) Run(req *wire.RunRequest, stream wire.DRPCAgent_RunStream) error {
+	ans, err := a.begin(stream.Context(), req)
+	if err != nil {
+		return stream.Send(endOf(req.Attempt, err))
+	}
+	from := 0
+	for {
+		chunks, ended, err := ans.next(stream.Context(), from)
+		if err != nil {
+			return err
+		}
+		for _, c := range chunks {
+			if err := stream.Send(c); err != nil {
+				return err
+			}
+		}
+		from += len(chunks)
+		if ended {
+			return nil
+		}
+	}
+}
+
+// begin returns the answer to follow.
+func (a *agent) begin(ctx context.Context, req *wire.RunRequest) (*answer, *rollout.Error) {
+	if !req.Attach && req.Account != "" && !a.renewer.Valid() {
+		return nil, rollout.NewError(rollout.KindNoAuthority, "agent %s has no authority", a.cfg.Name).WithNotRun()
+	}
+	a.traffic.Lock()
+	verdict, err := a.gate.Begin(a.clock.Now(), gate.Request{
+		Attempt: req.Attempt, Upstream: req.Upstream, Incarnation: req.Incarnation,
+		Fingerprint: req.Fingerprint, Suspect: req.Suspect, Claimed: req.Keep, Attach: req.Attach,
+	})
+	var ans *answer
+	if verdict == gate.VerdictRun {
+		ans = a.kept.begin(req.Attempt)
+	}
+	a.traffic.Unlock()
+	if err != nil {
+		a.log.Info("AttemptRefused", zap.String("Attempt", req.Attempt), zap.String("Upstream", req.Upstream), zap.Error(err))
+		return nil, rollout.AsError(err)
+	}
+	if verdict == gate.VerdictJoin {
+		if ans = a.kept.find(req.Attempt); ans == nil {
+			return nil, rollout.NewError(rollout.KindOutcomeUnknown, "attempt %s ran and its answer is no longer kept", req.Attempt)
+		}
+		return ans, nil
+	}
+	a.background.Go(func() { a.execute(ctx, req, ans) })
+	return ans, nil
+}
+
+// execute runs an attempt to its end. A detached attempt goes on when its caller
+// has gone.
+func (a *agent) execute(caller context.Context, req *wire.RunRequest, ans *answer) {
+	deadline := time.Duration(req.DeadlineMs) * time.Millisecond
+	if deadline <= 0 {
+		deadline = defaultDeadline
+	}
+	parent, client := caller, a.client
+	if req.Detached {
+		parent, client = context.WithoutCancel(caller), a.onceClient
+	}
+	ctx, cancel := context.WithTimeout(parent, deadline)
+	defer cancel()
+	t := (*a.targets.Load())[req.Upstream]
+	obs := &observer{}
+	start := a.clock.Now()
+	out := call(ctx, client, t.url, req, ans, obs)
+	end := a.endAttempt(req, t, obs, out, a.clock.Now()-start)
+	ans.add(&wire.RunChunk{Attempt: req.Attempt, End: end})
+	a.kept.finish(req.Attempt, req.Keep)
+	a.metrics.attempts.WithLabelValues(outcomeName(out.err)).Inc()
+}
+
+// endAttempt settles an attempt: the gate, the meter and the end marker.
+func (a *agent) endAttempt(req *wire.RunRequest, t target, obs *observer, out outcome, took rollout.Millis) *wire.End {
+	end := &wire.End{
+		Length: out.bytes, Versions: a.versionsOf(req, t, obs),
+		InputTokens: obs.input, OutputTokens: obs.output, Crashed: out.broken,
+	}
+	if out.err != nil {
+		end.Error, end.NotRun = out.err.Error(), out.err.NotRun
+	}
+	a.traffic.Lock()
+	suspects := a.gate.Crashed(req.Upstream)
+	a.gate.Finish(req.Attempt)
+	end.Running = int32(a.gate.Running(req.Upstream))
+	if !end.NotRun {
+		a.meter.Add(usage.Subject{Account: req.Account, Pool: t.pool}, usage.Figures{
+			Requests: 1, InputTokens: obs.input, OutputTokens: obs.output, UpstreamMS: uint64(took),
+		})
+	}
+	a.traffic.Unlock()
+	if out.broken {
+		a.log.Warn("UpstreamBroke", zap.String("Upstream", req.Upstream), zap.String("Attempt", req.Attempt), zap.Error(out.err))
+		a.do(func(rollout.Millis) { a.broken(req.Upstream, suspects) })
+	}
+	return end
+}
+
+// versionsOf returns the weight versions that produced an answer: what the
+// engine said in it, or else what it reported before and after.
+func (a *agent) versionsOf(req *wire.RunRequest, before target, obs *observer) []uint64 {
+	if req.Group == "" {
+		return nil
+	}
+	if len(obs.versions) > 0 {
+		return obs.versions
+	}
+	versions := []uint64{before.versions[req.Group]}
+	if after := (*a.targets.Load())[req.Upstream].versions[req.Group]; !slices.Contains(versions, after) {
+		versions = append(versions, after)
+	}
+	return versions
+}
+
+func endOf(attempt string, err *rollout.Error) *wire.RunChunk {
+	return &wire.RunChunk{Attempt: attempt, End: &wire.End{Error: err.Error(), NotRun: err.NotRun, Running: -1}}
+}
+
+func outcomeName(err *rollout.Error) string {
+	if err == nil {
+		return "ok"
+	}
+	return err.Kind.String()
+}
--- /dev/null
+++ b/internal/cmds/standin/services.go
@@ -0,0 +1,218 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+// serviceCmd runs a plain service that counts how often each request ran.
+type serviceCmd struct {
+	ID     string        `required:""`
+	Pool   string        `required:""`
+	Listen string        `required:""`
+	Agent  string        `required:""`
+	Slots  int           `default:"16"`
+	Delay  time.Duration `default:"2ms"`
+}
+
+type service struct {
+	cmd      *serviceCmd
+	mu       sync.Mutex
+	runs     map[string]int
+	running  int
+	keysSeen int
+}
+
+type serviceAnswer struct {
+	Service string
+	Path    string
+	Run     int
+	Body    string
+}
+
+// Run implements the command.
+func (c *serviceCmd) Run(ctx context.Context) error {
+	s := &service{cmd: c, runs: make(map[string]int)}
+	go announce(ctx, c.Agent, announcement{
+		ID: c.ID, Kind: "service", Pool: c.Pool, URL: "http://" + c.Listen, Slots: c.Slots,
+	})
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		writeJSON(w, engineStatus{Running: s.running, KeysSeen: s.keysSeen})
+	})
+	mux.HandleFunc("GET /runs", func(w http.ResponseWriter, _ *http.Request) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		writeJSON(w, s.runs)
+	})
+	mux.HandleFunc("/", s.handle)
+	return serve(ctx, c.Listen, mux)
+}
+
+func (s *service) handle(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	id := r.Header.Get("Idempotency-Key")
+	s.mu.Lock()
+	s.runs[id]++
+	run := s.runs[id]
+	if r.Header.Get("Authorization") != "" {
+		s.keysSeen++
+	}
+	s.mu.Unlock()
+	time.Sleep(s.cmd.Delay)
+	writeJSON(w, serviceAnswer{Service: s.cmd.ID, Path: r.URL.Path, Run: run, Body: string(body)})
+}
+
+// weightStoreCmd runs a weight store that answers a bounded number of reads a
+// second.
+type weightStoreCmd struct {
+	Listen string `required:""`
+	Bytes  int    `default:"65536"`
+	Rate   int    `default:"4" help:"Reads a second."`
+}
+
+// Run implements the command.
+func (c *weightStoreCmd) Run(ctx context.Context) error {
+	var mu sync.Mutex
+	var second int64
+	var reads, total int
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /reads", func(w http.ResponseWriter, _ *http.Request) {
+		mu.Lock()
+		defer mu.Unlock()
+		writeJSON(w, total)
+	})
+	mux.HandleFunc("GET /weights/{group}/{version}", func(w http.ResponseWriter, _ *http.Request) {
+		mu.Lock()
+		if now := time.Now().Unix(); now != second {
+			second, reads = now, 0
+		}
+		reads++
+		total++
+		over := reads > c.Rate
+		mu.Unlock()
+		if over {
+			http.Error(w, "too many reads", http.StatusTooManyRequests)
+			return
+		}
+		_, _ = w.Write(make([]byte, c.Bytes))
+	})
+	return serve(ctx, c.Listen, mux)
+}
+
+// scorerCmd runs a service that scores by the length of the text.
+type scorerCmd struct {
+	Listen string `required:""`
+}
+
+// Run implements the command.
+func (c *scorerCmd) Run(ctx context.Context) error {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /score", func(w http.ResponseWriter, r *http.Request) {
+		var req struct{ Text string }
+		_ = json.NewDecoder(r.Body).Decode(&req)
+		writeJSON(w, struct{ Score float64 }{float64(len(strings.Fields(req.Text)))})
+	})
+	return serve(ctx, c.Listen, mux)
+}
+
+// platformCmd runs the platform. It remembers what it was told and counts
+// what should never come.
+type platformCmd struct {
+	Listen string `required:""`
+}
+
+type platformOrder struct {
+	ID, Action, FailureDomain, Pool, Upstream string
+	Fencing                                   uint64
+}
+
+type platformUsage struct {
+	Window uint64
+	Lines  json.RawMessage
+	Total  struct{ Requests, InputTokens, OutputTokens uint64 }
+}
+
+// platformState is what the platform shows.
+type platformState struct {
+	Orders  []platformOrder
+	Usage   []platformUsage
+	Changed int
+	OldTerm int
+}
+
+// Run implements the command.
+func (c *platformCmd) Run(ctx context.Context) error {
+	p := &platform{orders: make(map[string]bool), windows: make(map[uint64]string)}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /orders", p.handleOrder)
+	mux.HandleFunc("POST /usage", p.handleUsage)
+	mux.HandleFunc("GET /state", func(w http.ResponseWriter, _ *http.Request) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		writeJSON(w, p.state)
+	})
+	return serve(ctx, c.Listen, mux)
+}
+
+type platform struct {
+	mu      sync.Mutex
+	state   platformState
+	orders  map[string]bool
+	windows map[uint64]string
+	fencing uint64
+}
+
+func (p *platform) handleOrder(w http.ResponseWriter, r *http.Request) {
+	var o platformOrder
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if o.Fencing < p.fencing {
+		p.state.OldTerm++
+		http.Error(w, "old fencing number", http.StatusConflict)
+		return
+	}
+	p.fencing = o.Fencing
+	if !p.orders[o.ID] {
+		p.orders[o.ID] = true
+		p.state.Orders = append(p.state.Orders, o)
+	}
+}
+
+func (p *platform) handleUsage(w http.ResponseWriter, r *http.Request) {
+	var u platformUsage
+	if err := json.NewDecoder(r.Body).Decode(&u); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if before, ok := p.windows[u.Window]; ok {
+		if before != string(u.Lines) {
+			p.state.Changed++
+		}
+		return
+	}
+	p.windows[u.Window] = string(u.Lines)
+	var lines []struct{ Requests, InputTokens, OutputTokens uint64 }
+	_ = json.Unmarshal(u.Lines, &lines)
+	for _, l := range lines {
+		u.Total.Requests += l.Requests
+		u.Total.InputTokens += l.InputTokens
+		u.Total.OutputTokens += l.OutputTokens
+	}
+	p.state.Usage = append(p.state.Usage, u)
+	_, _ = fmt.Fprintln(w, "ok")
+}
--- /dev/null
+++ b/internal/control/peers.go
@@ -0,0 +1,163 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/coltsfootspoke/coltsfootspoke/internal/link"
+	"github.com/coltsfootspoke/coltsfootspoke/internal/wire"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/quorum"
+)
+
+const (
+	// outboxLength bounds the messages that wait for one peer. More are
+	// dropped; the log is robust against loss.
+	outboxLength   = 256
+	deliverTimeout = 2 * time.Second
+)
+
+// peerSender sends messages to the other members, each from a thread of its
+// own.
+type peerSender struct {
+	ctx     context.Context
+	dialer  *link.Dialer
+	address string
+	wait    sync.WaitGroup
+
+	mu sync.Mutex
+	// addresses of the members that are known, by ID.
+	addresses map[quorum.MemberID]string
+	outboxes  map[quorum.MemberID]chan quorum.Message
+}
+
+func newPeerSender(ctx context.Context, dialer *link.Dialer, address string) *peerSender {
+	return &peerSender{
+		ctx: ctx, dialer: dialer, address: address,
+		addresses: make(map[quorum.MemberID]string),
+		outboxes:  make(map[quorum.MemberID]chan quorum.Message),
+	}
+}
+
+// learn notes the address of a member.
+func (p *peerSender) learn(id quorum.MemberID, address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if id != "" && address != "" {
+		p.addresses[id] = address
+	}
+}
+
+// learnAll notes the addresses of all members.
+func (p *peerSender) learnAll(m quorum.Members) {
+	for _, v := range m.Voters {
+		p.learn(v.ID, v.Address)
+	}
+	for _, l := range m.Learners {
+		p.learn(l.ID, l.Address)
+	}
+}
+
+// send queues messages. It never blocks.
+func (p *peerSender) send(ms []quorum.Message) {
+	for _, m := range ms {
+		select {
+		case p.outbox(m.To) <- m:
+		default:
+		}
+	}
+}
+
+func (p *peerSender) addressOf(id quorum.MemberID) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.addresses[id]
+}
+
+func (p *peerSender) outbox(id quorum.MemberID) chan quorum.Message {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	box := p.outboxes[id]
+	if box == nil {
+		box = make(chan quorum.Message, outboxLength)
+		p.outboxes[id] = box
+		p.wait.Go(func() { p.pump(id, box) })
+	}
+	return box
+}
+
+// pump delivers the messages of one outbox until the context ends.
+func (p *peerSender) pump(id quorum.MemberID, box chan quorum.Message) {
+	for {
+		select {
+		case <-p.ctx.Done():
+			return
+		case m := <-box:
+			p.deliver(id, collect(m, box))
+		}
+	}
+}
+
+func (p *peerSender) deliver(id quorum.MemberID, ms []quorum.Message) {
+	address := p.addressOf(id)
+	if address == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(p.ctx, deliverTimeout)
+	defer cancel()
+	req := &wire.PeerMessages{Address: p.address}
+	for _, m := range ms {
+		req.Messages = append(req.Messages, toWire(m))
+	}
+	conn := p.dialer.Conn(ctx, address)
+	_, _ = wire.NewDRPCControlClient(conn).Deliver(ctx, req)
+}
+
+// collect takes the messages that wait behind the first.
+func collect(first quorum.Message, box chan quorum.Message) []quorum.Message {
+	ms := []quorum.Message{first}
+	for len(ms) < outboxLength {
+		select {
+		case m := <-box:
+			ms = append(ms, m)
+		default:
+			return ms
+		}
+	}
+	return ms
+}
+
+func toWire(m quorum.Message) *wire.PeerMessage {
+	w := &wire.PeerMessage{
+		Type: uint32(m.Type), From: string(m.From), To: string(m.To), Term: m.Term,
+		PrevIndex: m.PrevIndex, PrevTerm: m.PrevTerm, Commit: m.Commit,
+		Round: m.Round, Reject: m.Reject, Match: m.Match,
+	}
+	for _, e := range m.Entries {
+		w.Entries = append(w.Entries, &wire.LogEntry{Index: e.Index, Term: e.Term, Kind: uint32(e.Kind), Data: e.Data})
+	}
+	if s := m.Snapshot; s != nil {
+		members, _ := json.Marshal(s.Members)
+		w.Snapshot = &wire.Snapshot{Index: s.Index, Term: s.Term, Members: members, Data: s.Data}
+	}
+	return w
+}
+
+func fromWire(w *wire.PeerMessage) (quorum.Message, error) {
+	m := quorum.Message{
+		Type: quorum.MessageType(w.Type), From: quorum.MemberID(w.From), To: quorum.MemberID(w.To), Term: w.Term,
+		PrevIndex: w.PrevIndex, PrevTerm: w.PrevTerm, Commit: w.Commit,
+		Round: w.Round, Reject: w.Reject, Match: w.Match,
+	}
+	for _, e := range w.Entries {
+		m.Entries = append(m.Entries, quorum.Entry{Index: e.Index, Term: e.Term, Kind: quorum.EntryKind(e.Kind), Data: e.Data})
+	}
+	if s := w.Snapshot; s != nil {
+		m.Snapshot = &quorum.Snapshot{Index: s.Index, Term: s.Term, Data: s.Data}
+		if err := json.Unmarshal(s.Members, &m.Snapshot.Members); err != nil {
+			return m, err
+		}
+	}
+	return m, nil
+}
--- /dev/null
+++ b/internal/control/renew.go
@@ -0,0 +1,159 @@
+package control
+
+import (
+	"encoding/json"
+
+	"go.uber.org/zap"
+
+	"github.com/coltsfootspoke/coltsfootspoke/internal/wire"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/authority"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/catalog"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/fleet"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/ledger"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/weights"
+)
+
+// renew confirms a daemon. What it reports is committed before the answer.
+func (t *thread) renew(now rollout.Millis, req *wire.RenewRequest, done func(*wire.RenewReply, error)) {
+	if !t.inCharge(now) || !t.leading {
+		done(nil, t.notLeader())
+		return
+	}
+	var report *fleet.Report
+	if len(req.Report) > 0 {
+		report = &fleet.Report{}
+		if err := json.Unmarshal(req.Report, report); err != nil {
+			done(nil, rollout.NewError(rollout.KindInvalidInput, "report of %s", req.Daemon).WithCause(err))
+			return
+		}
+	}
+	t.metrics.renewals.WithLabelValues(req.Kind).Inc()
+	cmds := reportCommands(req, report)
+	if len(cmds) == 0 {
+		done(t.confirm(now, req, report), nil)
+		return
+	}
+	t.propose(func(_ []ledger.Result, err error) {
+		now := t.clock.Now()
+		if err == nil && !t.inCharge(now) {
+			err = t.notLeader()
+		}
+		if err != nil {
+			done(nil, err)
+			return
+		}
+		done(t.confirm(now, req, report), nil)
+	}, cmds...)
+}
+
+// confirm returns the answer of a leader in charge.
+func (t *thread) confirm(now rollout.Millis, req *wire.RenewRequest, report *fleet.Report) *wire.RenewReply {
+	kind := fleet.Kind(req.Kind)
+	t.fleet.Renew(now, fleet.Daemon{
+		Name: req.Daemon, Kind: kind, Incarnation: req.Incarnation, Address: req.Address,
+		FailureDomain: req.FailureDomain, Version: req.Version,
+	}, report)
+	interest := catalog.EntryInterest()
+	if kind == fleet.KindAgent {
+		interest = catalog.AgentInterest(req.Upstreams)
+	}
+	reply := &wire.RenewReply{LeaseMs: authority.LeaseMS, Version: t.state.Catalog.Version}
+	if u := t.state.Catalog.Since(req.Version, interest); u.Full || len(u.Changes) > 0 {
+		reply.Update = marshal(t.log, u)
+	}
+	if kind == fleet.KindAgent {
+		reply.Tasks = t.weightTasks(now, req, report)
+	}
+	return reply
+}
+
+func (t *thread) weightTasks(now rollout.Millis, req *wire.RenewRequest, report *fleet.Report) []byte {
+	agent := weights.Agent{Name: req.Daemon, Address: req.Address, FailureDomain: req.FailureDomain}
+	for _, id := range req.Upstreams {
+		if u, ok := t.state.Catalog.Upstreams[id]; ok {
+			agent.Upstreams = append(agent.Upstreams, u)
+		}
+	}
+	if report != nil {
+		t.noteWeights(agent, report)
+	}
+	tasks := t.weights.Next(now, agent, t.state.Catalog.Groups, t.poolSizes())
+	for _, f := range tasks.Fetches {
+		t.log.Info("WeightFetchPlaced", zap.String("Agent", agent.Name), zap.String("Group", f.Group),
+			zap.Uint64("Version", f.Version), zap.String("Source", sourceName(f.Source)))
+	}
+	for _, s := range tasks.Swaps {
+		t.log.Info("WeightSwapAllowed", zap.String("Upstream", s.Upstream), zap.String("Group", s.Group),
+			zap.Uint64("Version", s.Version))
+	}
+	if len(tasks.Fetches)+len(tasks.Swaps) == 0 {
+		return nil
+	}
+	return marshal(t.log, tasks)
+}
+
+func (t *thread) noteWeights(agent weights.Agent, report *fleet.Report) {
+	for _, f := range report.Fetched {
+		t.weights.Failed(agent.Name, weights.Blob{Group: f.Group, Version: f.Version}, f.Source)
+	}
+	for _, h := range report.Holdings {
+		t.weights.Hold(agent, weights.Blob{Group: h.Group, Version: h.Version})
+	}
+	for _, s := range report.Swapped {
+		t.weights.Done(weights.Swap{Blob: weights.Blob{Group: s.Group, Version: s.Version}, Upstream: s.Upstream})
+		if s.Failed {
+			t.log.Warn("WeightSwapFailed", zap.String("Upstream", s.Upstream), zap.String("Group", s.Group), zap.Uint64("Version", s.Version))
+		}
+	}
+}
+
+// poolSizes counts the engines of each pool. The count is kept until the
+// catalog changes.
+func (t *thread) poolSizes() map[string]int {
+	if t.sizesVersion == t.state.Catalog.Version && t.sizes != nil {
+		return t.sizes
+	}
+	t.sizes = make(map[string]int)
+	for _, u := range t.state.Catalog.Upstreams {
+		t.sizes[u.Pool]++
+	}
+	t.sizesVersion = t.state.Catalog.Version
+	return t.sizes
+}
+
+// reportCommands returns what of a report must be committed.
+func reportCommands(req *wire.RenewRequest, r *fleet.Report) []ledger.Command {
+	if r == nil {
+		return nil
+	}
+	var cmds []ledger.Command
+	for _, u := range r.Upstreams {
+		cmds = append(cmds, ledger.Command{PutUpstream: &u})
+	}
+	for _, id := range r.Gone {
+		cmds = append(cmds, ledger.Command{LoseUpstream: &ledger.LoseUpstream{ID: id, Incarnation: req.Incarnation}})
+	}
+	for _, c := range r.Crashes {
+		cmds = append(cmds, ledger.Command{Crash: &ledger.Crash{Upstream: c.Upstream, Fingerprints: c.Fingerprints}})
+	}
+	if r.Usage != nil {
+		cmds = append(cmds, ledger.Command{AddUsage: r.Usage})
+	}
+	return cmds
+}
+
+func marshal(log *zap.Logger, v any) []byte {
+	data, err := json.Marshal(v)
+	if err != nil {
+		log.Error("EncodeFailed", zap.Error(err))
+	}
+	return data
+}
+
+func sourceName(source string) string {
+	if source == "" {
+		return "store"
+	}
+	return source
+}
--- /dev/null
+++ b/internal/control/tables.go
@@ -0,0 +1,254 @@
+package control
+
+import (
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/coltsfootspoke/coltsfootspoke/internal/language"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/catalog"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/quorum"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/stream"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/usage"
+)
+
+const msPerMinute = 60_000.0
+
+// tables lists what can be shown.
+var tables = map[string]func(t *thread, now rollout.Millis) *language.Table{
+	"accounts":  showAccounts,
+	"daemons":   showDaemons,
+	"domains":   showDomains,
+	"groups":    showGroups,
+	"keys":      showKeys,
+	"members":   showMembers,
+	"orders":    showOrders,
+	"poisons":   showPoisons,
+	"routes":    showRoutes,
+	"samples":   showSamples,
+	"steps":     showSteps,
+	"targets":   showTargets,
+	"upstreams": showUpstreams,
+	"usage":     showUsage,
+	"windows":   showWindows,
+}
+
+func (t *thread) show(now rollout.Millis, s *language.Show) (*language.Table, error) {
+	build, ok := tables[s.Table]
+	if !ok {
+		names := strings.Join(slices.Sorted(maps.Keys(tables)), ", ")
+		return nil, rollout.NewError(rollout.KindInvalidInput, "column %d: no table %q; want one of: %s", s.Pos.Column, s.Table, names)
+	}
+	return build(t, now).Select(s)
+}
+
+func newTable(columns ...string) *language.Table { return &language.Table{Columns: columns} }
+
+func addRow(table *language.Table, cells ...language.Cell) { table.Rows = append(table.Rows, cells) }
+
+// sortedValues returns the values of a table by sorted key.
+func sortedValues[V any](table map[string]V) []V {
+	values := make([]V, 0, len(table))
+	for _, k := range slices.Sorted(maps.Keys(table)) {
+		values = append(values, table[k])
+	}
+	return values
+}
+
+func showAccounts(t *thread, _ rollout.Millis) *language.Table {
+	out := newTable("Name", "Weight", "Priority", "MaxQueued", "Keys")
+	for _, a := range sortedValues(t.state.Catalog.Accounts) {
+		keys := 0
+		for _, k := range t.state.Catalog.Keys {
+			if k.Account == a.Name && !k.Withdrawn {
+				keys++
+			}
+		}
+		addRow(out, language.Text(a.Name), language.Int(a.Weight), language.Int(a.Priority), language.Int(a.MaxQueued), language.Int(keys))
+	}
+	return out
+}
+
+func showDaemons(t *thread, now rollout.Millis) *language.Table {
+	out := newTable("Name", "Kind", "FailureDomain", "Address", "Version", "SilentMS")
+	for _, d := range t.fleet.Sorted() {
+		addRow(out, language.Text(d.Name), language.Text(d.Kind), language.Text(d.FailureDomain),
+			language.Text(d.Address), language.Int(d.Version), language.Int(now-d.AnsweredMS))
+	}
+	return out
+}
+
+func showDomains(t *thread, _ rollout.Millis) *language.Table {
+	out := newTable("FailureDomain", "Pool", "Upstreams", "Leaving", "Slots", "Running")
+	type sum struct{ upstreams, leaving, slots, running int }
+	sums := make(map[string]sum)
+	for _, u := range t.state.Catalog.Upstreams {
+		key := u.FailureDomain + "/" + u.Pool
+		s := sums[key]
+		s.upstreams++
+		s.slots += u.Slots
+		if u.Leaving {
+			s.leaving++
+		}
+		load, _ := t.fleet.Load(u.Agent, u.ID)
+		s.running += load.Running
+		sums[key] = s
+	}
+	for _, key := range slices.Sorted(maps.Keys(sums)) {
+		domain, pool, _ := strings.Cut(key, "/")
+		s := sums[key]
+		addRow(out, language.Text(domain), language.Text(pool), language.Int(s.upstreams),
+			language.Int(s.leaving), language.Int(s.slots), language.Int(s.running))
+	}
+	return out
+}
+
+func showGroups(t *thread, _ rollout.Millis) *language.Table {
+	out := newTable("Name", "Account", "Pool", "Staleness", "Version", "OldestUsable", "Acknowledged", "Waiting", "Stale", "Lost")
+	for _, g := range sortedValues(t.state.Catalog.Groups) {
+		gs := t.state.Streams.Groups[g.Name]
+		if gs == nil {
+			gs = &stream.GroupStream{}
+		}
+		addRow(out, language.Text(g.Name), language.Text(g.Account), language.Text(g.Pool),
+			language.Int(g.StalenessBound), language.Int(g.Version), language.Int(g.OldestUsable()),
+			language.Int(gs.Acknowledged), language.Int(len(gs.Samples)), language.Int(gs.Stale), language.Int(gs.Lost))
+	}
+	return out
+}
+
+func showKeys(t *thread, _ rollout.Millis) *language.Table {
+	out := newTable("ID", "Account", "Withdrawn")
+	for _, k := range sortedValues(t.state.Catalog.Keys) {
+		addRow(out, language.Text(k.ID), language.Text(k.Account), language.YesNo(k.Withdrawn))
+	}
+	return out
+}
+
+func showMembers(t *thread, _ rollout.Millis) *language.Table {
+	out := newTable("ID", "Address", "Role", "CaughtUp")
+	add := func(ms []quorum.Member, role string) {
+		for _, m := range ms {
+			r := role
+			if m.ID == t.node.ID() {
+				r = "leader"
+			}
+			addRow(out, language.Text(m.ID), language.Text(m.Address), language.Text(r),
+				language.YesNo(m.ID == t.node.ID() || t.node.CaughtUp(m.ID)))
+		}
+	}
+	add(t.node.Members().Voters, "voter")
+	add(t.node.Members().Learners, "learner")
+	return out
+}
+
+func showOrders(t *thread, now rollout.Millis) *language.Table {
+	out := newTable("ID", "Action", "FailureDomain", "Pool", "Upstream", "State", "AgeMS")
+	for _, id := range t.state.OrderIDs {
+		o := t.state.Orders[id]
+		addRow(out, language.Text(o.ID), language.Text(o.Action), language.Text(o.FailureDomain), language.Text(o.Pool),
+			language.Text(o.Upstream), language.Text(o.State), language.Int(now-o.AtMS))
+	}
+	return out
+}
+
+func showPoisons(t *thread, now rollout.Millis) *language.Table {
+	out := newTable("Fingerprint", "Crashes", "ForgottenInMS")
+	for _, p := range sortedValues(t.state.Catalog.Poisons) {
+		addRow(out, language.Text(p.Fingerprint), language.Int(p.Crashes), language.Int(p.UntilMS-now))
+	}
+	return out
+}
+
+func showRoutes(t *thread, _ rollout.Millis) *language.Table {
+	out := newTable("Name", "Pool", "Open", "Repeatable")
+	for _, r := range sortedValues(t.state.Catalog.Routes) {
+		addRow(out, language.Text(r.Name), language.Text(r.Pool), language.YesNo(r.Open), language.YesNo(r.Repeatable))
+	}
+	return out
+}
+
+func showSamples(t *thread, _ rollout.Millis) *language.Table {
+	out := newTable("Group", "Position", "Step", "Index", "OldestVersion", "NewestVersion", "Lag", "Score", "Void")
+	for _, name := range slices.Sorted(maps.Keys(t.state.Streams.Groups)) {
+		g := t.state.Catalog.Groups[name]
+		for _, s := range t.state.Streams.Groups[name].Samples {
+			oldest := slices.Min(s.Versions)
+			addRow(out, language.Text(name), language.Int(s.Position), language.Text(s.Step), language.Int(s.Index),
+				language.Int(oldest), language.Int(slices.Max(s.Versions)), language.Int(g.Version-min(oldest, g.Version)),
+				language.Float(s.Score), language.Text(s.Void))
+		}
+	}
+	return out
+}
+
+func showSteps(t *thread, _ rollout.Millis) *language.Table {
+	out := newTable("Group", "Step", "Size", "Missing", "Entry")
+	for _, name := range slices.Sorted(maps.Keys(t.state.Streams.Groups)) {
+		for _, st := range t.state.Streams.Groups[name].Steps {
+			addRow(out, language.Text(name), language.Text(st.ID), language.Int(st.Size),
+				language.Int(len(st.Missing())), language.Text(st.Entry))
+		}
+	}
+	return out
+}
+
+func showTargets(t *thread, _ rollout.Millis) *language.Table {
+	out := newTable("FailureDomain", "Pool", "Min", "Max", "Running")
+	for _, target := range sortedValues(t.state.Catalog.Targets) {
+		running := 0
+		for _, u := range t.state.Catalog.Upstreams {
+			if u.Pool == target.Pool && u.FailureDomain == target.FailureDomain && !u.Leaving {
+				running++
+			}
+		}
+		addRow(out, language.Text(target.FailureDomain), language.Text(target.Pool),
+			language.Int(target.Min), language.Int(target.Max), language.Int(running))
+	}
+	return out
+}
+
+func showUpstreams(t *thread, now rollout.Millis) *language.Table {
+	out := newTable("ID", "Kind", "Pool", "FailureDomain", "Host", "Agent", "Leaving", "Slots", "Running", "Waiting", "Versions", "PaidMinutes")
+	for _, u := range t.state.Catalog.SortedUpstreams() {
+		load, _ := t.fleet.Load(u.Agent, u.ID)
+		addRow(out, language.Text(u.ID), language.Text(u.Kind), language.Text(u.Pool), language.Text(u.FailureDomain),
+			language.Text(u.Host), language.Text(u.Agent), language.YesNo(u.Leaving), language.Int(u.Slots),
+			language.Int(load.Running), language.Int(load.Waiting), language.Text(versionsText(u)),
+			language.Float(float64(now-u.SinceMS)/msPerMinute))
+	}
+	return out
+}
+
+func showUsage(t *thread, _ rollout.Millis) *language.Table {
+	out := newTable("Window", "Account", "Pool", "Requests", "InputTokens", "OutputTokens", "UpstreamMS", "Closed", "Reported")
+	add := func(window uint64, lines []usage.Line, closed, reported bool) {
+		for _, l := range lines {
+			addRow(out, language.Int(window), language.Text(l.Account), language.Text(l.Pool), language.Int(l.Requests),
+				language.Int(l.InputTokens), language.Int(l.OutputTokens), language.Int(l.UpstreamMS),
+				language.YesNo(closed), language.YesNo(reported))
+		}
+	}
+	for _, w := range t.state.Usage.Windows {
+		add(w.Number, w.Lines, true, w.Reported)
+	}
+	add(t.state.Usage.NextWindow, t.state.Usage.Open, false, false)
+	return out
+}
+
+func showWindows(t *thread, _ rollout.Millis) *language.Table {
+	out := newTable("Window", "FromMS", "ToMS", "Lines", "Reported")
+	for _, w := range t.state.Usage.Windows {
+		addRow(out, language.Int(w.Number), language.Int(w.FromMS), language.Int(w.ToMS), language.Int(len(w.Lines)), language.YesNo(w.Reported))
+	}
+	return out
+}
+
+func versionsText(u catalog.Upstream) string {
+	var parts []string
+	for _, g := range u.GroupNames() {
+		parts = append(parts, g+":"+language.Int(u.Versions[g]).Text)
+	}
+	return strings.Join(parts, ",")
+}
--- /dev/null
+++ b/internal/daemon/admin.go
@@ -0,0 +1,46 @@
+// Package daemon holds what the daemons share: the admin port, the client of
+// the control hosts and the thread that renews authority.
+package daemon
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+const (
+	adminReadTimeout  = 5 * time.Second
+	adminCloseTimeout = time.Second
+)
+
+// ServeAdmin serves /metrics, /healthz and /readyz until the context ends.
+func ServeAdmin(ctx context.Context, l net.Listener, registry *prometheus.Registry, ready func() bool) error {
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
+	mux.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
+	mux.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			_, _ = w.Write([]byte("not ready\n"))
+			return
+		}
+		_, _ = w.Write([]byte("ready\n"))
+	})
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: adminReadTimeout}
+	stop := context.AfterFunc(ctx, func() {
+		closing, cancel := context.WithTimeout(context.Background(), adminCloseTimeout)
+		defer cancel()
+		_ = server.Shutdown(closing)
+	})
+	defer stop()
+	err := server.Serve(l)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/internal/disk/record.go
@@ -0,0 +1,104 @@
+package disk
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"hash/crc32"
+
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/quorum"
+)
+
+// Each record is a header of three little-endian uint32 (payload length,
+// CRC-32C of the payload, CRC-32C of the first eight bytes) and a payload in
+// JSON.
+const (
+	headerBytes = 12
+	// maxRecordBytes bounds the payload of one record.
+	maxRecordBytes = 1 << 30
+)
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// record is what one synced write holds.
+type record struct {
+	HardState *quorum.HardState `json:",omitempty"`
+	// Entries replace all earlier entries from the first index on.
+	Entries []quorum.Entry `json:",omitempty"`
+}
+
+// CorruptError tells that a file is damaged before its end.
+type CorruptError struct {
+	Path   string
+	Offset int64
+	Reason string
+}
+
+// Error names the file and the offset.
+func (e *CorruptError) Error() string {
+	return fmt.Sprintf("%s: corrupt record at offset %d: %s", e.Path, e.Offset, e.Reason)
+}
+
+func encodeRecord(r record) ([]byte, error) {
+	payload, err := json.Marshal(r)
+	if err != nil {
+		return nil, rollout.NewError(rollout.KindStorage, "encode record").WithCause(err)
+	}
+	out := make([]byte, headerBytes, headerBytes+len(payload))
+	binary.LittleEndian.PutUint32(out[0:], uint32(len(payload)))
+	binary.LittleEndian.PutUint32(out[4:], crc32.Checksum(payload, castagnoli))
+	binary.LittleEndian.PutUint32(out[8:], crc32.Checksum(out[:8], castagnoli))
+	return append(out, payload...), nil
+}
+
+// decodeRecords reads the records of a file. It returns the length of the
+// valid part. A record that the end of the file cuts off is left out; damage
+// anywhere else is an error.
+func decodeRecords(path string, data []byte) (records []record, valid int64, err error) {
+	offset := 0
+	for offset < len(data) {
+		rest := data[offset:]
+		if len(rest) < headerBytes || allZero(rest) {
+			return records, int64(offset), nil
+		}
+		corrupt := &CorruptError{Path: path, Offset: int64(offset)}
+		if crc32.Checksum(rest[:8], castagnoli) != binary.LittleEndian.Uint32(rest[8:]) {
+			corrupt.Reason = "header checksum"
+			return nil, 0, corrupt
+		}
+		size := int(binary.LittleEndian.Uint32(rest))
+		if size > maxRecordBytes {
+			corrupt.Reason = "record length"
+			return nil, 0, corrupt
+		}
+		if headerBytes+size > len(rest) {
+			return records, int64(offset), nil
+		}
+		payload := rest[headerBytes : headerBytes+size]
+		if crc32.Checksum(payload, castagnoli) != binary.LittleEndian.Uint32(rest[4:]) {
+			if headerBytes+size == len(rest) || allZero(rest[headerBytes+size:]) {
+				return records, int64(offset), nil
+			}
+			corrupt.Reason = "payload checksum"
+			return nil, 0, corrupt
+		}
+		var r record
+		if err := json.Unmarshal(payload, &r); err != nil {
+			corrupt.Reason = err.Error()
+			return nil, 0, corrupt
+		}
+		records = append(records, r)
+		offset += headerBytes + size
+	}
+	return records, int64(offset), nil
+}
+
+func allZero(b []byte) bool {
+	for _, c := range b {
+		if c != 0 {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/entry/attempt.go
@@ -0,0 +1,128 @@
+package entry
+
+import (
+	"context"
+
+	"github.com/coltsfootspoke/coltsfootspoke/internal/wire"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
+)
+
+// attemptStream is the answer of one attempt as it comes from an agent. It
+// takes chunks of its own attempt only and checks that the answer is whole.
+type attemptStream struct {
+	attempt string
+	ctx     context.Context
+	stream  wire.DRPCAgent_RunClient
+	cancel  context.CancelFunc
+	head    *wire.Head
+	bytes   uint64
+	end     *wire.End
+	// sent is true once the request may have reached the agent.
+	sent bool
+}
+
+// openAttempt sends a request to an agent and waits for the first chunk.
+func (e *entry) openAttempt(ctx context.Context, address string, req *wire.RunRequest) (*attemptStream, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	s := &attemptStream{attempt: req.Attempt, ctx: ctx, cancel: cancel}
+	stream, err := wire.NewDRPCAgentClient(e.dialer.Conn(ctx, address)).Run(ctx, req)
+	if err != nil {
+		cancel()
+		return nil, s.openError(ctx, err)
+	}
+	s.stream, s.sent = stream, true
+	if _, err := s.next(); err != nil {
+		s.close()
+		return nil, err
+	}
+	return s, nil
+}
+
+// openError tells whether the request never left: only when no connection was
+// made.
+func (s *attemptStream) openError(ctx context.Context, err error) error {
+	if cause := context.Cause(ctx); cause != nil {
+		return rollout.AsError(cause)
+	}
+	e := rollout.AsError(err)
+	if e.Kind == rollout.KindUnavailable && e.NotRun {
+		return e
+	}
+	return rollout.NewError(rollout.KindUpstreamFailed, "the agent failed").WithCause(err)
+}
+
+// next returns the next data, or nil once the answer has ended well.
+func (s *attemptStream) next() ([]byte, error) {
+	for {
+		c, err := s.stream.Recv()
+		if err != nil {
+			return nil, s.receiveError(err)
+		}
+		if c.Attempt != s.attempt {
+			return nil, rollout.NewError(rollout.KindInternal, "answer of attempt %s came for %s", c.Attempt, s.attempt)
+		}
+		switch {
+		case c.End != nil:
+			return nil, s.finish(c.End)
+		case c.Head != nil:
+			s.head = c.Head
+			return nil, nil
+		default:
+			s.bytes += uint64(len(c.Data))
+			return c.Data, nil
+		}
+	}
+}
+
+func (s *attemptStream) receiveError(err error) error {
+	if cause := context.Cause(s.ctx); cause != nil && rollout.AsError(cause).Kind != rollout.KindInternal {
+		return rollout.AsError(cause)
+	}
+	kind := rollout.KindUpstreamFailed
+	if s.head != nil {
+		kind = rollout.KindTruncated
+	}
+	return rollout.NewError(kind, "the agent's answer broke off").WithCause(err)
+}
+
+// finish checks the end marker.
+func (s *attemptStream) finish(end *wire.End) error {
+	s.end = end
+	if end.Error != "" {
+		e := rollout.ParseError(end.Error)
+		e.NotRun = end.NotRun
+		return e
+	}
+	if end.Length != s.bytes {
+		return rollout.NewError(rollout.KindTruncated, "got %d of %d bytes", s.bytes, end.Length)
+	}
+	return nil
+}
+
+// readAll returns the rest of the answer.
+func (s *attemptStream) readAll() ([]byte, error) {
+	var all []byte
+	for s.end == nil {
+		data, err := s.next()
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, data...)
+	}
+	return all, nil
+}
+
+func (s *attemptStream) close() {
+	s.cancel()
+	if s.stream != nil {
+		_ = s.stream.Close()
+	}
+}
+
+// running returns the load that the agent told, or -1.
+func (s *attemptStream) running() int {
+	if s == nil || s.end == nil {
+		return -1
+	}
+	return int(s.end.Running)
+}
--- /dev/null
+++ b/internal/entry/filters.go
@@ -0,0 +1,245 @@
+package entry
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+
+	"github.com/coltsfootspoke/coltsfootspoke/internal/wire"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/catalog"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/fair"
+)
+
+const (
+	pathChat        = "/v1/chat/completions"
+	pathCompletions = "/v1/completions"
+	routePrefix     = "/r/"
+	bearerPrefix    = "Bearer "
+	headerRequestID = "Idempotency-Key"
+	headerTimeout   = "X-Request-Timeout-Ms"
+	// prefixBytes is the length of the prompt's prefix that is hashed for
+	// cache affinity.
+	prefixBytes       = 256
+	defaultTimeoutMS  = 120_000
+	maxTimeoutMS      = 3_600_000
+	defaultMaxTokens  = 256
+	bytesPerToken     = 4
+	maxRequestIDBytes = 256
+	// poisonCrashes is how many crashes make a request poisonous.
+	poisonCrashes = 2
+)
+
+// forwardedHeaders lists what goes on to upstreams.
+var forwardedHeaders = []string{"Content-Type", "Accept", "Accept-Language", "X-Request-Id", headerRequestID}
+
+// completion is the part of a completion request that the entry reads.
+type completion struct {
+	Model     string          `json:"model"`
+	Stream    bool            `json:"stream"`
+	Prompt    json.RawMessage `json:"prompt"`
+	Messages  json.RawMessage `json:"messages"`
+	MaxTokens int             `json:"max_tokens"`
+}
+
+// classify finds the pool and the kind of a request.
+func (e *entry) classify(x *exchange) error {
+	path := string(x.rc.Path())
+	x.method = string(x.rc.Method())
+	x.body = bytes.Clone(x.rc.PostBody())
+	if err := x.readTimeout(e); err != nil {
+		return err
+	}
+	x.requestID = string(x.rc.Request.Header.Peek(headerRequestID))
+	if len(x.requestID) > maxRequestIDBytes {
+		return rollout.NewError(rollout.KindInvalidInput, "%s exceeds %d bytes", headerRequestID, maxRequestIDBytes).WithNotRun()
+	}
+	x.fingerprint = fingerprintOf(x.method, path, x.body)
+	switch {
+	case path == pathChat || path == pathCompletions:
+		return e.classifyCompletion(x, path)
+	case strings.HasPrefix(path, routePrefix):
+		return e.classifyRoute(x, path)
+	default:
+		return rollout.NewError(rollout.KindNotFound, "no path %s", path).WithNotRun()
+	}
+}
+
+func (e *entry) classifyCompletion(x *exchange, path string) error {
+	var c completion
+	if err := json.Unmarshal(x.body, &c); err != nil {
+		return rollout.NewError(rollout.KindInvalidInput, "body: %v", err).WithNotRun()
+	}
+	if c.Model == "" {
+		return rollout.NewError(rollout.KindInvalidInput, "body: model: missing").WithNotRun()
+	}
+	x.path, x.streamed, x.repeatable = path, c.Stream, true
+	prompt := c.Prompt
+	if len(prompt) == 0 {
+		prompt = c.Messages
+	}
+	x.prefix = prefixHash(prompt)
+	if c.MaxTokens <= 0 {
+		c.MaxTokens = defaultMaxTokens
+	}
+	x.cost = float64(len(prompt)/bytesPerToken + c.MaxTokens)
+	if g, ok := x.view.Groups[c.Model]; ok {
+		x.pool, x.group, x.minVersion = g.Pool, g.Name, g.OldestUsable()
+		return nil
+	}
+	r, ok := x.view.Routes[c.Model]
+	if !ok {
+		return rollout.NewError(rollout.KindNotFound, "no model %q", c.Model).WithNotRun()
+	}
+	x.pool, x.open = r.Pool, r.Open
+	return nil
+}
+
+func (e *entry) classifyRoute(x *exchange, path string) error {
+	name, rest, _ := strings.Cut(strings.TrimPrefix(path, routePrefix), "/")
+	r, ok := x.view.Routes[name]
+	if !ok {
+		return rollout.NewError(rollout.KindNotFound, "no route %q", name).WithNotRun()
+	}
+	x.pool, x.open = r.Pool, r.Open
+	x.path = "/" + rest
+	x.repeatable = x.requestID == "" && (r.Repeatable || x.rc.IsGet() || x.rc.IsHead())
+	x.cost = 1
+	return nil
+}
+
+// authenticate finds the client account of the key. Open requests need none.
+func (e *entry) authenticate(x *exchange) error {
+	header := string(x.rc.Request.Header.Peek("Authorization"))
+	if header == "" && x.open {
+		x.withDeadline(e)
+		return nil
+	}
+	secret, ok := strings.CutPrefix(header, bearerPrefix)
+	if !ok || secret == "" {
+		return rollout.NewError(rollout.KindUnauthenticated, "want Authorization: Bearer KEY").WithNotRun()
+	}
+	x.secret = secret
+	if x.open {
+		x.withDeadline(e)
+		return nil
+	}
+	if !e.renewer.Valid() {
+		return rollout.NewError(rollout.KindNoAuthority, "the configuration has not been confirmed lately").WithNotRun()
+	}
+	return e.identify(x)
+}
+
+func (e *entry) identify(x *exchange) error {
+	k, ok := x.view.ByDigest[catalog.Digest(x.secret)]
+	if !ok {
+		return rollout.NewError(rollout.KindUnauthenticated, "the key is not known").WithNotRun()
+	}
+	if k.Withdrawn {
+		return rollout.NewError(rollout.KindWithdrawn, "key %s was withdrawn", k.ID).WithNotRun()
+	}
+	account, ok := x.view.Accounts[k.Account]
+	if !ok {
+		return rollout.NewError(rollout.KindForbidden, "client account %s does not exist", k.Account).WithNotRun()
+	}
+	if g, ok := x.view.Groups[x.group]; ok && g.Account != account.Name {
+		return rollout.NewError(rollout.KindForbidden, "model %s belongs to another client account", x.group).WithNotRun()
+	}
+	x.key, x.account = k, account
+	x.forget = e.sessions.add(k.ID, x.cancel)
+	x.withDeadline(e)
+	if current := e.renewer.View().Keys[k.ID]; current.Withdrawn {
+		return rollout.NewError(rollout.KindWithdrawn, "key %s was withdrawn", k.ID).WithNotRun()
+	}
+	return nil
+}
+
+// checkPoison refuses a request that has crashed upstreams.
+func (e *entry) checkPoison(x *exchange) error {
+	p, ok := x.view.Poisons[x.fingerprint]
+	now := e.clock.Now()
+	if !ok || p.UntilMS <= now {
+		return nil
+	}
+	x.suspect = true
+	if p.Crashes < poisonCrashes {
+		return nil
+	}
+	e.log.Warn("PoisonRefused", zap.String("Request", x.id), zap.String("Account", x.account.Name), zap.Int("Crashes", p.Crashes))
+	return rollout.NewError(rollout.KindPoisoned, "%d upstreams crashed while they ran this request", p.Crashes).
+		WithNotRun().WithRetryAfter(p.UntilMS - now)
+}
+
+// stripKey builds what goes on to the upstream, without the caller's key.
+func (e *entry) stripKey(x *exchange) error {
+	if x.secret != "" && (bytes.Contains(x.body, []byte(x.secret)) || strings.Contains(x.path, x.secret)) {
+		return rollout.NewError(rollout.KindInvalidInput, "the body or the path repeats the key").WithNotRun()
+	}
+	for _, name := range forwardedHeaders {
+		value := string(x.rc.Request.Header.Peek(name))
+		if value == "" || x.repeatsKey(value) {
+			continue
+		}
+		x.headers = append(x.headers, &wire.Header{Name: name, Value: value})
+	}
+	query := fasthttp.AcquireArgs()
+	defer fasthttp.ReleaseArgs(query)
+	for name, value := range x.rc.QueryArgs().All() {
+		if x.repeatsKey(string(name)) || x.repeatsKey(string(value)) {
+			continue
+		}
+		query.AddBytesKV(name, value)
+	}
+	if query.Len() > 0 {
+		x.path += "?" + query.String()
+	}
+	return nil
+}
+
+func (x *exchange) repeatsKey(s string) bool { return x.secret != "" && strings.Contains(s, x.secret) }
+
+// admit waits for the turn of the client account.
+func (e *entry) admit(x *exchange) error {
+	e.routeMu.Lock()
+	e.budget.Request()
+	e.routeMu.Unlock()
+	release, err := e.admission.admit(x.ctx, x.pool, fair.Item{
+		Account: x.account.Name, Weight: x.account.Weight, Priority: x.account.Priority,
+		MaxQueued: x.account.MaxQueued, Cost: x.cost, DeadlineMS: x.deadline,
+	})
+	if err != nil {
+		e.log.Info("AdmissionRefused", zap.String("Request", x.id), zap.String("Account", x.account.Name), zap.String("Pool", x.pool), zap.Error(err))
+		return err
+	}
+	x.release = release
+	return nil
+}
+
+func (x *exchange) readTimeout(e *entry) error {
+	timeout := int64(defaultTimeoutMS)
+	if text := string(x.rc.Request.Header.Peek(headerTimeout)); text != "" {
+		n, err := strconv.ParseInt(text, 10, 64)
+		if err != nil || n < 1 || n > maxTimeoutMS {
+			return rollout.NewError(rollout.KindInvalidInput, "%s: %q: want 1 to %d", headerTimeout, text, maxTimeoutMS).WithNotRun()
+		}
+		timeout = n
+	}
+	x.deadline = e.clock.Now() + rollout.Millis(timeout)
+	return nil
+}
+
+// prefixHash returns the hash of a prompt's prefix.
+func prefixHash(prompt []byte) uint64 { return xxhash.Sum64(prompt[:min(len(prompt), prefixBytes)]) }
+
+// fingerprintOf tells requests apart that crash upstreams.
+func fingerprintOf(method, path string, body []byte) string {
+	sum := sha256.Sum256(append([]byte(method+" "+path+"\n"), body...))
+	return hex.EncodeToString(sum[:])
+}
--- /dev/null
+++ b/internal/entry/forward.go
@@ -0,0 +1,228 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"strconv"
+	"strings"
+
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+
+	"github.com/coltsfootspoke/coltsfootspoke/internal/wire"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/retry"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/routing"
+)
+
+const msPerSecond = 1_000
+
+// hopHeaders stay between the agent and its upstream.
+var hopHeaders = []string{"connection", "transfer-encoding", "content-length", "keep-alive", "upgrade", "trailer", "te"}
+
+// forward sends the exchange to upstreams until it is answered or given up.
+func (e *entry) forward(x *exchange) error {
+	if x.claimed != nil {
+		return e.forwardClaimed(x)
+	}
+	var tried []string
+	for number := 1; ; number++ {
+		choice, err := e.route(x, tried)
+		if err != nil {
+			return err
+		}
+		err = e.tryUpstream(x, choice)
+		if err == nil {
+			return nil
+		}
+		a := retry.Attempt{
+			Err: rollout.AsError(err), Repeatable: x.repeatable && x.ctx.Err() == nil,
+			Number: number, Left: x.left(e),
+		}
+		if !e.mayRetry(a) {
+			return e.finalError(x, a)
+		}
+		x.full = x.full || a.Err.Kind == rollout.KindOverloaded
+		tried = append(tried, choice.Upstream.ID)
+		e.log.Info("Retry", zap.String("Request", x.id), zap.Int("Attempt", number), zap.String("Upstream", choice.Upstream.ID), zap.Error(err))
+	}
+}
+
+// route chooses an upstream and logs the decision.
+func (e *entry) route(x *exchange, tried []string) (routing.Choice, error) {
+	e.routeMu.Lock()
+	choice, ok := e.router.Pick(e.clock.Now(), routing.Query{
+		Pool: x.pool, Group: x.group, MinVersion: x.minVersion, Prefix: x.prefix, Exclude: tried,
+	})
+	e.routeMu.Unlock()
+	if !ok {
+		e.log.Info("RouteFailed", zap.String("Request", x.id), zap.String("Pool", x.pool), zap.Uint64("MinVersion", x.minVersion), zap.Int("Tried", len(tried)))
+		return choice, rollout.NewError(rollout.KindNoUpstream, "no upstream of pool %s takes work", x.pool).WithNotRun()
+	}
+	e.log.Info("Route", zap.String("Request", x.id), zap.String("Account", x.account.Name), zap.String("Pool", x.pool),
+		zap.String("Upstream", choice.Upstream.ID), zap.String("Reason", string(choice.Reason)), zap.Float64("Load", choice.Load))
+	return choice, nil
+}
+
+// finished tells the router how an attempt ended.
+func (e *entry) finished(upstream string, err error, running int) {
+	failed := false
+	if err != nil {
+		switch k := rollout.AsError(err).Kind; k {
+		case rollout.KindUpstreamFailed, rollout.KindTruncated, rollout.KindUnavailable, rollout.KindNoUpstream:
+			failed = true
+		}
+	}
+	e.routeMu.Lock()
+	defer e.routeMu.Unlock()
+	e.router.Finished(e.clock.Now(), upstream, failed, running)
+}
+
+func (e *entry) mayRetry(a retry.Attempt) bool {
+	if !retry.Allowed(a) {
+		return false
+	}
+	if !retry.Charged(a) {
+		return true
+	}
+	e.routeMu.Lock()
+	defer e.routeMu.Unlock()
+	return e.budget.Take()
+}
+
+// finalError is what the caller is told of the last failure.
+func (e *entry) finalError(x *exchange, a retry.Attempt) error {
+	if !x.repeatable && !a.Err.NotRun && x.requestID != "" {
+		return rollout.NewError(rollout.KindOutcomeUnknown, "the request may have run; ask again with the same %s", headerRequestID).WithCause(a.Err)
+	}
+	return a.Err
+}
+
+func (e *entry) runRequest(x *exchange, choice routing.Choice, attempt string) *wire.RunRequest {
+	return &wire.RunRequest{
+		Attempt: attempt, Upstream: choice.Upstream.ID, Incarnation: choice.Upstream.Incarnation,
+		Account: x.account.Name, Group: x.group, Method: x.method, Path: x.path, Headers: x.headers, Body: x.body,
+		DeadlineMs: int64(x.left(e)), Fingerprint: x.fingerprint, Suspect: x.suspect, Priority: int32(x.account.Priority),
+	}
+}
+
+// tryUpstream makes one attempt. It returns nil once the answer is the
+// caller's, whole or in its stream.
+func (e *entry) tryUpstream(x *exchange, choice routing.Choice) error {
+	req := e.runRequest(x, choice, newID())
+	s, err := e.openAttempt(x.ctx, choice.Upstream.Address, req)
+	if err != nil {
+		e.finished(choice.Upstream.ID, err, -1)
+		return err
+	}
+	if x.streamed && s.head != nil && s.end == nil {
+		e.stream(x, choice, s)
+		return nil
+	}
+	defer s.close()
+	body, err := s.readAll()
+	e.finished(choice.Upstream.ID, err, s.running())
+	if err != nil {
+		return err
+	}
+	x.tokens = s.end.InputTokens + s.end.OutputTokens
+	e.answerWhole(x, s, body)
+	x.end(e)
+	return nil
+}
+
+// answerWhole gives the caller an answer that has ended.
+func (e *entry) answerWhole(x *exchange, s *attemptStream, body []byte) {
+	writeHead(x.rc, s)
+	x.rc.Response.SetBodyRaw(body)
+}
+
+// stream gives the caller the answer as it comes. A stream that breaks ends
+// with an error event and a closed connection, never with an end marker.
+func (e *entry) stream(x *exchange, choice routing.Choice, s *attemptStream) {
+	writeHead(x.rc, s)
+	conn := x.rc.Conn()
+	x.rc.SetBodyStreamWriter(func(w *bufio.Writer) {
+		err := copyStream(x.ctx, w, s)
+		e.finished(choice.Upstream.ID, err, s.running())
+		if s.end != nil {
+			x.tokens = s.end.InputTokens + s.end.OutputTokens
+		}
+		s.close()
+		if err != nil {
+			e.log.Warn("StreamBroken", zap.String("Request", x.id), zap.String("Upstream", choice.Upstream.ID), zap.Error(err))
+			_, _ = w.WriteString("event: error\ndata: " + errorText(x, rollout.AsError(err)) + "\n\n")
+			_ = w.Flush()
+			_ = conn.Close()
+		}
+		x.end(e)
+	})
+}
+
+func copyStream(ctx context.Context, w *bufio.Writer, s *attemptStream) error {
+	for s.end == nil {
+		data, err := s.next()
+		if err != nil {
+			if cause := context.Cause(ctx); cause != nil {
+				return cause
+			}
+			return err
+		}
+		if _, err := w.Write(data); err != nil {
+			return rollout.NewError(rollout.KindUnavailable, "the caller went away").WithCause(err)
+		}
+		if err := w.Flush(); err != nil {
+			return rollout.NewError(rollout.KindUnavailable, "the caller went away").WithCause(err)
+		}
+	}
+	return nil
+}
+
+func writeHead(rc *fasthttp.RequestCtx, s *attemptStream) {
+	rc.Response.SetStatusCode(int(s.head.Status))
+	for _, h := range s.head.Headers {
+		if !isHopHeader(h.Name) {
+			rc.Response.Header.Add(h.Name, h.Value)
+		}
+	}
+}
+
+func isHopHeader(name string) bool {
+	for _, h := range hopHeaders {
+		if strings.EqualFold(h, name) {
+			return true
+		}
+	}
+	return false
+}
+
+// errorAnswer is the body of a refusal.
+type errorAnswer struct {
+	Error        string
+	Message      string
+	NotRun       bool
+	RetryAfterMS rollout.Millis `json:",omitempty"`
+	Request      string
+}
+
+func errorText(x *exchange, err *rollout.Error) string {
+	data, _ := json.Marshal(errorAnswer{
+		Error: err.Kind.String(), Message: err.Message, NotRun: err.NotRun, RetryAfterMS: err.Retry(), Request: x.id,
+	})
+	return string(data)
+}
+
+// refuse answers with an error at once.
+func (e *entry) refuse(x *exchange, err error) {
+	r := rollout.AsError(err)
+	rc := x.rc
+	rc.Response.ResetBody()
+	rc.Response.SetStatusCode(r.Kind.Answer().Status)
+	rc.Response.Header.SetContentType("application/json")
+	if retryAfter := r.Retry(); retryAfter > 0 {
+		seconds := (int64(retryAfter) + msPerSecond - 1) / msPerSecond
+		rc.Response.Header.Set("Retry-After", strconv.FormatInt(seconds, 10))
+	}
+	rc.Response.SetBodyString(errorText(x, r) + "\n")
+}
--- /dev/null
+++ b/pkg/rollout/errors.go
@@ -0,0 +1,169 @@
+package rollout
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+)
+
+// Kind is one of the closed list of error kinds.
+type Kind uint8
+
+// The error kinds.
+const (
+	KindInternal Kind = iota
+	KindInvalidInput
+	KindUnauthenticated
+	KindForbidden
+	KindNotFound
+	KindConflict
+	KindOutcomeUnknown
+	KindOverloaded
+	KindNoAuthority
+	KindNoUpstream
+	KindUnavailable
+	KindUpstreamFailed
+	KindTruncated
+	KindDeadlineExceeded
+	KindPoisoned
+	KindWithdrawn
+	KindNotLeader
+	KindStorage
+	kindCount
+)
+
+// Answer is what a caller is told about an error of a kind.
+type Answer struct {
+	// Name is the stable name of the kind in answers and logs.
+	Name string
+	// Status is the HTTP status code.
+	Status int
+	// RetryAfter is the default time after which a new try makes sense. Zero
+	// means that the same request will fail again.
+	RetryAfter Millis
+}
+
+var answers = [kindCount]Answer{
+	KindInternal:         {"Internal", 500, 1_000},
+	KindInvalidInput:     {"InvalidInput", 400, 0},
+	KindUnauthenticated:  {"Unauthenticated", 401, 0},
+	KindForbidden:        {"Forbidden", 403, 0},
+	KindNotFound:         {"NotFound", 404, 0},
+	KindConflict:         {"Conflict", 409, 0},
+	KindOutcomeUnknown:   {"OutcomeUnknown", 502, 0},
+	KindOverloaded:       {"Overloaded", 429, 1_000},
+	KindNoAuthority:      {"NoAuthority", 503, 2_000},
+	KindNoUpstream:       {"NoUpstream", 503, 2_000},
+	KindUnavailable:      {"Unavailable", 503, 1_000},
+	KindUpstreamFailed:   {"UpstreamFailed", 502, 1_000},
+	KindTruncated:        {"Truncated", 502, 1_000},
+	KindDeadlineExceeded: {"DeadlineExceeded", 504, 1_000},
+	KindPoisoned:         {"Poisoned", 422, 600_000},
+	KindWithdrawn:        {"Withdrawn", 401, 0},
+	KindNotLeader:        {"NotLeader", 503, 500},
+	KindStorage:          {"Storage", 507, 10_000},
+}
+
+// Answer returns the table entry of the kind.
+func (k Kind) Answer() Answer {
+	if k >= kindCount {
+		return answers[KindInternal]
+	}
+	return answers[k]
+}
+
+// String returns the name of the kind.
+func (k Kind) String() string { return k.Answer().Name }
+
+// KindByName returns the kind with the given name, or KindInternal.
+func KindByName(name string) Kind {
+	for k := range kindCount {
+		if answers[k].Name == name {
+			return k
+		}
+	}
+	return KindInternal
+}
+
+// Error is an error of the closed list.
+type Error struct {
+	Kind Kind
+	// Message says what went wrong and where, in one line.
+	Message string
+	// NotRun is true only when no upstream has begun the request.
+	NotRun bool
+	// RetryAfter is when to come back. Zero takes the default of the kind.
+	RetryAfter Millis
+	// Cause may be nil.
+	Cause error
+}
+
+// NewError returns an error of a kind with a formatted message.
+func NewError(k Kind, format string, args ...any) *Error {
+	return &Error{Kind: k, Message: fmt.Sprintf(format, args...)}
+}
+
+// AsError returns err as an *Error. Errors from elsewhere become
+// KindInternal.
+func AsError(err error) *Error {
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return &Error{Kind: KindInternal, Message: err.Error(), Cause: err}
+}
+
+// ParseError reads back an error that travelled as text in the form that
+// Error writes. Text of another form becomes KindUnavailable.
+func ParseError(text string) *Error {
+	name, message, found := strings.Cut(text, ": ")
+	if !found {
+		return NewError(KindUnavailable, "%s", text)
+	}
+	k := KindByName(name)
+	if k == KindInternal && name != KindInternal.String() {
+		return NewError(KindUnavailable, "%s", text)
+	}
+	return NewError(k, "%s", message)
+}
+
+// Error returns the kind and the message.
+func (e *Error) Error() string {
+	if e.Cause != nil && e.Cause.Error() != e.Message {
+		return fmt.Sprintf("%s: %s: %v", e.Kind, e.Message, e.Cause)
+	}
+	return fmt.Sprintf("%s: %s", e.Kind, e.Message)
+}
+
+// Retry returns when to come back.
+func (e *Error) Retry() Millis {
+	if e.RetryAfter > 0 {
+		return e.RetryAfter
+	}
+	return e.Kind.Answer().RetryAfter
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+// WithCause returns a copy of the error with a cause.
+func (e *Error) WithCause(err error) *Error {
+	c := *e
+	c.Cause = err
+	return &c
+}
+
+// WithNotRun returns a copy of the error that says that no upstream has begun
+// the request.
+func (e *Error) WithNotRun() *Error {
+	c := *e
+	c.NotRun = true
+	return &c
+}
+
+// WithRetryAfter returns a copy of the error with a time to come back.
+func (e *Error) WithRetryAfter(d Millis) *Error {
+	c := *e
+	c.RetryAfter = d
+	return &c
+}
--- /dev/null
+++ b/pkg/rollout/ledger/ledger.go
@@ -0,0 +1,312 @@
+package ledger
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/capacity"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/catalog"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/claim"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/stream"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/usage"
+)
+
+const (
+	// answersKept bounds the command IDs whose first answer is remembered.
+	answersKept = 10_000
+	// ordersKept bounds the done orders that are remembered.
+	ordersKept = 1_000
+	// poisonRetentionMS is how long a crash is held against a request.
+	poisonRetentionMS = 10 * 60 * 1_000
+)
+
+// State is the replicated state. Its fields are exported for snapshots only.
+type State struct {
+	Catalog *catalog.Catalog
+	Claims  *claim.Table
+	Streams *stream.Streams
+	Usage   *usage.Book
+	Orders  map[string]capacity.Order
+	// OrderIDs lists the keys of Orders, oldest first.
+	OrderIDs []string
+	// ConfigVersion is the index of the last change by an operator.
+	ConfigVersion uint64
+	// Answers holds the first answer to each command ID.
+	Answers map[string]Result
+	// AnswerIDs lists the keys of Answers, oldest first.
+	AnswerIDs []string
+	// Applied is the index of the last log entry applied.
+	Applied uint64
+	// LastMS is the time of the newest command. It never falls.
+	LastMS rollout.Millis
+}
+
+// New returns an empty state.
+func New() *State {
+	return &State{
+		Catalog: catalog.New(),
+		Claims:  claim.New(),
+		Streams: stream.New(),
+		Usage:   usage.New(),
+		Orders:  make(map[string]capacity.Order),
+		Answers: make(map[string]Result),
+	}
+}
+
+// Restore returns the state of a snapshot.
+func Restore(data []byte) (*State, error) {
+	s := New()
+	if err := json.Unmarshal(data, s); err != nil {
+		return nil, rollout.NewError(rollout.KindStorage, "decode snapshot").WithCause(err)
+	}
+	s.Catalog.Restore()
+	return s, nil
+}
+
+// Apply applies one log entry and returns a result for each of its commands.
+func (s *State) Apply(index uint64, cmds []Command) []Result {
+	results := make([]Result, 0, len(cmds))
+	for _, c := range cmds {
+		s.LastMS = max(s.LastMS, c.AtMS)
+		results = append(results, s.applyOnce(index, c))
+	}
+	s.Applied = index
+	return results
+}
+
+// OpenOrders returns the orders that are not done, oldest first.
+func (s *State) OpenOrders() []capacity.Order {
+	var open []capacity.Order
+	for _, id := range s.OrderIDs {
+		if o := s.Orders[id]; o.State != capacity.OrderDone {
+			open = append(open, o)
+		}
+	}
+	return open
+}
+
+// Snapshot returns the state in JSON.
+func (s *State) Snapshot() ([]byte, error) {
+	data, err := json.Marshal(s)
+	if err != nil {
+		return nil, rollout.NewError(rollout.KindStorage, "encode snapshot").WithCause(err)
+	}
+	return data, nil
+}
+
+// Check returns what a command would answer if it were applied now. It
+// changes nothing.
+func (s *State) Check(c Command) error {
+	if c.Expected != 0 && c.Expected != s.ConfigVersion {
+		return s.conflict(c)
+	}
+	return s.validate(c)
+}
+
+// applyOnce gives a command that comes again its first answer.
+func (s *State) applyOnce(index uint64, c Command) Result {
+	if c.ID == "" {
+		value, err := s.apply(index, c)
+		return resultOf(index, value, err)
+	}
+	if first, ok := s.Answers[c.ID]; ok {
+		return first
+	}
+	value, err := s.applyChange(index, c)
+	r := resultOf(index, value, err)
+	s.Answers[c.ID] = r
+	s.AnswerIDs = append(s.AnswerIDs, c.ID)
+	if len(s.AnswerIDs) > answersKept {
+		delete(s.Answers, s.AnswerIDs[0])
+		s.AnswerIDs = s.AnswerIDs[1:]
+	}
+	return r
+}
+
+// applyChange applies a change by an operator.
+func (s *State) applyChange(index uint64, c Command) (any, error) {
+	if err := s.Check(c); err != nil {
+		return nil, err
+	}
+	value, err := s.apply(index, c)
+	if err == nil {
+		s.ConfigVersion = index
+	}
+	return value, err
+}
+
+func (s *State) conflict(c Command) error {
+	return rollout.NewError(rollout.KindConflict,
+		"expected configuration version %d, present is %d", c.Expected, s.ConfigVersion)
+}
+
+func (s *State) apply(index uint64, c Command) (any, error) {
+	switch {
+	case c.TakeClaim != nil:
+		return s.Claims.Take(c.AtMS, *c.TakeClaim)
+	case c.VoidClaim != nil:
+		s.Claims.Void(*c.VoidClaim)
+		return nil, nil
+	case c.OpenStep != nil, c.CommitSample != nil, c.Handover != nil, c.LoseSample != nil:
+		return s.applyStream(c)
+	case c.AddUsage != nil:
+		s.Usage.Add(c.AtMS, *c.AddUsage)
+		return nil, nil
+	case c.CloseWindow != nil:
+		w, _ := s.Usage.Close(*c.CloseWindow)
+		return w, nil
+	case c.WindowReported != nil:
+		s.Usage.Reported(c.WindowReported.Number)
+		return nil, nil
+	case c.PlanOrder != nil:
+		s.putOrder(capacity.Order{Order: *c.PlanOrder, State: capacity.OrderPlanned, AtMS: c.AtMS})
+		return nil, nil
+	case c.OrderState != nil:
+		if o, ok := s.Orders[c.OrderState.ID]; ok {
+			o.State = c.OrderState.State
+			s.Orders[o.ID] = o
+		}
+		return nil, nil
+	default:
+		return s.applyCatalog(index, c)
+	}
+}
+
+func (s *State) applyCatalog(index uint64, c Command) (any, error) {
+	cat := s.Catalog
+	switch {
+	case c.PutAccount != nil:
+		cat.Put(index, catalog.KindAccount, c.PutAccount.Name, *c.PutAccount)
+		return *c.PutAccount, nil
+	case c.GrantKey != nil:
+		cat.Put(index, catalog.KindKey, c.GrantKey.ID, *c.GrantKey)
+		return *c.GrantKey, nil
+	case c.WithdrawKey != nil:
+		k := cat.Keys[c.WithdrawKey.ID].WithWithdrawn()
+		cat.Put(index, catalog.KindKey, k.ID, k)
+		return k, nil
+	case c.PutGroup != nil:
+		g := groupOf(*c.PutGroup).WithVersion(cat.Groups[c.PutGroup.Name].Version)
+		cat.Put(index, catalog.KindGroup, g.Name, g)
+		return g, nil
+	case c.PutRoute != nil:
+		cat.Put(index, catalog.KindRoute, c.PutRoute.Name, *c.PutRoute)
+		return *c.PutRoute, nil
+	case c.PutTarget != nil:
+		cat.Put(index, catalog.KindTarget, c.PutTarget.Name(), *c.PutTarget)
+		return *c.PutTarget, nil
+	case c.Drop != nil:
+		cat.Remove(index, c.Drop.Kind, c.Drop.Name)
+		return nil, nil
+	case c.DrainRequest != nil:
+		u := cat.Upstreams[c.DrainRequest.Upstream].WithLeaving(true)
+		if u.ID == "" {
+			return nil, rollout.NewError(rollout.KindNotFound, "no upstream %q", c.DrainRequest.Upstream)
+		}
+		cat.Put(index, catalog.KindUpstream, u.ID, u)
+		return u, nil
+	default:
+		return s.applyReport(index, c)
+	}
+}
+
+// applyReport applies what daemons report of upstreams and weights.
+func (s *State) applyReport(index uint64, c Command) (any, error) {
+	cat := s.Catalog
+	switch {
+	case c.PublishWeights != nil:
+		g, ok := cat.Groups[c.PublishWeights.Group]
+		if !ok {
+			return nil, rollout.NewError(rollout.KindNotFound, "no trainer group %q", c.PublishWeights.Group)
+		}
+		g = g.WithVersion(c.PublishWeights.Version)
+		cat.Put(index, catalog.KindGroup, g.Name, g)
+		return g, nil
+	case c.PutUpstream != nil:
+		u := *c.PutUpstream
+		if old, ok := cat.Upstreams[u.ID]; ok && old.Incarnation == u.Incarnation {
+			u = u.WithLeaving(u.Leaving || old.Leaving)
+			u.SinceMS = old.SinceMS
+		} else {
+			u.SinceMS = c.AtMS
+		}
+		cat.Put(index, catalog.KindUpstream, u.ID, u)
+		return u, nil
+	case c.LoseUpstream != nil:
+		if u, ok := cat.Upstreams[c.LoseUpstream.ID]; ok && u.Incarnation == c.LoseUpstream.Incarnation {
+			cat.Remove(index, catalog.KindUpstream, u.ID)
+		}
+		return nil, nil
+	case c.Crash != nil:
+		s.applyCrash(index, c)
+		return nil, nil
+	default:
+		return nil, rollout.NewError(rollout.KindInvalidInput, "empty command")
+	}
+}
+
+func (s *State) applyCrash(index uint64, c Command) {
+	for _, f := range c.Crash.Fingerprints {
+		p := s.Catalog.Poisons[f]
+		p.Fingerprint = f
+		p.Crashes++
+		p.UntilMS = c.AtMS + poisonRetentionMS
+		s.Catalog.Put(index, catalog.KindPoison, f, p)
+	}
+	for _, f := range slices.Sorted(maps.Keys(s.Catalog.Poisons)) {
+		if s.Catalog.Poisons[f].UntilMS < c.AtMS {
+			s.Catalog.Remove(index, catalog.KindPoison, f)
+		}
+	}
+}
+
+func (s *State) applyStream(c Command) (any, error) {
+	switch {
+	case c.OpenStep != nil:
+		if _, err := s.groupByName(c.OpenStep.Group); err != nil {
+			return nil, err
+		}
+		return s.Streams.OpenStep(*c.OpenStep)
+	case c.CommitSample != nil:
+		g, err := s.groupByName(c.CommitSample.Group)
+		if err != nil {
+			return nil, err
+		}
+		return s.Streams.Commit(g, *c.CommitSample)
+	case c.Handover != nil:
+		g, err := s.groupByName(c.Handover.Group)
+		if err != nil {
+			return nil, err
+		}
+		return s.Streams.Handover(g, *c.Handover)
+	default:
+		s.Streams.Lose(*c.LoseSample)
+		return nil, nil
+	}
+}
+
+func (s *State) groupByName(name string) (catalog.Group, error) {
+	g, ok := s.Catalog.Groups[name]
+	if !ok {
+		return g, rollout.NewError(rollout.KindNotFound, "no trainer group %q", name)
+	}
+	return g, nil
+}
+
+func (s *State) putOrder(o capacity.Order) {
+	if _, ok := s.Orders[o.ID]; ok {
+		return
+	}
+	s.Orders[o.ID] = o
+	s.OrderIDs = append(s.OrderIDs, o.ID)
+	if len(s.OrderIDs) > ordersKept && s.Orders[s.OrderIDs[0]].State == capacity.OrderDone {
+		delete(s.Orders, s.OrderIDs[0])
+		s.OrderIDs = s.OrderIDs[1:]
+	}
+}
+
+func groupOf(p PutGroup) catalog.Group {
+	return catalog.Group{Name: p.Name, Account: p.Account, Pool: p.Pool, StalenessBound: p.StalenessBound}
+}
--- /dev/null
+++ b/pkg/rollout/ledger/validate.go
@@ -0,0 +1,76 @@
+package ledger
+
+import (
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/catalog"
+)
+
+// validate checks a change by an operator against the present state.
+func (s *State) validate(c Command) error {
+	cat := s.Catalog
+	switch {
+	case c.PutAccount != nil:
+		if c.PutAccount.Weight < 1 {
+			return rollout.NewError(rollout.KindInvalidInput, "weight of account %q must be at least 1", c.PutAccount.Name)
+		}
+		return nil
+	case c.GrantKey != nil:
+		return s.validateGrant(*c.GrantKey)
+	case c.WithdrawKey != nil:
+		return exists(cat.Keys, "key", c.WithdrawKey.ID)
+	case c.PutGroup != nil:
+		return exists(cat.Accounts, "account", c.PutGroup.Account)
+	case c.PutTarget != nil:
+		if t := c.PutTarget; t.Min < 0 || t.Max < t.Min {
+			return rollout.NewError(rollout.KindInvalidInput, "target %s needs 0 <= min <= max", t.Name())
+		}
+		return nil
+	case c.Drop != nil:
+		return s.validateDrop(*c.Drop)
+	case c.DrainRequest != nil:
+		return exists(cat.Upstreams, "upstream", c.DrainRequest.Upstream)
+	default:
+		return nil
+	}
+}
+
+func (s *State) validateDrop(d Drop) error {
+	cat := s.Catalog
+	switch d.Kind {
+	case catalog.KindAccount:
+		for _, k := range cat.Keys {
+			if k.Account == d.Name && !k.Withdrawn {
+				return rollout.NewError(rollout.KindConflict, "account %q still has key %q", d.Name, k.ID)
+			}
+		}
+		return exists(cat.Accounts, "account", d.Name)
+	case catalog.KindGroup:
+		return exists(cat.Groups, "group", d.Name)
+	case catalog.KindRoute:
+		return exists(cat.Routes, "route", d.Name)
+	case catalog.KindTarget:
+		return exists(cat.Targets, "target", d.Name)
+	default:
+		return rollout.NewError(rollout.KindInvalidInput, "a %s cannot be dropped", d.Kind)
+	}
+}
+
+func (s *State) validateGrant(k catalog.Key) error {
+	if err := exists(s.Catalog.Accounts, "account", k.Account); err != nil {
+		return err
+	}
+	if _, ok := s.Catalog.Keys[k.ID]; ok {
+		return rollout.NewError(rollout.KindConflict, "key %q exists", k.ID)
+	}
+	if old, ok := s.Catalog.ByDigest[k.Digest]; ok {
+		return rollout.NewError(rollout.KindConflict, "secret is in use by key %q", old.ID)
+	}
+	return nil
+}
+
+func exists[V any](table map[string]V, what, name string) error {
+	if _, ok := table[name]; !ok {
+		return rollout.NewError(rollout.KindNotFound, "no %s %q", what, name)
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/rollout/quorum/log.go
@@ -0,0 +1,72 @@
+package quorum
+
+import "slices"
+
+// memoryLog holds the entries after the last snapshot.
+type memoryLog struct {
+	// snapIndex and snapTerm name the last entry that the snapshot covers.
+	snapIndex, snapTerm uint64
+	// entries follow snapIndex without a gap.
+	entries []Entry
+}
+
+func (l *memoryLog) append(es ...Entry) { l.entries = append(l.entries, es...) }
+
+// compact drops the entries up to and including index.
+func (l *memoryLog) compact(index uint64) {
+	term, ok := l.term(index)
+	if !ok || index <= l.snapIndex {
+		return
+	}
+	l.entries = slices.Clone(l.entries[index-l.snapIndex:])
+	l.snapIndex, l.snapTerm = index, term
+}
+
+func (l *memoryLog) lastIndex() uint64 { return l.snapIndex + uint64(len(l.entries)) }
+
+func (l *memoryLog) lastTerm() uint64 {
+	if len(l.entries) == 0 {
+		return l.snapTerm
+	}
+	return l.entries[len(l.entries)-1].Term
+}
+
+// reset forgets all entries in favour of a snapshot.
+func (l *memoryLog) reset(index, term uint64) {
+	l.snapIndex, l.snapTerm = index, term
+	l.entries = nil
+}
+
+// slice returns the entries from the index on, up to maxBytes of data and at
+// least one.
+func (l *memoryLog) slice(from uint64, maxBytes int) []Entry {
+	if from <= l.snapIndex || from > l.lastIndex() {
+		return nil
+	}
+	rest := l.entries[from-l.snapIndex-1:]
+	size := 0
+	for i, e := range rest {
+		size += len(e.Data)
+		if size > maxBytes && i > 0 {
+			return rest[:i:i]
+		}
+	}
+	return rest[:len(rest):len(rest)]
+}
+
+// term returns the term of the entry at index and whether it is known.
+func (l *memoryLog) term(index uint64) (uint64, bool) {
+	switch {
+	case index == l.snapIndex:
+		return l.snapTerm, true
+	case index < l.snapIndex || index > l.lastIndex():
+		return 0, false
+	default:
+		return l.entries[index-l.snapIndex-1].Term, true
+	}
+}
+
+// truncate drops the entries from index on.
+func (l *memoryLog) truncate(from uint64) {
+	l.entries = slices.Clone(l.entries[:from-l.snapIndex-1])
+}
--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,26 @@
+#!/bin/sh
+# Starts a small deployment on the loopback address, runs real requests against
+# it and stops all processes by their IDs.
+set -u
+cd "$(dirname "$0")/.." || exit 1
+dir=.demo/run.$$
+mkdir -p "$dir"
+ids=""
+
+stop() {
+	for id in $ids; do kill -TERM "$id" 2>/dev/null; done
+	for id in $ids; do wait "$id" 2>/dev/null; done
+}
+trap 'stop; exit 1' INT TERM
+
+bin/demo layout "$dir" || exit 1
+while read -r name command; do
+	# shellcheck disable=SC2086
+	bin/$command >"$dir/$name.log" 2>&1 &
+	ids="$ids $!"
+done <"$dir/processes"
+bin/demo check "$dir"
+status=$?
+stop
+[ "$status" -eq 0 ] && rm -r "$dir"
+exit "$status"
