--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"path/filepath"
@@ -158,6 +159,9 @@
 		offset = int64(bytes.Index(data, []byte(name)))
 		return fieldError(position(path, data, offset), strings.Trim(name, `"`), "unknown field")
 	}
+	if errors.Is(err, io.ErrUnexpectedEOF) {
+		offset = int64(len(data))
+	}
 	var syntax *json.SyntaxError
 	if errors.As(err, &syntax) {
 		offset = syntax.Offset
