--- a/internal/daemon/client.go
+++ b/internal/daemon/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -96,7 +97,7 @@
 	defer c.mu.Unlock()
 	e := rollout.ParseError(err.Error())
 	address := strings.TrimPrefix(e.Message, "leader is ")
-	if e.Kind == rollout.KindNotLeader && address != "" && address != e.Message && address != c.current {
+	if e.Kind == rollout.KindNotLeader && address != c.current && slices.Contains(c.addresses, address) {
 		c.current = address
 		return true
 	}
