--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -64,7 +64,8 @@
 	// The control thread owns what follows.
 	locals        map[string]*local
 	gone          map[string]bool
-	crashes       []fleet.Crash
+	crashes       []crashNote
+	crashCount    int
 	swaps         []fleet.SwapOutcome
 	fetchFailures []fleet.FetchFailures
 	fetching      map[weights.Blob]bool
@@ -245,7 +246,11 @@
 	a.do(func(rollout.Millis) {
 		changed := false
 		for id, l := range a.locals {
-			if u, ok := c.Upstreams[id]; ok && u.Incarnation == a.incarnation && u.Leaving && !l.leaving {
+			u, ok := c.Upstreams[id]
+			if !ok || u.Incarnation != a.incarnation {
+				l.reported = nil
+			}
+			if ok && u.Incarnation == a.incarnation && u.Leaving && !l.leaving {
 				l.leaving, changed = true, true
 				a.log.Info("UpstreamLeaving", zap.String("Upstream", id), zap.String("Reason", "configuration"))
 			}
--- a/internal/agent/report.go
+++ b/internal/agent/report.go
@@ -15,25 +15,28 @@
 
 // prepared is a report with what is to be noted once it is accepted.
 type prepared struct {
-	report    *fleet.Report
-	upstreams []string
-	accepted  func()
+	report   *fleet.Report
+	accepted func()
 }
 
 // Report implements daemon.Reporter.
-func (a *agent) Report() (*fleet.Report, []string, func()) {
+func (a *agent) Report() (*fleet.Report, func()) {
 	p := ask(a, a.prepare)
-	return p.report, p.upstreams, func() { a.do(func(rollout.Millis) { p.accepted() }) }
+	return p.report, func() { a.do(func(rollout.Millis) { p.accepted() }) }
 }
 
+// Upstreams implements daemon.Reporter.
+func (a *agent) Upstreams() []string { return slices.Sorted(maps.Keys(*a.targets.Load())) }
+
 // prepare builds a report on the control thread.
 func (a *agent) prepare(now rollout.Millis) prepared {
-	r := &fleet.Report{Crashes: a.crashes, Swapped: a.swaps, Fetched: a.fetchFailures}
+	r := &fleet.Report{Swapped: a.swaps, Fetched: a.fetchFailures}
+	for _, c := range a.crashes {
+		r.Crashes = append(r.Crashes, c.crash)
+	}
 	told := make(map[string]catalog.Upstream)
-	var ids []string
 	for _, id := range slices.Sorted(maps.Keys(a.locals)) {
 		l := a.locals[id]
-		ids = append(ids, id)
 		if u := a.describe(id, l); l.needsReport(u) {
 			r.Upstreams = append(r.Upstreams, u)
 			told[id] = u
@@ -50,13 +53,16 @@
 		r.Usage = &usage.Report{Agent: a.cfg.Name, Incarnation: a.incarnation, Lines: lines}
 	}
 	if isEmpty(r) {
-		return prepared{upstreams: ids, accepted: func() {}}
+		return prepared{accepted: func() {}}
 	}
-	return prepared{report: r, upstreams: ids, accepted: func() { a.noteAccepted(r, told, loads) }}
+	return prepared{report: r, accepted: func() { a.noteAccepted(r, told, loads) }}
 }
 
 // noteAccepted drops what the leader now knows.
 func (a *agent) noteAccepted(r *fleet.Report, told map[string]catalog.Upstream, loads []fleet.Load) {
+	for _, c := range a.crashes[:len(r.Crashes)] {
+		c.settle()
+	}
 	a.crashes = a.crashes[len(r.Crashes):]
 	a.swaps = a.swaps[len(r.Swapped):]
 	a.fetchFailures = a.fetchFailures[len(r.Fetched):]
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -13,8 +13,17 @@
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/usage"
 )
 
-// defaultDeadline bounds a request that brings no deadline.
-const defaultDeadline = 10 * time.Minute
+const (
+	// crashReportTimeout bounds how long a broken attempt waits for the report
+	// of the crash.
+	crashReportTimeout = 2 * time.Second
+	// attachPatience is how long a request that attaches waits for its attempt
+	// to begin.
+	attachPatience = time.Second
+	attachPoll     = 10 * time.Millisecond
+	// defaultDeadline bounds a request that brings no deadline.
+	defaultDeadline = 10 * time.Minute
+)
 
 // target is what a traffic thread must know of an upstream.
 type target struct {
@@ -53,16 +62,7 @@
 	if !req.Attach && req.Account != "" && !a.renewer.Valid() {
 		return nil, rollout.NewError(rollout.KindNoAuthority, "agent %s has no authority", a.cfg.Name).WithNotRun()
 	}
-	a.traffic.Lock()
-	verdict, err := a.gate.Begin(a.clock.Now(), gate.Request{
-		Attempt: req.Attempt, Upstream: req.Upstream, Incarnation: req.Incarnation,
-		Fingerprint: req.Fingerprint, Suspect: req.Suspect, Claimed: req.Keep, Attach: req.Attach,
-	})
-	var ans *answer
-	if verdict == gate.VerdictRun {
-		ans = a.kept.begin(req.Attempt)
-	}
-	a.traffic.Unlock()
+	verdict, ans, err := a.passGate(ctx, req)
 	if err != nil {
 		a.log.Info("AttemptRefused", zap.String("Attempt", req.Attempt), zap.String("Upstream", req.Upstream), zap.Error(err))
 		return nil, rollout.AsError(err)
@@ -77,6 +77,38 @@
 	return ans, nil
 }
 
+// passGate asks the gate. A request that attaches to an attempt that has not
+// begun waits for it before it bars it, since the one that holds the claim may
+// be on its way.
+func (a *agent) passGate(ctx context.Context, req *wire.RunRequest) (gate.Verdict, *answer, error) {
+	bar := time.Now().Add(attachPatience)
+	for {
+		late := time.Now().After(bar)
+		verdict, ans, err := a.askGate(req, late)
+		if err == nil || !req.Attach || late || rollout.AsError(err).Kind != rollout.KindNotFound {
+			return verdict, ans, err
+		}
+		select {
+		case <-ctx.Done():
+			return 0, nil, ctx.Err()
+		case <-time.After(attachPoll):
+		}
+	}
+}
+
+func (a *agent) askGate(req *wire.RunRequest, bar bool) (gate.Verdict, *answer, error) {
+	a.traffic.Lock()
+	defer a.traffic.Unlock()
+	verdict, err := a.gate.Begin(a.clock.Now(), gate.Request{
+		Attempt: req.Attempt, Upstream: req.Upstream, Incarnation: req.Incarnation, Fingerprint: req.Fingerprint,
+		Suspect: req.Suspect, Claimed: req.Keep, Attach: req.Attach, Bar: bar,
+	})
+	if verdict == gate.VerdictRun {
+		return verdict, a.kept.begin(req.Attempt), nil
+	}
+	return verdict, nil, err
+}
+
 // execute runs an attempt to its end. A detached attempt goes on when its caller
 // has gone.
 func (a *agent) execute(caller context.Context, req *wire.RunRequest, ans *answer) {
@@ -104,7 +136,7 @@
 func (a *agent) endAttempt(req *wire.RunRequest, t target, obs *observer, out outcome, took rollout.Millis) *wire.End {
 	end := &wire.End{
 		Length: out.bytes, Versions: a.versionsOf(req, t, obs),
-		InputTokens: obs.input, OutputTokens: obs.output, Crashed: out.broken,
+		InputTokens: obs.input, OutputTokens: obs.output, Crashed: out.broken && !out.err.NotRun,
 	}
 	if out.err != nil {
 		end.Error, end.NotRun = out.err.Error(), out.err.NotRun
@@ -121,11 +153,22 @@
 	a.traffic.Unlock()
 	if out.broken {
 		a.log.Warn("UpstreamBroke", zap.String("Upstream", req.Upstream), zap.String("Attempt", req.Attempt), zap.Error(out.err))
-		a.do(func(rollout.Millis) { a.broken(req.Upstream, suspects) })
+		a.awaitCrash(req.Upstream, suspects)
 	}
 	return end
 }
 
+// awaitCrash waits until the leader knows of the crash that broke an attempt,
+// so that the request is known as a suspect before it can come again.
+func (a *agent) awaitCrash(upstream string, suspects []string) {
+	settled := make(chan struct{})
+	a.do(func(rollout.Millis) { a.broken(upstream, suspects, settled) })
+	select {
+	case <-settled:
+	case <-time.After(crashReportTimeout):
+	}
+}
+
 // versionsOf returns the weight versions that produced an answer: what the
 // engine said in it, or else what it reported before and after.
 func (a *agent) versionsOf(req *wire.RunRequest, before target, obs *observer) []uint64 {
--- a/internal/agent/upstreams.go
+++ b/internal/agent/upstreams.go
@@ -60,8 +60,10 @@
 	leaving bool
 	// reported is what the leader has committed last.
 	reported *catalog.Upstream
-	// suspects are the fingerprints that ran when a connection broke.
+	// suspects are the fingerprints that ran when a connection broke, waiting
+	// the attempts that want to know whether that was a crash.
 	suspects []string
+	waiting  []chan struct{}
 	swapping bool
 }
 
@@ -140,7 +142,8 @@
 		}
 		return
 	}
-	l.failures, l.suspects = 0, nil
+	l.failures = 0
+	l.acquit()
 	changed := !l.polled || !maps.Equal(l.status.Versions, st.Versions)
 	l.status, l.polled = st, true
 	if changed {
@@ -166,7 +169,11 @@
 		a.gone[id] = true
 	}
 	if len(crashed) > 0 {
-		a.crashes = append(a.crashes, fleet.Crash{Upstream: id, Fingerprints: crashed})
+		a.crashCount++
+		a.crashes = append(a.crashes, crashNote{
+			crash:   fleet.Crash{ID: fmt.Sprintf("%s-%d", a.incarnation, a.crashCount), Upstream: id, Fingerprints: crashed},
+			waiting: l.waiting,
+		})
 	}
 	a.log.Warn("UpstreamGone", zap.String("Upstream", id), zap.String("Reason", reason), zap.Int("Suspects", len(crashed)))
 	a.publish()
@@ -174,11 +181,47 @@
 }
 
 // broken notes that a connection to an upstream broke while the given
-// requests ran, and looks whether it is still there.
-func (a *agent) broken(id string, fingerprints []string) {
-	if l := a.locals[id]; l != nil {
-		l.suspects = append(l.suspects, fingerprints...)
-		a.poll(id)
+// requests ran, and looks whether it is still there. Settled is closed once
+// the leader knows of a crash, or when there was none.
+func (a *agent) broken(id string, fingerprints []string, settled chan struct{}) {
+	l := a.locals[id]
+	if l == nil {
+		a.settleWithLast(settled)
+		return
+	}
+	l.suspects = append(l.suspects, fingerprints...)
+	l.waiting = append(l.waiting, settled)
+	a.poll(id)
+}
+
+// settleWithLast settles an attempt whose upstream is gone already together
+// with the crash that is being reported.
+func (a *agent) settleWithLast(settled chan struct{}) {
+	if n := len(a.crashes); n > 0 {
+		a.crashes[n-1].waiting = append(a.crashes[n-1].waiting, settled)
+		return
+	}
+	close(settled)
+}
+
+// acquit clears the suspects of an upstream that has not crashed.
+func (l *local) acquit() {
+	l.suspects = nil
+	for _, settled := range l.waiting {
+		close(settled)
+	}
+	l.waiting = nil
+}
+
+// crashNote is a crash that the leader is to learn of.
+type crashNote struct {
+	crash   fleet.Crash
+	waiting []chan struct{}
+}
+
+func (c crashNote) settle() {
+	for _, settled := range c.waiting {
+		close(settled)
 	}
 }
 
--- a/internal/control/duties.go
+++ b/internal/control/duties.go
@@ -142,7 +142,7 @@
 		in.Targets = append(in.Targets, cat.Targets[name])
 	}
 	for _, u := range in.Upstreams {
-		load, _ := t.fleet.Load(u.Agent, u.ID)
+		load, _ := t.fleet.Load(u)
 		d := in.Demand[u.Pool]
 		d.Busy += load.Running
 		d.Waiting += load.Waiting
@@ -159,7 +159,7 @@
 // idle tells whether an upstream that is leaving has no work, by a report
 // that its agent made after it had learned that the upstream is leaving.
 func (t *thread) idle(u catalog.Upstream) bool {
-	load, known := t.fleet.Load(u.Agent, u.ID)
+	load, known := t.fleet.Load(u)
 	return known && load.Draining && load.Running+load.Waiting == 0
 }
 
--- a/internal/control/renew.go
+++ b/internal/control/renew.go
@@ -14,7 +14,19 @@
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/weights"
 )
 
-// renew confirms a daemon. What it reports is committed before the answer.
+// holdMS is how long a renewal without a report waits for a change.
+const holdMS = 500
+
+// heldRenewal is a renewal that waits for a change of the configuration.
+type heldRenewal struct {
+	since rollout.Millis
+	req   *wire.RenewRequest
+	done  func(*wire.RenewReply, error)
+}
+
+// renew confirms a daemon. What it reports is committed before the answer. A
+// daemon that has nothing to tell and lacks nothing is answered with the next
+// change, or after holdMS; its lease runs from the sending all the same.
 func (t *thread) renew(now rollout.Millis, req *wire.RenewRequest, done func(*wire.RenewReply, error)) {
 	if !t.inCharge(now) || !t.leading {
 		done(nil, t.notLeader())
@@ -30,6 +42,10 @@
 	}
 	t.metrics.renewals.WithLabelValues(req.Kind).Inc()
 	cmds := reportCommands(req, report)
+	if report == nil && req.Hold && req.Version == t.state.Catalog.Version {
+		t.held = append(t.held, heldRenewal{since: now, req: req, done: done})
+		return
+	}
 	if len(cmds) == 0 {
 		done(t.confirm(now, req, report), nil)
 		return
@@ -47,6 +63,44 @@
 	}, cmds...)
 }
 
+// answerHeld answers the held renewals that a change concerns or that have
+// waited for long enough.
+func (t *thread) answerHeld(now rollout.Millis) {
+	if len(t.held) == 0 {
+		return
+	}
+	changed := t.heldVersion != t.state.Catalog.Version
+	t.heldVersion = t.state.Catalog.Version
+	inCharge := t.leading && t.inCharge(now)
+	rest := t.held[:0]
+	for _, h := range t.held {
+		switch {
+		case !inCharge:
+			h.done(nil, t.notLeader())
+		case now-h.since >= holdMS, changed && t.concerns(h.req):
+			h.done(t.confirm(now, h.req, nil), nil)
+		default:
+			rest = append(rest, h)
+		}
+	}
+	clear(t.held[len(rest):])
+	t.held = rest
+}
+
+// concerns tells whether a daemon follows something that has changed since
+// its version.
+func (t *thread) concerns(req *wire.RenewRequest) bool {
+	u := t.state.Catalog.Since(req.Version, interestOf(req))
+	return u.Full || len(u.Changes) > 0
+}
+
+func interestOf(req *wire.RenewRequest) catalog.Interest {
+	if fleet.Kind(req.Kind) == fleet.KindAgent {
+		return catalog.AgentInterest(req.Upstreams)
+	}
+	return catalog.EntryInterest()
+}
+
 // confirm returns the answer of a leader in charge.
 func (t *thread) confirm(now rollout.Millis, req *wire.RenewRequest, report *fleet.Report) *wire.RenewReply {
 	kind := fleet.Kind(req.Kind)
@@ -54,12 +108,8 @@
 		Name: req.Daemon, Kind: kind, Incarnation: req.Incarnation, Address: req.Address,
 		FailureDomain: req.FailureDomain, Version: req.Version,
 	}, report)
-	interest := catalog.EntryInterest()
-	if kind == fleet.KindAgent {
-		interest = catalog.AgentInterest(req.Upstreams)
-	}
 	reply := &wire.RenewReply{LeaseMs: authority.LeaseMS, Version: t.state.Catalog.Version}
-	if u := t.state.Catalog.Since(req.Version, interest); u.Full || len(u.Changes) > 0 {
+	if u := t.state.Catalog.Since(req.Version, interestOf(req)); u.Full || len(u.Changes) > 0 {
 		reply.Update = marshal(t.log, u)
 	}
 	if kind == fleet.KindAgent {
@@ -135,7 +185,7 @@
 		cmds = append(cmds, ledger.Command{LoseUpstream: &ledger.LoseUpstream{ID: id, Incarnation: req.Incarnation}})
 	}
 	for _, c := range r.Crashes {
-		cmds = append(cmds, ledger.Command{Crash: &ledger.Crash{Upstream: c.Upstream, Fingerprints: c.Fingerprints}})
+		cmds = append(cmds, ledger.Command{Crash: &ledger.Crash{ID: c.ID, Upstream: c.Upstream, Fingerprints: c.Fingerprints}})
 	}
 	if r.Usage != nil {
 		cmds = append(cmds, ledger.Command{AddUsage: r.Usage})
--- a/internal/control/tables.go
+++ b/internal/control/tables.go
@@ -91,7 +91,7 @@
 		if u.Leaving {
 			s.leaving++
 		}
-		load, _ := t.fleet.Load(u.Agent, u.ID)
+		load, _ := t.fleet.Load(u)
 		s.running += load.Running
 		sums[key] = s
 	}
@@ -156,7 +156,7 @@
 func showPoisons(t *thread, now rollout.Millis) *language.Table {
 	out := newTable("Fingerprint", "Crashes", "ForgottenInMS")
 	for _, p := range sortedValues(t.state.Catalog.Poisons) {
-		addRow(out, language.Text(p.Fingerprint), language.Int(p.Crashes), language.Int(p.UntilMS-now))
+		addRow(out, language.Text(p.Fingerprint), language.Int(len(p.Crashes)), language.Int(p.UntilMS-now))
 	}
 	return out
 }
@@ -212,7 +212,7 @@
 func showUpstreams(t *thread, now rollout.Millis) *language.Table {
 	out := newTable("ID", "Kind", "Pool", "FailureDomain", "Host", "Agent", "Leaving", "Slots", "Running", "Waiting", "Versions", "PaidMinutes")
 	for _, u := range t.state.Catalog.SortedUpstreams() {
-		load, _ := t.fleet.Load(u.Agent, u.ID)
+		load, _ := t.fleet.Load(u)
 		addRow(out, language.Text(u.ID), language.Text(u.Kind), language.Text(u.Pool), language.Text(u.FailureDomain),
 			language.Text(u.Host), language.Text(u.Agent), language.YesNo(u.Leaving), language.Int(u.Slots),
 			language.Int(load.Running), language.Int(load.Waiting), language.Text(versionsText(u)),
--- a/internal/control/thread.go
+++ b/internal/control/thread.go
@@ -63,6 +63,10 @@
 	sizes        map[string]int
 	sizesVersion uint64
 	dutyAtMS     rollout.Millis
+	// held are the renewals that wait; heldVersion is the catalog version up
+	// to which they were looked at.
+	held        []heldRenewal
+	heldVersion uint64
 	// inFlight names the orders and windows that are being sent.
 	inFlight map[string]bool
 
@@ -142,6 +146,7 @@
 		t.dutyAtMS = now + dutyIntervalMS
 		t.duties(now)
 	}
+	t.answerHeld(now)
 	t.expireWaiters(now)
 	return nil
 }
--- a/internal/daemon/renewer.go
+++ b/internal/daemon/renewer.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/coltsfootspoke/coltsfootspoke/internal/wire"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
@@ -16,6 +18,13 @@
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/weights"
 )
 
+const (
+	// followPauseMS is the shortest time between two requests for changes, so
+	// that changes in quick succession travel together.
+	followPauseMS = 20
+	followRetryMS = 200
+)
+
 // Identity names one run of a daemon.
 type Identity struct {
 	Name          string
@@ -27,9 +36,11 @@
 
 // Reporter gives what a daemon has to tell and takes what it is told.
 type Reporter interface {
-	// Report returns what is to be told now, or nil, and the upstreams of the
-	// daemon. Accepted is called once the leader has committed it.
-	Report() (r *fleet.Report, upstreams []string, accepted func())
+	// Report returns what is to be told now, or nil. Accepted is called once
+	// the leader has committed it.
+	Report() (r *fleet.Report, accepted func())
+	// Upstreams returns the IDs of the upstreams of the daemon.
+	Upstreams() []string
 	// Update takes a new configuration.
 	Update(c *catalog.Catalog)
 	// Tasks takes what the leader asks for.
@@ -45,7 +56,9 @@
 	log    *zap.Logger
 	rep    Reporter
 	wake   chan struct{}
-	view   atomic.Pointer[catalog.Catalog]
+	// mu orders the updates of the two threads.
+	mu   sync.Mutex
+	view atomic.Pointer[catalog.Catalog]
 }
 
 // NewRenewer returns a renewer whose configuration is empty and whose lease
@@ -76,20 +89,48 @@
 	}
 }
 
-// Run renews until the context ends.
+// Run renews until the context ends. One thread follows the configuration:
+// the leader answers it with the next change. Another tells what there is to
+// tell.
 func (r *Renewer) Run(ctx context.Context) error {
-	ticker := time.NewTicker(authority.RenewMS * time.Millisecond)
-	defer ticker.Stop()
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return r.follow(ctx) })
+	group.Go(func() error { return r.tell(ctx) })
+	return group.Wait()
+}
+
+// follow asks for changes, one request after the other.
+func (r *Renewer) follow(ctx context.Context) error {
 	held := false
 	for ctx.Err() == nil {
-		err := r.renew(ctx)
+		start := r.clock.Now()
+		err := r.ask(ctx, r.request(), func() {})
 		if now := r.Valid(); now != held {
 			held = now
 			r.logAuthority(held, err)
 		}
+		pause := followPauseMS - (r.clock.Now() - start)
+		if err != nil {
+			pause = followRetryMS
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Duration(pause) * time.Millisecond):
+		}
+	}
+	return nil
+}
+
+// tell reports at each interval and whenever it is woken.
+func (r *Renewer) tell(ctx context.Context) error {
+	ticker := time.NewTicker(authority.RenewMS * time.Millisecond)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		if err := r.report(ctx); err != nil {
+			r.log.Debug("ReportFailed", zap.Error(err))
+		}
 		select {
 		case <-ctx.Done():
-			return nil
 		case <-ticker.C:
 		case <-r.wake:
 		}
@@ -105,40 +146,55 @@
 	r.log.Warn("AuthorityLost", zap.Error(err))
 }
 
-func (r *Renewer) renew(ctx context.Context) error {
-	report, upstreams, accepted := r.rep.Report()
-	req := &wire.RenewRequest{
+func (r *Renewer) request() *wire.RenewRequest {
+	return &wire.RenewRequest{
 		Daemon: r.id.Name, Kind: string(r.id.Kind), Incarnation: r.id.Incarnation,
 		Address: r.id.Address, FailureDomain: r.id.FailureDomain,
-		Version: r.View().Version, Upstreams: upstreams,
+		Version: r.View().Version, Upstreams: r.rep.Upstreams(), Hold: true,
 	}
-	if report != nil {
-		data, err := json.Marshal(report)
-		if err != nil {
-			return rollout.NewError(rollout.KindInternal, "encode report").WithCause(err)
-		}
-		req.Report = data
+}
+
+// report sends what there is to tell.
+func (r *Renewer) report(ctx context.Context) error {
+	report, accepted := r.rep.Report()
+	if report == nil {
+		return nil
 	}
+	data, err := json.Marshal(report)
+	if err != nil {
+		return rollout.NewError(rollout.KindInternal, "encode report").WithCause(err)
+	}
+	req := r.request()
+	req.Report = data
+	return r.ask(ctx, req, accepted)
+}
+
+// ask sends one request and takes its answer. The lease runs from the sending.
+func (r *Renewer) ask(ctx context.Context, req *wire.RenewRequest, accepted func()) error {
 	sent := r.clock.Now()
 	reply, err := r.client.Renew(ctx, req)
 	if err != nil {
 		return err
 	}
 	accepted()
-	if err := r.applyUpdate(reply); err != nil {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err := r.applyUpdate(req, reply); err != nil {
 		return err
 	}
 	r.lease.Confirm(r.clock.Now(), sent, rollout.Millis(reply.LeaseMs))
 	return r.takeTasks(reply)
 }
 
-// applyUpdate publishes a newer configuration. An older one is never taken.
-func (r *Renewer) applyUpdate(reply *wire.RenewReply) error {
+// applyUpdate publishes a newer configuration. An older one is never taken:
+// the other thread may have been answered with a newer one in between, and
+// then this answer has nothing to add.
+func (r *Renewer) applyUpdate(req *wire.RenewRequest, reply *wire.RenewReply) error {
 	old := r.View()
-	if reply.Version < old.Version {
-		return rollout.NewError(rollout.KindConflict, "leader offers version %d after %d", reply.Version, old.Version)
+	if reply.Version < req.Version {
+		return rollout.NewError(rollout.KindConflict, "leader offers version %d after %d", reply.Version, req.Version)
 	}
-	if reply.Version == old.Version {
+	if reply.Version <= old.Version {
 		return nil
 	}
 	u := catalog.Update{Version: reply.Version}
--- a/internal/demo/check.go
+++ b/internal/demo/check.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -122,6 +123,17 @@
 	return c.client.Do(req)
 }
 
+// PostWithin sends a request that is given up after a time.
+func (c *Check) PostWithin(ctx context.Context, entry int, path, key string, within time.Duration, body string) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.layout.EntryURLs[entry]+path, strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Authorization", "Bearer "+key)
+	req.Header.Set("X-Request-Timeout-Ms", strconv.FormatInt(within.Milliseconds(), 10))
+	return c.client.Do(req)
+}
+
 func (c *Check) streamCompletion(ctx context.Context) error {
 	resp, err := c.Post(ctx, 0, "/v1/completions", "cfs_farm", "", `{"model":"draft","prompt":"the farmer waits","max_tokens":16,"stream":true}`)
 	if err != nil {
--- /dev/null
+++ b/internal/e2e/caller_test.go
@@ -0,0 +1,321 @@
+package e2e
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/coltsfootspoke/coltsfootspoke/internal/demo"
+	"github.com/coltsfootspoke/coltsfootspoke/internal/settings"
+)
+
+const (
+	key = "cfs_farm"
+	// inForce is how soon a withdrawal must be in force under every cut.
+	inForce = 5 * time.Second
+	// inForceHealthy is the same without a cut.
+	inForceHealthy = 2 * time.Second
+	longStream     = `{"model":"draft","prompt":"a long tale","max_tokens":60000,"stream":true}`
+	shortCall      = `{"model":"draft","prompt":"hello","max_tokens":4}`
+)
+
+// cutEntry lays a deployment out whose entry 1 reaches control through relays.
+func cutEntry(t *testing.T) (*deployment, []*relay) {
+	t.Helper()
+	t.Parallel()
+	d := prepare(t, demo.DefaultOptions())
+	var relays []*relay
+	path := filepath.Join(d.layout.Dir, "entry-1.json")
+	s, err := settings.LoadEntry(path)
+	must(t, err)
+	for i, address := range s.Control {
+		relays = append(relays, newRelay(t, address))
+		s.Control[i] = relays[i].address()
+	}
+	data, err := json.Marshal(s)
+	must(t, err)
+	must(t, os.WriteFile(path, data, 0o600))
+	d.startAll()
+	must(t, d.check.Prepare(t.Context()))
+	return d, relays
+}
+
+// openStream begins a long stream and returns a reader behind its first line.
+func (d *deployment) openStream(entry int) (*bufio.Reader, func()) {
+	d.t.Helper()
+	resp, err := d.check.Post(d.t.Context(), entry, "/v1/completions", key, "", longStream)
+	must(d.t, err)
+	r := bufio.NewReader(resp.Body)
+	line, err := r.ReadString('\n')
+	if err != nil || !strings.HasPrefix(line, "data:") {
+		d.t.Fatalf("first line %q: %v", line, err)
+	}
+	return r, func() { _ = resp.Body.Close() }
+}
+
+// assertCut reads a stream to its end and checks how it was ended.
+func assertCut(t *testing.T, r io.Reader, since time.Time, limit time.Duration, kind string) {
+	t.Helper()
+	rest, _ := io.ReadAll(r)
+	if took := time.Since(since); took > limit {
+		t.Fatalf("the stream went on for %v, limit %v", took, limit)
+	}
+	if strings.Contains(string(rest), "[DONE]") || !strings.Contains(string(rest), `"Error":"`+kind+`"`) {
+		t.Fatalf("the stream ended with %.300q, want error %s", tail(string(rest)), kind)
+	}
+}
+
+func tail(s string) string { return s[max(0, len(s)-300):] }
+
+func TestWithdrawalUnderASilentCut(t *testing.T) {
+	d, relays := cutEntry(t)
+	stream, done := d.openStream(0)
+	defer done()
+	for _, r := range relays {
+		r.cut.Store(true)
+	}
+	cutAt := time.Now()
+	d.do("withdraw key farm-1")
+	assertCut(t, stream, cutAt, inForce, "NoAuthority")
+	got, err := d.post(0, "/v1/completions", key, "", shortCall)
+	must(t, err)
+	t.Run("a keyed request is refused as not run", func(t *testing.T) {
+		if got.status != 503 || !got.notRun() || got.retry == "" {
+			t.Fatalf("answer %+v", got)
+		}
+	})
+	t.Run("an open route goes on", func(t *testing.T) {
+		open, err := d.post(0, "/r/stock/levels", "", "", "{}")
+		must(t, err)
+		if open.status != 200 {
+			t.Fatalf("answer %+v", open)
+		}
+	})
+	t.Run("after the cut the key is known to be withdrawn", func(t *testing.T) {
+		for _, r := range relays {
+			r.cut.Store(false)
+		}
+		eventually(t, "401", patience, func() bool {
+			got, err := d.post(0, "/v1/completions", key, "", shortCall)
+			return err == nil && got.status == 401
+		})
+	})
+}
+
+func TestWithdrawalCutsStreamsEverywhere(t *testing.T) {
+	d := deploy(t, demo.DefaultOptions())
+	for entry := range d.layout.EntryURLs {
+		stream, done := d.openStream(entry)
+		defer done()
+		if entry == 0 {
+			continue
+		}
+		start := time.Now()
+		d.do("withdraw key farm-1")
+		assertCut(t, stream, start, inForceHealthy, "Withdrawn")
+	}
+}
+
+func TestFrozenEntryWakesUpWithoutAuthority(t *testing.T) {
+	d := deploy(t, demo.DefaultOptions())
+	d.signal("entry-1", syscall.SIGSTOP)
+	d.do("withdraw key farm-1")
+	time.Sleep(4500 * time.Millisecond)
+	type result struct {
+		reply
+		err error
+	}
+	answered := make(chan result, 1)
+	go func() {
+		r, err := d.post(0, "/v1/completions", key, "", shortCall)
+		answered <- result{r, err}
+	}()
+	time.Sleep(50 * time.Millisecond)
+	d.signal("entry-1", syscall.SIGCONT)
+	if r := <-answered; r.err != nil || (r.status != 503 && r.status != 401) || !r.notRun() {
+		t.Fatalf("answer %+v", r)
+	}
+}
+
+// slowOrders is a deployment whose plain service takes its time.
+func slowOrders() demo.Options {
+	o := demo.DefaultOptions()
+	o.Upstreams = append([]demo.Upstream(nil), o.Upstreams...)
+	o.Upstreams[3].Args = []string{"--delay=1500ms"}
+	return o
+}
+
+func TestOrderRunsOnceWhenTheEntryDies(t *testing.T) {
+	d := deploy(t, slowOrders())
+	lost := make(chan error, 1)
+	go func() {
+		_, err := d.post(0, "/r/orders/tags", key, "order-1", `{"Tags":40}`)
+		lost <- err
+	}()
+	eventually(t, "the order runs", patience, func() bool { return d.runs("orders-1")["order-1"] == 1 })
+	d.kill("entry-1")
+	if err := <-lost; err == nil {
+		t.Fatal("the first caller was answered by a dead entry")
+	}
+	t.Run("the same order joins the one that runs", func(t *testing.T) {
+		got, err := d.post(1, "/r/orders/tags", key, "order-1", `{"Tags":40}`)
+		must(t, err)
+		if got.status != 200 || !strings.Contains(got.body, `"Run":1`) {
+			t.Fatalf("answer %+v", got)
+		}
+	})
+	t.Run("another order under the same ID is refused", func(t *testing.T) {
+		got, err := d.post(1, "/r/orders/tags", key, "order-1", `{"Tags":41}`)
+		must(t, err)
+		if got.status != 409 || !got.notRun() {
+			t.Fatalf("answer %+v", got)
+		}
+	})
+	if n := d.runs("orders-1")["order-1"]; n != 1 {
+		t.Fatalf("the order ran %d times", n)
+	}
+}
+
+func TestOrderIsOfUnknownOutcomeWhenTheAgentDies(t *testing.T) {
+	d := deploy(t, slowOrders())
+	answered := make(chan reply, 1)
+	go func() {
+		r, _ := d.post(0, "/r/orders/tags", key, "order-1", `{"Tags":40}`)
+		answered <- r
+	}()
+	eventually(t, "the order runs", patience, func() bool { return d.runs("orders-1")["order-1"] == 1 })
+	d.kill("agent-1")
+	if r := <-answered; r.status != 502 || r.notRun() || !strings.Contains(r.body, "OutcomeUnknown") {
+		t.Fatalf("answer %+v", r)
+	}
+	d.start("agent-1")
+	eventually(t, "the service is back", patience, func() bool {
+		r, err := d.post(1, "/r/stock/levels", "", "", "{}")
+		return err == nil && r.status == 200
+	})
+	r, err := d.post(1, "/r/orders/tags", key, "order-1", `{"Tags":40}`)
+	must(t, err)
+	if !strings.Contains(r.body, "OutcomeUnknown") || r.notRun() {
+		t.Fatalf("answer %+v", r)
+	}
+	if n := d.runs("orders-1")["order-1"]; n != 1 {
+		t.Fatalf("the order ran %d times", n)
+	}
+}
+
+func TestOrdersSentTwiceByRacingCallers(t *testing.T) {
+	d := deploy(t, demo.DefaultOptions())
+	var wait sync.WaitGroup
+	var wrong atomic.Int32
+	for i := range 20 {
+		for entry := range 2 {
+			wait.Go(func() {
+				r, err := d.post(entry, "/r/orders/tags", key, fmt.Sprintf("order-%d", i), `{}`)
+				if err != nil || r.status != 200 || !strings.Contains(r.body, `"Run":1`) {
+					wrong.Add(1)
+				}
+			})
+		}
+	}
+	wait.Wait()
+	for id, n := range d.runs("orders-1") {
+		if n != 1 && id != "" {
+			t.Errorf("%s ran %d times", id, n)
+		}
+	}
+	if n := wrong.Load(); n > 0 {
+		t.Errorf("%d wrong answers", n)
+	}
+}
+
+func TestPoisonIsRefusedAfterTheSecondCrash(t *testing.T) {
+	o := demo.DefaultOptions()
+	o.Upstreams = append([]demo.Upstream(nil), o.Upstreams...)
+	for i := range 3 {
+		o.Upstreams[i].Args = []string{"--crash-on=boom"}
+	}
+	d := deploy(t, o)
+	poison := `{"model":"draft","prompt":"boom","max_tokens":4}`
+	alive := func() int {
+		n := 0
+		for _, name := range []string{"engine-1", "engine-2", "engine-3"} {
+			if d.procs[name].Process.Signal(syscall.Signal(0)) == nil && !exited(d, name) {
+				n++
+			}
+		}
+		return n
+	}
+	eventually(t, "422", patience, func() bool {
+		r, err := d.post(0, "/v1/completions", key, "", poison)
+		return err == nil && r.status == 422 && r.notRun() && r.retry != ""
+	})
+	if n := alive(); n < 1 {
+		t.Fatalf("%d engines are left", n)
+	}
+	eventually(t, "422 at the other entry", patience, func() bool {
+		r, err := d.post(1, "/v1/completions", key, "", poison)
+		return err == nil && r.status == 422
+	})
+	if n := alive(); n < 1 {
+		t.Fatalf("%d engines are left", n)
+	}
+	r, err := d.post(1, "/v1/completions", key, "", shortCall)
+	must(t, err)
+	if r.status != 200 {
+		t.Fatalf("another request got %+v", r)
+	}
+}
+
+// exited tells whether a process has ended by itself.
+func exited(d *deployment, name string) bool {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", d.procs[name].Process.Pid))
+	return err != nil || strings.Contains(string(data), ") Z ")
+}
+
+func TestDeadlineIsAnsweredAtOnce(t *testing.T) {
+	d := deploy(t, slowOrders())
+	start := time.Now()
+	req := `{}`
+	resp, err := d.check.PostWithin(t.Context(), 0, "/r/orders/tags", key, 300*time.Millisecond, req)
+	must(t, err)
+	_ = resp.Body.Close()
+	if took := time.Since(start); resp.StatusCode != 504 || took > time.Second || resp.Header.Get("Retry-After") == "" {
+		t.Fatalf("status %d after %v", resp.StatusCode, took)
+	}
+}
+
+func TestBadRequests(t *testing.T) {
+	d := deploy(t, demo.DefaultOptions())
+	for _, tc := range []struct {
+		name, path, key, body string
+		status                int
+		want                  string
+	}{
+		{"no key", "/v1/completions", "", shortCall, 401, "Authorization"},
+		{"unknown key", "/v1/completions", "cfs_other", shortCall, 401, "not known"},
+		{"no JSON", "/v1/completions", key, "{", 400, "body"},
+		{"no model", "/v1/completions", key, "{}", 400, "model"},
+		{"unknown model", "/v1/completions", key, `{"model":"x"}`, 404, "no model"},
+		{"model of another account", "/v1/completions", key, `{"model":"drafts"}`, 403, "another client account"},
+		{"unknown route", "/r/nothing", key, "{}", 404, "no route"},
+		{"key in the body", "/v1/completions", key, `{"model":"draft","prompt":"` + key + `"}`, 400, "repeats the key"},
+		{"trainer's path with a caller's key", "/v1/rollouts/drafts/steps", key, "{}", 403, "another client account"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r, err := d.post(0, tc.path, tc.key, "", tc.body)
+			must(t, err)
+			if r.status != tc.status || !strings.Contains(r.body, tc.want) || !r.notRun() {
+				t.Fatalf("answer %+v, want %d with %q", r, tc.status, tc.want)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/e2e/trainer_test.go
@@ -0,0 +1,72 @@
+package e2e
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/coltsfootspoke/coltsfootspoke/internal/demo"
+)
+
+// startTrainer runs a trainer until it has all steps.
+func startTrainer(d *deployment, steps, samples int) chan error {
+	done := make(chan error, 1)
+	tr := &demo.Trainer{
+		URLs: d.layout.EntryURLs, Key: "cfs_trainer", Group: "drafts",
+		Steps: steps, Samples: samples, MaxTokens: 60, Publish: true,
+	}
+	go func() {
+		ctx, cancel := contextFor(d.t, 2*patience)
+		defer cancel()
+		r, err := tr.Run(ctx)
+		if err == nil && (r.Samples != steps*samples || r.Repeated > 0) {
+			err = fmt.Errorf("trainer got %+v, want %d samples", r, steps*samples)
+		}
+		done <- err
+	}()
+	return done
+}
+
+func TestStepsAreWholeThroughCrashes(t *testing.T) {
+	d := deploy(t, demo.DefaultOptions())
+	done := startTrainer(d, 5, 48)
+	for _, name := range []string{"entry-1", d.leader(), "agent-2", "entry-2", "engine-3"} {
+		time.Sleep(700 * time.Millisecond)
+		d.kill(name)
+		time.Sleep(300 * time.Millisecond)
+		d.start(name)
+	}
+	must(t, <-done)
+}
+
+func TestNoStaleSampleWhenTheBoundIsLowered(t *testing.T) {
+	d := deploy(t, demo.DefaultOptions())
+	p := &puller{d: d}
+	p.publish(1)
+	p.post("s1", 16)
+	eventually(t, "all samples wait", patience, func() bool {
+		return len(d.do("show samples where Group = drafts").Table.Rows) >= 16
+	})
+	p.publish(2)
+	p.publish(3)
+	d.do("set group drafts staleness 0")
+	p.assertFresh(t, 3, 16)
+}
+
+func TestFailedSwapLeavesTheOldVersion(t *testing.T) {
+	o := demo.DefaultOptions()
+	o.Upstreams = append([]demo.Upstream(nil), o.Upstreams...)
+	o.Upstreams[0].Args = []string{"--fail-swaps=2"}
+	d := deploy(t, o)
+	d.do("set group drafts staleness 0")
+	p := &puller{d: d}
+	p.publish(1)
+	p.post("s1", 16)
+	p.assertFresh(t, 1, 16)
+	if !d.logged("agent-1", "Event=WeightSwapFailed") {
+		t.Fatal("no swap failed")
+	}
+	eventually(t, "the engine swaps in the end", patience, func() bool {
+		return len(d.do("show upstreams where Versions = drafts:1").Table.Rows) == 3
+	})
+}
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -21,7 +21,8 @@
 	sent bool
 }
 
-// openAttempt sends a request to an agent and waits for the first chunk.
+// openAttempt sends a request to an agent and waits for the first chunk. With
+// an error it may return a stream that is closed, for its end marker.
 func (e *entry) openAttempt(ctx context.Context, address string, req *wire.RunRequest) (*attemptStream, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	s := &attemptStream{attempt: req.Attempt, ctx: ctx, cancel: cancel}
@@ -33,7 +34,7 @@
 	s.stream, s.sent = stream, true
 	if _, err := s.next(); err != nil {
 		s.close()
-		return nil, err
+		return s, err
 	}
 	return s, nil
 }
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"context"
+
 	"go.uber.org/zap"
 
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
@@ -85,10 +87,16 @@
 		}}); err != nil {
 			return rollout.AsError(err).WithNotRun()
 		}
+		tried = append(tried, x.claimed.claim.Upstream)
+		if r.Kind == rollout.KindOverloaded {
+			x.full, tried, try = true, nil, 0
+			if !e.pauseWhileFull(x) {
+				return rollout.AsError(context.Cause(x.ctx)).WithNotRun()
+			}
+		}
 		if try >= claimTries || x.ctx.Err() != nil {
 			return r
 		}
-		tried = append(tried, x.claimed.claim.Upstream)
 		bound, err := e.takeClaim(x, tried)
 		if err != nil {
 			return err
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -66,6 +66,10 @@
 	router  *routing.Router
 	budget  *retry.Budget
 
+	// queuedTold is true while the leader believes that requests wait. Only
+	// the thread that reports uses it.
+	queuedTold bool
+
 	// stopping is true once a shutdown has begun.
 	stopping atomic.Bool
 }
@@ -132,14 +136,17 @@
 }
 
 // Report implements daemon.Reporter.
-func (e *entry) Report() (*fleet.Report, []string, func()) {
+func (e *entry) Report() (*fleet.Report, func()) {
 	queued := e.admission.queued()
-	if len(queued) == 0 {
-		return nil, nil, func() {}
+	if len(queued) == 0 && !e.queuedTold {
+		return nil, func() {}
 	}
-	return &fleet.Report{Queued: queued}, nil, func() {}
+	return &fleet.Report{Queued: queued}, func() { e.queuedTold = len(queued) > 0 }
 }
 
+// Upstreams implements daemon.Reporter. An entry has none.
+func (e *entry) Upstreams() []string { return nil }
+
 // Tasks implements daemon.Reporter. An entry gets none.
 func (e *entry) Tasks(weights.Tasks) {}
 
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -37,8 +37,10 @@
 	prefix      uint64
 	fingerprint string
 	suspect     bool
-	cost        float64
-	deadline    rollout.Millis
+	// crashed is true after an attempt whose upstream crashed.
+	crashed  bool
+	cost     float64
+	deadline rollout.Millis
 
 	method  string
 	path    string
--- a/internal/entry/filters.go
+++ b/internal/entry/filters.go
@@ -2,11 +2,13 @@
 
 import (
 	"bytes"
+	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
@@ -16,6 +18,7 @@
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/catalog"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/fair"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/ledger"
 )
 
 const (
@@ -35,6 +38,8 @@
 	maxRequestIDBytes = 256
 	// poisonCrashes is how many crashes make a request poisonous.
 	poisonCrashes = 2
+	// suspectPause lets all entries learn of a suspect before it runs again.
+	suspectPause = 150 * time.Millisecond
 )
 
 // forwardedHeaders lists what goes on to upstreams.
@@ -169,12 +174,51 @@
 		return nil
 	}
 	x.suspect = true
-	if p.Crashes < poisonCrashes {
+	if len(p.Crashes) >= poisonCrashes {
+		return e.refusePoison(x, p)
+	}
+	return e.askPoison(x)
+}
+
+// noteCrash marks the exchange as a suspect when its upstream crashed.
+func (x *exchange) noteCrash(s *attemptStream) {
+	if s != nil && s.end != nil && s.end.Crashed {
+		x.suspect, x.crashed = true, true
+	}
+}
+
+// checkSuspect holds a request back that has just crashed an upstream, until
+// all entries know it as a suspect, and asks whether it may run again.
+func (e *entry) checkSuspect(x *exchange) error {
+	if !x.crashed {
 		return nil
 	}
-	e.log.Warn("PoisonRefused", zap.String("Request", x.id), zap.String("Account", x.account.Name), zap.Int("Crashes", p.Crashes))
-	return rollout.NewError(rollout.KindPoisoned, "%d upstreams crashed while they ran this request", p.Crashes).
-		WithNotRun().WithRetryAfter(p.UntilMS - now)
+	x.crashed = false
+	select {
+	case <-x.ctx.Done():
+		return rollout.AsError(context.Cause(x.ctx))
+	case <-time.After(suspectPause):
+		return e.askPoison(x)
+	}
+}
+
+// askPoison asks the leader for the crashes of a suspect, since the own
+// configuration may lag behind.
+func (e *entry) askPoison(x *exchange) error {
+	p, err := propose[catalog.Poison](x.ctx, e, ledger.Command{CheckPoison: &ledger.CheckPoison{Fingerprint: x.fingerprint}})
+	if err != nil {
+		return err
+	}
+	if len(p.Crashes) >= poisonCrashes {
+		return e.refusePoison(x, p)
+	}
+	return nil
+}
+
+func (e *entry) refusePoison(x *exchange, p catalog.Poison) error {
+	e.log.Warn("PoisonRefused", zap.String("Request", x.id), zap.String("Account", x.account.Name), zap.Int("Crashes", len(p.Crashes)))
+	return rollout.NewError(rollout.KindPoisoned, "%d upstreams crashed while they ran this request", len(p.Crashes)).
+		WithNotRun().WithRetryAfter(p.UntilMS - e.clock.Now())
 }
 
 // stripKey builds what goes on to the upstream, without the caller's key.
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
@@ -16,7 +17,14 @@
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/routing"
 )
 
-const msPerSecond = 1_000
+const (
+	msPerSecond = 1_000
+	// lingerBeforeClose lets the error event of a broken stream reach the
+	// caller before the connection is closed.
+	lingerBeforeClose = 50 * time.Millisecond
+	// fullPause is the time before upstreams that were full are asked again.
+	fullPause = 20 * time.Millisecond
+)
 
 // hopHeaders stay between the agent and its upstream.
 var hopHeaders = []string{"connection", "transfer-encoding", "content-length", "keep-alive", "upgrade", "trailer", "te"}
@@ -29,6 +37,10 @@
 	var tried []string
 	for number := 1; ; number++ {
 		choice, err := e.route(x, tried)
+		if err != nil && x.full && e.pauseWhileFull(x) {
+			tried, number = nil, 0
+			continue
+		}
 		if err != nil {
 			return err
 		}
@@ -36,6 +48,9 @@
 		if err == nil {
 			return nil
 		}
+		if err := e.checkSuspect(x); err != nil {
+			return err
+		}
 		a := retry.Attempt{
 			Err: rollout.AsError(err), Repeatable: x.repeatable && x.ctx.Err() == nil,
 			Number: number, Left: x.left(e),
@@ -43,12 +58,26 @@
 		if !e.mayRetry(a) {
 			return e.finalError(x, a)
 		}
-		x.full = x.full || a.Err.Kind == rollout.KindOverloaded
+		if a.Err.Kind == rollout.KindOverloaded {
+			x.full = true
+			number--
+		}
 		tried = append(tried, choice.Upstream.ID)
 		e.log.Info("Retry", zap.String("Request", x.id), zap.Int("Attempt", number), zap.String("Upstream", choice.Upstream.ID), zap.Error(err))
 	}
 }
 
+// pauseWhileFull waits before upstreams that turned the request away are
+// asked again. It returns false once the deadline has come.
+func (e *entry) pauseWhileFull(x *exchange) bool {
+	select {
+	case <-x.ctx.Done():
+		return false
+	case <-time.After(fullPause):
+		return true
+	}
+}
+
 // route chooses an upstream and logs the decision.
 func (e *entry) route(x *exchange, tried []string) (routing.Choice, error) {
 	e.routeMu.Lock()
@@ -112,6 +141,7 @@
 func (e *entry) tryUpstream(x *exchange, choice routing.Choice) error {
 	req := e.runRequest(x, choice, newID())
 	s, err := e.openAttempt(x.ctx, choice.Upstream.Address, req)
+	x.noteCrash(s)
 	if err != nil {
 		e.finished(choice.Upstream.ID, err, -1)
 		return err
@@ -122,6 +152,7 @@
 	}
 	defer s.close()
 	body, err := s.readAll()
+	x.noteCrash(s)
 	e.finished(choice.Upstream.ID, err, s.running())
 	if err != nil {
 		return err
@@ -154,6 +185,7 @@
 			e.log.Warn("StreamBroken", zap.String("Request", x.id), zap.String("Upstream", choice.Upstream.ID), zap.Error(err))
 			_, _ = w.WriteString("event: error\ndata: " + errorText(x, rollout.AsError(err)) + "\n\n")
 			_ = w.Flush()
+			time.Sleep(lingerBeforeClose)
 			_ = conn.Close()
 		}
 		x.end(e)
--- a/pkg/rollout/catalog/entities.go
+++ b/pkg/rollout/catalog/entities.go
@@ -99,8 +99,8 @@
 // Poison is a request that ran on an upstream when it crashed.
 type Poison struct {
 	Fingerprint string
-	// Crashes counts the upstreams that crashed while they ran it.
-	Crashes int
+	// Crashes holds the IDs of the crashes of upstreams that ran it.
+	Crashes []string
 	// UntilMS is when it is forgotten.
 	UntilMS rollout.Millis
 }
@@ -111,6 +111,15 @@
 	return hex.EncodeToString(sum[:])
 }
 
+// WithCrash returns the poison with one more crash, unless it is known.
+func (p Poison) WithCrash(id string, until rollout.Millis) Poison {
+	p.UntilMS = max(p.UntilMS, until)
+	if !slices.Contains(p.Crashes, id) {
+		p.Crashes = append(slices.Clone(p.Crashes), id)
+	}
+	return p
+}
+
 // Name returns the name of a target: its failure domain and pool.
 func (t Target) Name() string { return t.FailureDomain + "/" + t.Pool }
 
--- a/pkg/rollout/fleet/fleet.go
+++ b/pkg/rollout/fleet/fleet.go
@@ -43,6 +43,8 @@
 
 // Crash names the requests that ran on an upstream when it crashed.
 type Crash struct {
+	// ID is the same each time that the crash is reported.
+	ID           string
 	Upstream     string
 	Fingerprints []string
 }
@@ -97,22 +99,27 @@
 // empty one.
 type Table struct {
 	sinceMS rollout.Millis
-	daemons map[string]Daemon
+	// daemons holds each run of a daemon by name and incarnation, so that a
+	// late answer to an old run says nothing of the new one.
+	daemons map[runKey]Daemon
 }
 
+type runKey struct{ name, incarnation string }
+
 // New returns the table of a leader that leads since a time.
 func New(since rollout.Millis) *Table {
-	return &Table{sinceMS: since, daemons: make(map[string]Daemon)}
+	return &Table{sinceMS: since, daemons: make(map[runKey]Daemon)}
 }
 
 // Alive tells whether the daemon may still hold authority. A leader that has
 // just begun counts each daemon as alive.
 func (t *Table) Alive(now rollout.Millis, name string) bool {
-	d, ok := t.daemons[name]
-	if !ok {
-		return !authority.ExpiredEverywhere(now, t.sinceMS)
+	for key, d := range t.daemons {
+		if key.name == name && !authority.ExpiredEverywhere(now, d.AnsweredMS) {
+			return true
+		}
 	}
-	return !authority.ExpiredEverywhere(now, d.AnsweredMS)
+	return !authority.ExpiredEverywhere(now, t.sinceMS)
 }
 
 // Behind returns the daemons that may still act on a version older than the
@@ -129,16 +136,17 @@
 
 // Lost tells whether the upstreams of an agent run are to be taken out.
 func (t *Table) Lost(now rollout.Millis, agent, incarnation string) bool {
-	d, ok := t.daemons[agent]
+	d, ok := t.daemons[runKey{agent, incarnation}]
 	if !ok {
 		return now-t.sinceMS > 2*LostAfterMS
 	}
-	return d.Incarnation != incarnation || now-d.AnsweredMS > LostAfterMS
+	return now-d.AnsweredMS > LostAfterMS
 }
 
 // Renew notes that a daemon was confirmed.
 func (t *Table) Renew(now rollout.Millis, d Daemon, r *Report) {
-	old := t.daemons[d.Name]
+	key := runKey{d.Name, d.Incarnation}
+	old := t.daemons[key]
 	d.AnsweredMS = now
 	d.Loads, d.Queued = old.Loads, old.Queued
 	if r != nil && r.Loads != nil {
@@ -147,13 +155,13 @@
 	if r != nil && r.Queued != nil {
 		d.Queued = r.Queued
 	}
-	t.daemons[d.Name] = d
+	t.daemons[key] = d
 }
 
 // Load returns the load of an upstream and whether it is known.
-func (t *Table) Load(agent, upstream string) (Load, bool) {
-	for _, l := range t.daemons[agent].Loads {
-		if l.Upstream == upstream {
+func (t *Table) Load(u catalog.Upstream) (Load, bool) {
+	for _, l := range t.daemons[runKey{u.Agent, u.Incarnation}].Loads {
+		if l.Upstream == u.ID {
 			return l, true
 		}
 	}
@@ -171,10 +179,12 @@
 
 // Sorted returns the daemons sorted by name.
 func (t *Table) Sorted() []Daemon {
-	return slices.SortedFunc(maps.Values(t.daemons), func(a, b Daemon) int { return cmp.Compare(a.Name, b.Name) })
+	return slices.SortedFunc(maps.Values(t.daemons), func(a, b Daemon) int {
+		return cmp.Or(cmp.Compare(a.Name, b.Name), cmp.Compare(a.Incarnation, b.Incarnation))
+	})
 }
 
 // Forget drops the daemons that have been silent for a long time.
 func (t *Table) Forget(now, silent rollout.Millis) {
-	maps.DeleteFunc(t.daemons, func(_ string, d Daemon) bool { return now-d.AnsweredMS > silent })
+	maps.DeleteFunc(t.daemons, func(_ runKey, d Daemon) bool { return now-d.AnsweredMS > silent })
 }
--- a/pkg/rollout/gate/gate.go
+++ b/pkg/rollout/gate/gate.go
@@ -34,9 +34,9 @@
 	// Claimed attempts are remembered after they end, so that they never begin
 	// a second time.
 	Claimed bool
-	// Attach takes part in an attempt that has begun. An attempt that has not
-	// begun is barred.
-	Attach bool
+	// Attach takes part in an attempt that has begun and begins none. With
+	// Bar, an attempt that has not begun never will.
+	Attach, Bar bool
 }
 
 // Verdict tells what to do with a request.
@@ -105,6 +105,9 @@
 		}
 		return VerdictJoin, nil
 	}
+	if req.Attach && !req.Bar {
+		return 0, rollout.NewError(rollout.KindNotFound, "attempt %s has not begun", req.Attempt)
+	}
 	if req.Attach {
 		g.remember(now, &attempt{req: req, state: attemptBarred, atMS: now})
 		return 0, rollout.NewError(rollout.KindNotFound, "attempt %s never began", req.Attempt).WithNotRun()
--- a/pkg/rollout/ledger/command.go
+++ b/pkg/rollout/ledger/command.go
@@ -38,6 +38,7 @@
 	PutUpstream    *catalog.Upstream `json:",omitempty"`
 	LoseUpstream   *LoseUpstream     `json:",omitempty"`
 	Crash          *Crash            `json:",omitempty"`
+	CheckPoison    *CheckPoison      `json:",omitempty"`
 
 	TakeClaim *claim.Take `json:",omitempty"`
 	VoidClaim *claim.Void `json:",omitempty"`
@@ -91,10 +92,15 @@
 
 // Crash reports the requests that ran on an upstream when it crashed.
 type Crash struct {
+	// ID is the same each time that the crash is reported.
+	ID           string
 	Upstream     string
 	Fingerprints []string
 }
 
+// CheckPoison asks what is known of a request that has crashed an upstream.
+type CheckPoison struct{ Fingerprint string }
+
 // WindowReported notes that the platform accepted a usage window.
 type WindowReported struct{ Number uint64 }
 
--- a/pkg/rollout/ledger/ledger.go
+++ b/pkg/rollout/ledger/ledger.go
@@ -242,6 +242,8 @@
 	case c.Crash != nil:
 		s.applyCrash(index, c)
 		return nil, nil
+	case c.CheckPoison != nil:
+		return cat.Poisons[c.CheckPoison.Fingerprint], nil
 	default:
 		return nil, rollout.NewError(rollout.KindInvalidInput, "empty command")
 	}
@@ -249,10 +251,8 @@
 
 func (s *State) applyCrash(index uint64, c Command) {
 	for _, f := range c.Crash.Fingerprints {
-		p := s.Catalog.Poisons[f]
+		p := s.Catalog.Poisons[f].WithCrash(c.Crash.ID, c.AtMS+poisonRetentionMS)
 		p.Fingerprint = f
-		p.Crashes++
-		p.UntilMS = c.AtMS + poisonRetentionMS
 		s.Catalog.Put(index, catalog.KindPoison, f, p)
 	}
 	for _, f := range slices.Sorted(maps.Keys(s.Catalog.Poisons)) {
