--- a/internal/demo/check.go
+++ b/internal/demo/check.go
@@ -77,11 +77,11 @@
 	if err := c.operator.Grant(ctx, "trainer-1", "trainers", "cfs_trainer"); err != nil {
 		return err
 	}
-	return c.waitUpstreams(ctx)
+	return c.WaitUpstreams(ctx)
 }
 
-// waitUpstreams waits until each upstream takes work at each entry.
-func (c *Check) waitUpstreams(ctx context.Context) error {
+// WaitUpstreams waits until each upstream takes work at each entry.
+func (c *Check) WaitUpstreams(ctx context.Context) error {
 	for ctx.Err() == nil {
 		a, err := c.operator.Do(ctx, "show upstreams")
 		if err == nil && len(a.Table.Rows) == len(c.layout.Upstreams) {
--- /dev/null
+++ b/internal/disk/store_test.go
@@ -0,0 +1,193 @@
+package disk
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/quorum"
+)
+
+func entries(from, to uint64) []quorum.Entry {
+	var es []quorum.Entry
+	for i := from; i <= to; i++ {
+		es = append(es, quorum.Entry{Index: i, Term: 1, Data: []byte{byte(i)}})
+	}
+	return es
+}
+
+func open(t *testing.T, dir string, opts ...Option) (*Store, quorum.Saved) {
+	t.Helper()
+	s, saved, err := Open(dir, opts...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = s.Close() })
+	return s, saved
+}
+
+func appendAll(t *testing.T, s *Store, es ...quorum.Entry) {
+	t.Helper()
+	for _, e := range es {
+		if err := s.Append(&quorum.HardState{Term: e.Term}, []quorum.Entry{e}); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+func assertLast(t *testing.T, saved quorum.Saved, index uint64) {
+	t.Helper()
+	if n := len(saved.Entries); n == 0 || saved.Entries[n-1].Index != index {
+		t.Fatalf("entries %v, want the last at %d", saved.Entries, index)
+	}
+}
+
+func TestLaterEntriesReplaceEarlierOnes(t *testing.T) {
+	dir := t.TempDir()
+	s, _ := open(t, dir)
+	appendAll(t, s, entries(1, 5)...)
+	appendAll(t, s, quorum.Entry{Index: 3, Term: 2})
+	_, saved := open(t, dir)
+	assertLast(t, saved, 3)
+	if saved.Entries[2].Term != 2 || saved.HardState.Term != 2 {
+		t.Fatalf("saved %+v", saved)
+	}
+}
+
+func TestSnapshotReplacesTheLog(t *testing.T) {
+	dir := t.TempDir()
+	s, _ := open(t, dir)
+	appendAll(t, s, entries(1, 5)...)
+	snap := quorum.Snapshot{Index: 3, Term: 1, Data: []byte("state")}
+	if err := s.Save(snap, s.HardState(), entries(4, 5)); err != nil {
+		t.Fatal(err)
+	}
+	appendAll(t, s, entries(6, 6)...)
+	_, saved := open(t, dir)
+	if saved.Snapshot == nil || string(saved.Snapshot.Data) != "state" || len(saved.Entries) != 3 {
+		t.Fatalf("saved %+v", saved)
+	}
+	assertLast(t, saved, 6)
+}
+
+func TestEveryTornEndIsCutOff(t *testing.T) {
+	dir := t.TempDir()
+	s, _ := open(t, dir)
+	appendAll(t, s, entries(1, 2)...)
+	log := filepath.Join(dir, logName)
+	before := readFile(t, log)
+	appendAll(t, s, entries(3, 3)...)
+	whole := readFile(t, log)
+	for size := len(before); size < len(whole); size++ {
+		writeFile(t, log, whole[:size])
+		again, saved := open(t, dir)
+		assertLast(t, saved, 2)
+		if again.CutBytes != int64(size-len(before)) {
+			t.Fatalf("cut %d bytes of %d", again.CutBytes, size-len(before))
+		}
+	}
+}
+
+func TestDamageBeforeTheEndIsNamed(t *testing.T) {
+	dir := t.TempDir()
+	s, _ := open(t, dir)
+	appendAll(t, s, entries(1, 3)...)
+	log := filepath.Join(dir, logName)
+	whole := readFile(t, log)
+	first := len(whole) / 3
+	for _, offset := range []int{0, 5, 9, headerBytes + 3, first - 1} {
+		damaged := append([]byte(nil), whole...)
+		damaged[offset] ^= 0x40
+		writeFile(t, log, damaged)
+		_, _, err := Open(dir)
+		var corrupt *CorruptError
+		if !errors.As(err, &corrupt) || corrupt.Path != log || corrupt.Offset != 0 {
+			t.Fatalf("damage at %d: error %v", offset, err)
+		}
+	}
+}
+
+// fullDisk is a file that takes only part of a write while the disk is full.
+type fullDisk struct {
+	File
+	full *bool
+}
+
+func (f fullDisk) Write(p []byte) (int, error) {
+	if !*f.full {
+		return f.File.Write(p)
+	}
+	n, _ := f.File.Write(p[:len(p)/2])
+	return n, errors.New("no space left on device")
+}
+
+func TestFullDiskLosesNothing(t *testing.T) {
+	dir := t.TempDir()
+	full := false
+	s, _ := open(t, dir, WithOpenLog(func(path string) (File, error) {
+		f, err := openAppend(path)
+		return fullDisk{f, &full}, err
+	}))
+	appendAll(t, s, entries(1, 2)...)
+	full = true
+	err := s.Append(nil, entries(3, 3))
+	var e *rollout.Error
+	if !errors.As(err, &e) || e.Kind != rollout.KindStorage {
+		t.Fatalf("error %v, want Storage", err)
+	}
+	full = false
+	appendAll(t, s, entries(3, 4)...)
+	_, saved := open(t, dir)
+	assertLast(t, saved, 4)
+	if len(saved.Entries) != 4 {
+		t.Fatalf("entries %v", saved.Entries)
+	}
+}
+
+func TestMemberBelongsToTheFolder(t *testing.T) {
+	dir := t.TempDir()
+	first, _ := open(t, dir)
+	again, _ := open(t, dir)
+	other, _ := open(t, t.TempDir())
+	if first.Member() != again.Member() || first.Member() == other.Member() {
+		t.Fatalf("members %s, %s, %s", first.Member(), again.Member(), other.Member())
+	}
+}
+
+func FuzzDecodeRecords(f *testing.F) {
+	good, err := encodeRecord(record{HardState: &quorum.HardState{Term: 3}, Entries: entries(1, 2)})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(good)
+	f.Add(append(append([]byte(nil), good...), good[:17]...))
+	f.Add(make([]byte, 40))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		records, valid, err := decodeRecords("log", data)
+		if err != nil {
+			return
+		}
+		again, size, err := decodeRecords("log", data[:valid])
+		if err != nil || size != valid || len(again) != len(records) {
+			t.Fatalf("valid part of %d bytes reads as %d records, %v; want %d", valid, len(again), err, len(records))
+		}
+	})
+}
+
+func readFile(t *testing.T, path string) []byte {
+	t.Helper()
+	data, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+func writeFile(t *testing.T, path string, data []byte) {
+	t.Helper()
+	if err := os.WriteFile(path, data, 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/e2e/caller_test.go
+++ b/internal/e2e/caller_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
@@ -52,7 +53,7 @@
 // openStream begins a long stream and returns a reader behind its first line.
 func (d *deployment) openStream(entry int) (*bufio.Reader, func()) {
 	d.t.Helper()
-	resp, err := d.check.Post(d.t.Context(), entry, "/v1/completions", key, "", longStream)
+	resp, err := d.check.Post(d.t.Context(), entry, "/v1/completions", key, "", longStream) //nolint:bodyclose // The caller closes it.
 	must(d.t, err)
 	r := bufio.NewReader(resp.Body)
 	line, err := r.ReadString('\n')
@@ -288,7 +289,7 @@
 	resp, err := d.check.PostWithin(t.Context(), 0, "/r/orders/tags", key, 300*time.Millisecond, req)
 	must(t, err)
 	_ = resp.Body.Close()
-	if took := time.Since(start); resp.StatusCode != 504 || took > time.Second || resp.Header.Get("Retry-After") == "" {
+	if took := time.Since(start); resp.StatusCode != http.StatusGatewayTimeout || took > time.Second || resp.Header.Get("Retry-After") == "" {
 		t.Fatalf("status %d after %v", resp.StatusCode, took)
 	}
 }
--- a/internal/e2e/control_test.go
+++ b/internal/e2e/control_test.go
@@ -160,7 +160,7 @@
 			t.Fatalf("exit %v without the file and the offset", code)
 		}
 	})
-	t.Run("the others go on", func(t *testing.T) {
+	t.Run("the others go on", func(*testing.T) {
 		d.do("create account still-here")
 	})
 }
--- a/internal/e2e/deployment_test.go
+++ b/internal/e2e/deployment_test.go
@@ -58,11 +58,16 @@
 	t.Helper()
 	l, err := demo.New(t.TempDir(), o)
 	must(t, err)
-	d := &deployment{t: t, layout: l, procs: make(map[string]*exec.Cmd), check: demo.NewCheck(l), op: demo.NewOperator(l)}
+	d := newDeployment(l)
+	d.t = t
 	t.Cleanup(d.close)
 	return d
 }
 
+func newDeployment(l *demo.Layout) *deployment {
+	return &deployment{layout: l, procs: make(map[string]*exec.Cmd), check: demo.NewCheck(l), op: demo.NewOperator(l)}
+}
+
 // deploy starts a deployment and configures it.
 func deploy(t *testing.T, o demo.Options) *deployment {
 	t.Helper()
@@ -81,15 +86,22 @@
 
 func (d *deployment) start(name string) {
 	d.t.Helper()
+	must(d.t, d.launch(name))
+}
+
+// launch starts a process of the layout.
+func (d *deployment) launch(name string) error {
 	i := slices.IndexFunc(d.layout.Processes, func(p demo.Process) bool { return p.Name == name })
 	args := d.layout.Processes[i].Args
 	log, err := os.OpenFile(filepath.Join(d.layout.Dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-	must(d.t, err)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = log.Close() }()
 	cmd := exec.Command(filepath.Join(binDir, args[0]), args[1:]...)
 	cmd.Stdout, cmd.Stderr = log, log
-	must(d.t, cmd.Start())
-	_ = log.Close()
 	d.procs[name] = cmd
+	return cmd.Start()
 }
 
 // kill ends a process at once.
@@ -121,7 +133,7 @@
 		_ = p.Wait()
 	}
 	d.op.Close()
-	if d.t.Failed() {
+	if d.t != nil && d.t.Failed() {
 		d.printLogs()
 	}
 }
--- a/internal/e2e/relay_test.go
+++ b/internal/e2e/relay_test.go
@@ -1,7 +1,6 @@
 package e2e
 
 import (
-	"io"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -58,7 +57,7 @@
 				return
 			}
 		}
-		if err != nil && err != io.EOF || n == 0 {
+		if err != nil || n == 0 {
 			return
 		}
 	}
