--- a/internal/cmds/standin/engine.go
+++ b/internal/cmds/standin/engine.go
@@ -167,15 +167,20 @@
 
 // note counts requests in which a caller's key is seen.
 func (e *engine) note(r *http.Request, body []byte) {
-	text := string(body) + r.URL.String()
-	for _, values := range r.Header {
-		text += strings.Join(values, " ")
-	}
-	if r.Header.Get("Authorization") != "" || strings.Contains(text, "cfs_") {
+	if showsKey(r, body) {
 		e.count(&e.keysSeen, 1)
 	}
 }
 
+// showsKey tells whether a request carries a caller's key anywhere.
+func showsKey(r *http.Request, body []byte) bool {
+	text := string(body) + r.URL.String() + r.URL.Query().Encode()
+	for name, values := range r.Header {
+		text += name + strings.Join(values, " ")
+	}
+	return r.Header.Get("Authorization") != "" || strings.Contains(text, "cfs_")
+}
+
 func (e *engine) version(group string) uint64 {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/cmds/standin/services.go
+++ b/internal/cmds/standin/services.go
@@ -63,7 +63,7 @@
 	s.mu.Lock()
 	s.runs[id]++
 	run := s.runs[id]
-	if r.Header.Get("Authorization") != "" {
+	if showsKey(r, body) {
 		s.keysSeen++
 	}
 	s.mu.Unlock()
--- /dev/null
+++ b/internal/control/platform_test.go
@@ -0,0 +1,65 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/clock"
+)
+
+// fakePlatform counts calls and notes how long each may take.
+type fakePlatform struct {
+	calls  int
+	longMS time.Duration
+}
+
+func (p *fakePlatform) SendOrder(ctx context.Context, _ rollout.Order) error { return p.call(ctx) }
+
+func (p *fakePlatform) SendUsage(ctx context.Context, _ rollout.UsageReport) error { return p.call(ctx) }
+
+func (p *fakePlatform) call(ctx context.Context) error {
+	p.calls++
+	deadline, _ := ctx.Deadline()
+	p.longMS = time.Until(deadline)
+	return nil
+}
+
+// TestNoOrderOutlivesTheLease covers a leader that was frozen between the
+// commit and the write: its lease is over, or ends before the call must.
+func TestNoOrderOutlivesTheLease(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		left rollout.Millis
+		sent bool
+	}{
+		{"lease is over", -1, false},
+		{"lease ends before the call must", platformTimeoutMS - 1, false},
+		{"lease outlasts the call", platformTimeoutMS, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			clk := clock.NewManual(10_000)
+			next := &fakePlatform{}
+			p := &leasedPlatform{next: next, clock: clk, leaseUntil: func() rollout.Millis { return 10_000 + tc.left }}
+			orderErr := p.SendOrder(t.Context(), rollout.Order{})
+			usageErr := p.SendUsage(t.Context(), rollout.UsageReport{})
+			assertSent(t, next, errors.Join(orderErr, usageErr), tc.sent)
+		})
+	}
+}
+
+func assertSent(t *testing.T, p *fakePlatform, err error, sent bool) {
+	t.Helper()
+	want := 0
+	if sent {
+		want = 2
+	}
+	if p.calls != want || (err == nil) != sent {
+		t.Fatalf("%d calls and error %v, want %d calls", p.calls, err, want)
+	}
+	if sent && p.longMS > platformTimeoutMS*time.Millisecond {
+		t.Fatalf("a call may take %v", p.longMS)
+	}
+}
--- /dev/null
+++ b/internal/daemon/renewer_test.go
@@ -0,0 +1,87 @@
+package daemon
+
+import (
+	"encoding/json"
+	"testing"
+
+	"go.uber.org/zap"
+
+	"github.com/coltsfootspoke/coltsfootspoke/internal/wire"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/catalog"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/clock"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/fleet"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/weights"
+)
+
+type silentReporter struct{ versions []uint64 }
+
+func (s *silentReporter) Report() (*fleet.Report, func()) { return nil, func() {} }
+func (s *silentReporter) Upstreams() []string             { return nil }
+func (s *silentReporter) Update(c *catalog.Catalog)       { s.versions = append(s.versions, c.Version) }
+func (s *silentReporter) Tasks(weights.Tasks)             {}
+
+func reply(t *testing.T, version uint64, key catalog.Key) *wire.RenewReply {
+	t.Helper()
+	value, err := json.Marshal(key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	u := catalog.Update{Version: version, Changes: []catalog.Change{{Version: version, Kind: catalog.KindKey, Name: key.ID, Value: value}}}
+	data, err := json.Marshal(u)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &wire.RenewReply{Version: version, Update: data}
+}
+
+func TestAnOlderConfigurationIsNeverTaken(t *testing.T) {
+	rep := &silentReporter{}
+	r := NewRenewer(Identity{}, nil, clock.NewManual(0), zap.NewNop(), rep)
+	old, withdrawn := catalog.Key{ID: "k", Digest: "d"}, catalog.Key{ID: "k", Digest: "d", Withdrawn: true}
+	steps := []struct {
+		name  string
+		asked uint64
+		reply *wire.RenewReply
+		fails bool
+	}{
+		{"first", 0, reply(t, 5, old), false},
+		{"newer", 5, reply(t, 6, withdrawn), false},
+		{"late answer to the other thread", 5, reply(t, 5, old), false},
+		{"a leader that lags behind", 6, reply(t, 5, old), true},
+	}
+	for _, s := range steps {
+		err := r.applyUpdate(&wire.RenewRequest{Version: s.asked}, s.reply)
+		if (err != nil) != s.fails {
+			t.Fatalf("%s: error %v", s.name, err)
+		}
+	}
+	if v := r.View(); v.Version != 6 || !v.Keys["k"].Withdrawn || !v.ByDigest["d"].Withdrawn {
+		t.Fatalf("view %+v", v)
+	}
+	if len(rep.versions) != 2 {
+		t.Fatalf("published %v", rep.versions)
+	}
+}
+
+func TestTheLeaseRunsFromTheSending(t *testing.T) {
+	clk := clock.NewManual(1_000)
+	r := NewRenewer(Identity{}, nil, clk, zap.NewNop(), &silentReporter{})
+	sent := clk.Now()
+	clk.Advance(900)
+	r.lease.Confirm(clk.Now(), sent, 1_000)
+	assertValid(t, r, true)
+	clk.Advance(99)
+	assertValid(t, r, true)
+	clk.Advance(1)
+	assertValid(t, r, false)
+	r.lease.Confirm(clk.Now(), sent, 1_000)
+	assertValid(t, r, false)
+}
+
+func assertValid(t *testing.T, r *Renewer, want bool) {
+	t.Helper()
+	if r.Valid() != want {
+		t.Fatalf("valid %v at %d, lease until %d", r.Valid(), r.clock.Now(), r.lease.Until())
+	}
+}
+
--- a/internal/e2e/caller_test.go
+++ b/internal/e2e/caller_test.go
@@ -320,3 +320,29 @@
 		})
 	}
 }
+
+func TestNoUpstreamSeesAKey(t *testing.T) {
+	d := deploy(t, demo.DefaultOptions())
+	paths := []string{"/v1/completions?api_key=" + key, "/v1/completions?x=1&cfs%5Ffarm=2", "/r/orders/tags?k=" + key}
+	for _, path := range paths {
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, d.layout.EntryURLs[0]+path, strings.NewReader(shortCall))
+		must(t, err)
+		req.Header.Set("Authorization", "Bearer "+key)
+		req.Header.Set("Cookie", "session="+key)
+		req.Header.Set("X-Request-Id", "from "+key)
+		req.Header.Set("Accept", "text/plain; k="+key)
+		resp, err := http.DefaultClient.Do(req)
+		must(t, err)
+		_ = resp.Body.Close()
+		if resp.StatusCode != http.StatusOK {
+			t.Fatalf("%s answered %d", path, resp.StatusCode)
+		}
+	}
+	for _, u := range d.layout.Upstreams {
+		var st struct{ KeysSeen int }
+		d.getJSON("http://"+u.Address+"/status", &st)
+		if st.KeysSeen > 0 {
+			t.Errorf("%s saw %d requests with a key", u.ID, st.KeysSeen)
+		}
+	}
+}
--- /dev/null
+++ b/internal/entry/attempt_test.go
@@ -0,0 +1,78 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"testing"
+
+	"storj.io/drpc"
+
+	"github.com/coltsfootspoke/coltsfootspoke/internal/wire"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
+)
+
+// fakeStream plays back chunks.
+type fakeStream struct {
+	drpc.Stream
+	chunks []*wire.RunChunk
+}
+
+func (s *fakeStream) Recv() (*wire.RunChunk, error) {
+	if len(s.chunks) == 0 {
+		return nil, io.EOF
+	}
+	c := s.chunks[0]
+	s.chunks = s.chunks[1:]
+	return c, nil
+}
+
+func (s *fakeStream) RecvMsg(*wire.RunChunk) error { return io.EOF }
+
+func (s *fakeStream) Close() error { return nil }
+
+func read(chunks ...*wire.RunChunk) ([]byte, error) {
+	s := &attemptStream{attempt: "mine", ctx: context.Background(), cancel: func() {}, stream: &fakeStream{chunks: chunks}}
+	return s.readAll()
+}
+
+func head(attempt string) *wire.RunChunk {
+	return &wire.RunChunk{Attempt: attempt, Head: &wire.Head{Status: 200}}
+}
+
+func data(attempt, text string) *wire.RunChunk {
+	return &wire.RunChunk{Attempt: attempt, Data: []byte(text)}
+}
+
+func end(attempt string, length uint64, err string) *wire.RunChunk {
+	return &wire.RunChunk{Attempt: attempt, End: &wire.End{Length: length, Error: err}}
+}
+
+func TestOnlyTheOwnWholeAnswerIsTaken(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		chunks []*wire.RunChunk
+		want   rollout.Kind
+	}{
+		{"crossed head", []*wire.RunChunk{head("other"), data("other", "x"), end("other", 1, "")}, rollout.KindInternal},
+		{"crossed data", []*wire.RunChunk{head("mine"), data("other", "x"), end("mine", 1, "")}, rollout.KindInternal},
+		{"late end of another", []*wire.RunChunk{head("mine"), data("mine", "x"), end("other", 1, "")}, rollout.KindInternal},
+		{"no end marker", []*wire.RunChunk{head("mine"), data("mine", "x")}, rollout.KindTruncated},
+		{"short answer", []*wire.RunChunk{head("mine"), data("mine", "x"), end("mine", 2, "")}, rollout.KindTruncated},
+		{"an error at the end", []*wire.RunChunk{head("mine"), data("mine", "x"), end("mine", 1, "Truncated: cut")}, rollout.KindTruncated},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			body, err := read(tc.chunks...)
+			var e *rollout.Error
+			if !errors.As(err, &e) || e.Kind != tc.want || e.NotRun {
+				t.Fatalf("body %q, error %v, want %v", body, err, tc.want)
+			}
+		})
+	}
+	t.Run("own whole answer", func(t *testing.T) {
+		body, err := read(head("mine"), data("mine", "wh"), data("mine", "ole"), end("mine", 5, ""))
+		if err != nil || string(body) != "whole" {
+			t.Fatalf("body %q, error %v", body, err)
+		}
+	})
+}
--- /dev/null
+++ b/pkg/rollout/gate/gate_test.go
@@ -0,0 +1,102 @@
+package gate
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
+)
+
+func newGate(slots int) *Gate {
+	g := New("run-1")
+	g.Set(Upstream{ID: "u", Slots: slots})
+	return g
+}
+
+func begin(g *Gate, attempt string, change func(*Request)) (Verdict, error) {
+	r := Request{Attempt: attempt, Upstream: "u", Incarnation: "run-1", Claimed: true}
+	if change != nil {
+		change(&r)
+	}
+	return g.Begin(1, r)
+}
+
+func assertRefused(t *testing.T, err error, kind rollout.Kind, notRun bool) {
+	t.Helper()
+	var e *rollout.Error
+	if !errors.As(err, &e) || e.Kind != kind || e.NotRun != notRun {
+		t.Fatalf("error %v, want %v with NotRun=%v", err, kind, notRun)
+	}
+}
+
+func assertVerdict(t *testing.T, got Verdict, err error, want Verdict) {
+	t.Helper()
+	if err != nil || got != want {
+		t.Fatalf("verdict %v, %v, want %v", got, err, want)
+	}
+}
+
+func TestAnAttemptBeginsOnce(t *testing.T) {
+	g := newGate(4)
+	v, err := begin(g, "a", nil)
+	assertVerdict(t, v, err, VerdictRun)
+	v, err = begin(g, "a", nil)
+	assertVerdict(t, v, err, VerdictJoin)
+	g.Finish("a")
+	v, err = begin(g, "a", nil)
+	assertVerdict(t, v, err, VerdictJoin)
+}
+
+func TestABarredAttemptNeverBegins(t *testing.T) {
+	g := newGate(4)
+	_, err := begin(g, "a", func(r *Request) { r.Attach = true })
+	assertRefused(t, err, rollout.KindNotFound, false)
+	_, err = begin(g, "a", func(r *Request) { r.Attach, r.Bar = true, true })
+	assertRefused(t, err, rollout.KindNotFound, true)
+	_, err = begin(g, "a", nil)
+	assertRefused(t, err, rollout.KindConflict, true)
+}
+
+func TestWorkIsTurnedAway(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		prepare func(*Gate)
+		change  func(*Request)
+		kind    rollout.Kind
+		notRun  bool
+	}{
+		{"another run of the agent", nil, func(r *Request) { r.Incarnation = "run-0" }, rollout.KindNoUpstream, true},
+		{"an attach to another run", nil, func(r *Request) { r.Incarnation, r.Attach = "run-0", true }, rollout.KindOutcomeUnknown, false},
+		{"an unknown upstream", nil, func(r *Request) { r.Upstream = "x" }, rollout.KindNoUpstream, true},
+		{"a leaving upstream", func(g *Gate) { g.Set(Upstream{ID: "u", Slots: 4, Leaving: true}) }, nil, rollout.KindNoUpstream, true},
+		{"a full upstream", func(g *Gate) {
+			for i := range 5 {
+				_, _ = begin(g, fmt.Sprint(i), nil)
+			}
+		}, nil, rollout.KindOverloaded, true},
+		{"a second suspect", func(g *Gate) {
+			_, _ = begin(g, "s", func(r *Request) { r.Suspect = true })
+		}, func(r *Request) { r.Suspect = true }, rollout.KindOverloaded, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := newGate(4)
+			if tc.prepare != nil {
+				tc.prepare(g)
+			}
+			_, err := begin(g, "a", tc.change)
+			assertRefused(t, err, tc.kind, tc.notRun)
+		})
+	}
+}
+
+func TestCrashNamesWhatRan(t *testing.T) {
+	g := newGate(4)
+	for i, f := range []string{"x", "y", "x"} {
+		_, _ = begin(g, fmt.Sprint(i), func(r *Request) { r.Fingerprint = f })
+	}
+	g.Finish("1")
+	if got := fmt.Sprint(g.Crashed("u")); got != "[x]" {
+		t.Fatalf("crashed %s", got)
+	}
+}
--- /dev/null
+++ b/pkg/rollout/ledger/ledger_test.go
@@ -0,0 +1,134 @@
+package ledger
+
+import (
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/catalog"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/claim"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/stream"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/usage"
+)
+
+// drawCommand returns any command.
+func drawCommand(t *rapid.T, at rollout.Millis) Command {
+	name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name")
+	n := rapid.IntRange(0, 3).Draw(t, "n")
+	c := Command{AtMS: at}
+	switch rapid.IntRange(0, 11).Draw(t, "kind") {
+	case 0:
+		c.ID, c.PutAccount = fmt.Sprint("op", n), &catalog.Account{Name: name, Weight: n}
+	case 1:
+		c.ID, c.GrantKey = fmt.Sprint("key", n), &catalog.Key{ID: name, Account: name, Digest: fmt.Sprint(n)}
+	case 2:
+		c.ID, c.WithdrawKey = fmt.Sprint("wd", n), &WithdrawKey{ID: name}
+	case 3:
+		c.ID, c.PutGroup = fmt.Sprint("grp", n), &PutGroup{Name: name, Account: name, StalenessBound: uint64(n)}
+	case 4:
+		c.PublishWeights = &PublishWeights{Group: name, Version: uint64(n)}
+	case 5:
+		c.PutUpstream = &catalog.Upstream{ID: name, Slots: n, Incarnation: fmt.Sprint(n)}
+	case 6:
+		c.TakeClaim = &claim.Take{Claim: claim.Claim{Account: name, RequestID: fmt.Sprint(n), Digest: "d", Attempt: fmt.Sprint(at)}}
+	case 7:
+		c.OpenStep = &stream.OpenStep{Group: name, Step: fmt.Sprint(n), Size: 2, Entry: "e"}
+	case 8:
+		c.CommitSample = &stream.Commit{Group: name, Step: fmt.Sprint(n), Index: n % 2, Versions: []uint64{uint64(n)}}
+	case 9:
+		c.Handover = &stream.Handover{Group: name, After: uint64(n), Max: 2}
+	case 10:
+		c.AddUsage = &usage.Report{Agent: name, Incarnation: "1", Lines: []usage.Line{{Subject: usage.Subject{Account: name, Pool: "p"}, Figures: usage.Figures{Requests: uint64(n)}}}}
+	default:
+		c.Crash = &Crash{ID: fmt.Sprint(n), Fingerprints: []string{name}}
+	}
+	return c
+}
+
+// TestSnapshotsAndReplicasAgree applies the same log to one state without and
+// to one with snapshots in between, and compares each result.
+func TestSnapshotsAndReplicasAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		plain, other := New(), New()
+		for index := range rapid.Uint64Range(1, 40).Draw(t, "entries") {
+			at := rollout.Millis(index + 1)
+			batch := []Command{drawCommand(t, at), drawCommand(t, at)}
+			if rapid.IntRange(0, 4).Draw(t, "snapshot") == 0 {
+				data, err := other.Snapshot()
+				if err != nil {
+					t.Fatal(err)
+				}
+				if other, err = Restore(data); err != nil {
+					t.Fatal(err)
+				}
+			}
+			want, got := plain.Apply(index+1, batch), other.Apply(index+1, batch)
+			if !reflect.DeepEqual(want, got) {
+				t.Fatalf("results differ at %d: %+v and %+v", index+1, want, got)
+			}
+		}
+		a, _ := plain.Snapshot()
+		b, _ := other.Snapshot()
+		if string(a) != string(b) {
+			t.Fatalf("states differ:\n%s\n%s", a, b)
+		}
+	})
+}
+
+// TestFeedLeadsToTheCatalog lets a daemon follow at any pace and checks that
+// it ends with what the leader has and never goes back.
+func TestFeedLeadsToTheCatalog(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s, follower := New(), catalog.New()
+		all := catalog.EntryInterest()
+		all.Kinds = append(all.Kinds, catalog.KindTarget)
+		for index := range rapid.Uint64Range(1, 60).Draw(t, "entries") {
+			s.Apply(index+1, []Command{drawCommand(t, rollout.Millis(index+1))})
+			if rapid.Bool().Draw(t, "follow") {
+				before := follower.Version
+				u := s.Catalog.Since(follower.Version, all)
+				if err := follower.Apply(u); err != nil || follower.Version < before {
+					t.Fatalf("version %d after %d, %v", follower.Version, before, err)
+				}
+				old := catalog.Update{Full: true, Version: before}
+				_ = follower.Apply(old)
+			}
+		}
+		if err := follower.Apply(s.Catalog.Since(follower.Version, all)); err != nil {
+			t.Fatal(err)
+		}
+		want, _ := json.Marshal(s.Catalog)
+		got, _ := json.Marshal(follower)
+		if string(want) != string(got) {
+			t.Fatalf("follower has\n%s\nwant\n%s", got, want)
+		}
+	})
+}
+
+func TestACommandIDGetsItsFirstAnswer(t *testing.T) {
+	s := New()
+	first := s.Apply(1, []Command{{ID: "x", PutAccount: &catalog.Account{Name: "a", Weight: 1}}})[0]
+	later := s.Apply(2, []Command{{ID: "x", PutAccount: &catalog.Account{Name: "a", Weight: 9}}})[0]
+	if !reflect.DeepEqual(first, later) || s.Catalog.Accounts["a"].Weight != 1 {
+		t.Fatalf("answers %+v and %+v, account %+v", first, later, s.Catalog.Accounts["a"])
+	}
+}
+
+func TestOneOfTwoRacingCommandsWins(t *testing.T) {
+	s := New()
+	s.Apply(1, []Command{{ID: "0", PutAccount: &catalog.Account{Name: "a", Weight: 1}}})
+	race := s.Apply(2, []Command{
+		{ID: "1", Expected: 1, PutAccount: &catalog.Account{Name: "a", Weight: 2}},
+		{ID: "2", Expected: 1, PutAccount: &catalog.Account{Name: "a", Weight: 3}},
+	})
+	if race[0].Err() != nil || rollout.AsError(race[1].Err()).Kind != rollout.KindConflict {
+		t.Fatalf("results %+v", race)
+	}
+	if s.Catalog.Accounts["a"].Weight != 2 {
+		t.Fatalf("account %+v", s.Catalog.Accounts["a"])
+	}
+}
