--- a/Makefile
+++ b/Makefile
@@ -9,6 +9,7 @@
 	$(GO) build -o bin/coltsfootspoke .
 	$(GO) build -o bin/standin ./internal/cmds/standin
 	$(GO) build -o bin/demo ./internal/cmds/demo
+	$(GO) build -o bin/slope ./internal/cmds/slope
 
 # Runs the whole path once, from operator to usage report.
 demo: build
--- a/internal/agent/report.go
+++ b/internal/agent/report.go
@@ -11,7 +11,7 @@
 )
 
 // usageIntervalMS is the time between usage reports while there is traffic.
-const usageIntervalMS = 2_000
+const usageIntervalMS = 5_000
 
 // prepared is a report with what is to be noted once it is accepted.
 type prepared struct {
--- a/internal/cmds/demo/main.go
+++ b/internal/cmds/demo/main.go
@@ -20,7 +20,10 @@
 }
 
 type layoutCmd struct {
-	Dir string `arg:"" type:"path"`
+	Dir       string `arg:"" type:"path"`
+	Entries   int    `default:"2" help:"Number of entries."`
+	Agents    int    `default:"3" help:"Number of agents."`
+	Upstreams bool   `default:"true" negatable:"" help:"Lay upstreams out."`
 }
 
 type checkCmd struct {
@@ -44,7 +47,12 @@
 
 // Run implements the command.
 func (c *layoutCmd) Run() error {
-	_, err := demo.New(c.Dir, demo.DefaultOptions())
+	o := demo.DefaultOptions()
+	o.Entries, o.Agents = c.Entries, c.Agents
+	if !c.Upstreams {
+		o.Upstreams = nil
+	}
+	_, err := demo.New(c.Dir, o)
 	return err
 }
 
--- a/internal/control/platform_test.go
+++ b/internal/control/platform_test.go
@@ -12,18 +12,20 @@
 
 // fakePlatform counts calls and notes how long each may take.
 type fakePlatform struct {
-	calls  int
-	longMS time.Duration
+	calls   int
+	longest time.Duration
 }
 
 func (p *fakePlatform) SendOrder(ctx context.Context, _ rollout.Order) error { return p.call(ctx) }
 
-func (p *fakePlatform) SendUsage(ctx context.Context, _ rollout.UsageReport) error { return p.call(ctx) }
+func (p *fakePlatform) SendUsage(ctx context.Context, _ rollout.UsageReport) error {
+	return p.call(ctx)
+}
 
 func (p *fakePlatform) call(ctx context.Context) error {
 	p.calls++
 	deadline, _ := ctx.Deadline()
-	p.longMS = time.Until(deadline)
+	p.longest = time.Until(deadline)
 	return nil
 }
 
@@ -59,7 +61,7 @@
 	if p.calls != want || (err == nil) != sent {
 		t.Fatalf("%d calls and error %v, want %d calls", p.calls, err, want)
 	}
-	if sent && p.longMS > platformTimeoutMS*time.Millisecond {
-		t.Fatalf("a call may take %v", p.longMS)
+	if sent && p.longest > platformTimeoutMS*time.Millisecond {
+		t.Fatalf("a call may take %v", p.longest)
 	}
 }
--- a/internal/control/renew.go
+++ b/internal/control/renew.go
@@ -14,9 +14,6 @@
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/weights"
 )
 
-// holdMS is how long a renewal without a report waits for a change.
-const holdMS = 500
-
 // heldRenewal is a renewal that waits for a change of the configuration.
 type heldRenewal struct {
 	since rollout.Millis
@@ -26,7 +23,7 @@
 
 // renew confirms a daemon. What it reports is committed before the answer. A
 // daemon that has nothing to tell and lacks nothing is answered with the next
-// change, or after holdMS; its lease runs from the sending all the same.
+// change, or after authority.HoldMS; its lease runs from the sending all the same.
 func (t *thread) renew(now rollout.Millis, req *wire.RenewRequest, done func(*wire.RenewReply, error)) {
 	if !t.inCharge(now) || !t.leading {
 		done(nil, t.notLeader())
@@ -43,6 +40,7 @@
 	t.metrics.renewals.WithLabelValues(req.Kind).Inc()
 	cmds := reportCommands(req, report)
 	if report == nil && req.Hold && req.Version == t.state.Catalog.Version {
+		t.fleet.NoteVersion(req.Daemon, req.Incarnation, req.Version)
 		t.held = append(t.held, heldRenewal{since: now, req: req, done: done})
 		return
 	}
@@ -64,7 +62,8 @@
 }
 
 // answerHeld answers the held renewals that a change concerns or that have
-// waited for long enough.
+// waited for long enough. A daemon that a change does not concern lacks
+// nothing of the newer version.
 func (t *thread) answerHeld(now rollout.Millis) {
 	if len(t.held) == 0 {
 		return
@@ -77,9 +76,10 @@
 		switch {
 		case !inCharge:
 			h.done(nil, t.notLeader())
-		case now-h.since >= holdMS, changed && t.concerns(h.req):
+		case now-h.since >= authority.HoldMS, changed && t.concerns(h.req):
 			h.done(t.confirm(now, h.req, nil), nil)
 		default:
+			t.fleet.NoteVersion(h.req.Daemon, h.req.Incarnation, t.state.Catalog.Version)
 			rest = append(rest, h)
 		}
 	}
--- a/internal/daemon/client.go
+++ b/internal/daemon/client.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	attemptTimeout = time.Second
+	attemptTimeout = 2 * time.Second
 	// retryPause is the time between rounds over the control hosts.
 	retryPause = 100 * time.Millisecond
 	// redirectPause is the time before a call goes to the leader just named.
--- a/internal/daemon/renewer_test.go
+++ b/internal/daemon/renewer_test.go
@@ -84,4 +84,3 @@
 		t.Fatalf("valid %v at %d, lease until %d", r.Valid(), r.clock.Now(), r.lease.Until())
 	}
 }
-
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -31,6 +32,32 @@
 type Dialer struct {
 	secret []byte
 	pool   *drpcpool.Pool[string, drpcpool.Conn]
+	bytes  Bytes
+}
+
+// Bytes counts what has passed over the connections of a dialer.
+type Bytes struct {
+	Sent, Received atomic.Int64
+}
+
+// countedConn adds to the counts of its dialer.
+type countedConn struct {
+	net.Conn
+	bytes *Bytes
+}
+
+// Read implements net.Conn.
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Received.Add(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Sent.Add(int64(n))
+	return n, err
 }
 
 // NewDialer returns a dialer that shows the given secret.
@@ -44,6 +71,9 @@
 	}
 }
 
+// Bytes returns the counts of the dialer.
+func (d *Dialer) Bytes() *Bytes { return &d.bytes }
+
 // Close closes all idle connections.
 func (d *Dialer) Close() error { return d.pool.Close() }
 
@@ -56,10 +86,11 @@
 
 func (d *Dialer) dial(ctx context.Context, address string) (drpcpool.Conn, error) {
 	dialer := net.Dialer{Timeout: dialTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+	raw, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, rollout.NewError(rollout.KindUnavailable, "dial %s", address).WithCause(err).WithNotRun()
 	}
+	conn := countedConn{raw, &d.bytes}
 	if err := conn.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
 		return nil, closeWith(conn, err)
 	}
--- a/pkg/rollout/fair/fair.go
+++ b/pkg/rollout/fair/fair.go
@@ -39,6 +39,8 @@
 	limit    float64
 	running  map[uint64]Item
 	accounts map[string]*account
+	// order lists the accounts in the order of their first request.
+	order []*account
 	// virtual is the virtual time of the account served last. It never falls.
 	virtual float64
 	waiting int
@@ -149,6 +151,7 @@
 	if a == nil {
 		a = &account{}
 		q.accounts[name] = a
+		q.order = append(q.order, a)
 	}
 	return a
 }
@@ -168,7 +171,7 @@
 
 func (q *Queue) drop(match func(Item) bool) []Item {
 	var dropped []Item
-	for _, a := range q.accounts {
+	for _, a := range q.order {
 		kept := a.queue[:0]
 		for _, it := range a.queue {
 			if match(it) {
@@ -201,7 +204,7 @@
 // the one that is furthest behind.
 func (q *Queue) next() *account {
 	var best *account
-	for _, a := range q.accounts {
+	for _, a := range q.order {
 		if len(a.queue) == 0 {
 			continue
 		}
--- a/pkg/rollout/fleet/fleet.go
+++ b/pkg/rollout/fleet/fleet.go
@@ -143,6 +143,15 @@
 	return now-d.AnsweredMS > LostAfterMS
 }
 
+// NoteVersion notes the configuration version that a known daemon has applied.
+func (t *Table) NoteVersion(name, incarnation string, version uint64) {
+	key := runKey{name, incarnation}
+	if d, ok := t.daemons[key]; ok {
+		d.Version = max(d.Version, version)
+		t.daemons[key] = d
+	}
+}
+
 // Renew notes that a daemon was confirmed.
 func (t *Table) Renew(now rollout.Millis, d Daemon, r *Report) {
 	key := runKey{d.Name, d.Incarnation}
--- a/pkg/rollout/ledger/ledger_test.go
+++ b/pkg/rollout/ledger/ledger_test.go
@@ -94,8 +94,8 @@
 				if err := follower.Apply(u); err != nil || follower.Version < before {
 					t.Fatalf("version %d after %d, %v", follower.Version, before, err)
 				}
-				old := catalog.Update{Full: true, Version: before}
-				_ = follower.Apply(old)
+				again := catalog.Update{Full: true, Version: follower.Version}
+				_ = follower.Apply(again)
 			}
 		}
 		if err := follower.Apply(s.Catalog.Since(follower.Version, all)); err != nil {
--- a/pkg/rollout/quorum/replication.go
+++ b/pkg/rollout/quorum/replication.go
@@ -15,7 +15,8 @@
 )
 
 // advanceCommit commits what a majority of voters has persisted. Only entries
-// of the own term are counted.
+// of the own term are counted. Followers learn of it with the next append or
+// heartbeat.
 func (n *Node) advanceCommit(now rollout.Millis) {
 	matches := make([]uint64, 0, len(n.members.Voters))
 	for _, v := range n.members.Voters {
@@ -31,9 +32,7 @@
 	if n.membersIndex <= n.commit && !n.members.IsVoter(n.cfg.ID) {
 		n.broadcast(now)
 		n.becomeFollower(now, n.hard.Term, "")
-		return
 	}
-	n.broadcast(now)
 }
 
 // broadcast sends what each peer lacks.
--- a/pkg/rollout/stream/stream_test.go
+++ b/pkg/rollout/stream/stream_test.go
@@ -18,9 +18,7 @@
 	cursor  uint64
 	// received holds how often the trainer took each index of each step.
 	received map[string]int
-	// last is the last position taken.
-	last uint64
-	step int
+	step     int
 }
 
 const stepSize = 4
--- a/pkg/rollout/weights/weights.go
+++ b/pkg/rollout/weights/weights.go
@@ -4,6 +4,9 @@
 package weights
 
 import (
+	"maps"
+	"slices"
+
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/catalog"
 )
@@ -128,7 +131,8 @@
 func (p *Planner) Next(now rollout.Millis, a Agent, groups map[string]catalog.Group, poolSize map[string]int) Tasks {
 	p.poolSize = poolSize
 	var tasks Tasks
-	for _, g := range groups {
+	for _, name := range slices.Sorted(maps.Keys(groups)) {
+		g := groups[name]
 		if g.Version == 0 || !servesPool(a, g.Pool) {
 			continue
 		}
