Hedge stragglers by their pace and cancel the loser

Change: an attempt is a straggler when its tokens a second are under half of the group's median; the loser is cancelled; at most a tenth is hedged.

--- a/internal/measure/engine.go
+++ b/internal/measure/engine.go
@@ -66,6 +66,19 @@
 	tokens int
 	slow   float64
 	done   func(ok bool)
+	// startMS and tookMS are set once it runs.
+	startMS, tookMS rollout.Millis
+	running         bool
+	engine          *engine
+}
+
+// progress returns how long a job has run and the tokens it has made.
+func (j *job) progress(now rollout.Millis) (rollout.Millis, int) {
+	if !j.running || j.tookMS == 0 {
+		return 0, 0
+	}
+	elapsed := now - j.startMS
+	return elapsed, int(float64(j.tokens) * float64(elapsed) / float64(j.tookMS))
 }
 
 // engine is a fake model engine: it batches, its tokens slow down as the batch
@@ -121,6 +134,7 @@
 		e.active = make(map[*job]bool)
 	}
 	e.active[j] = true
+	j.startMS, j.tookMS, j.running, j.engine = e.t.now, rollout.Millis(took), true, e
 	e.t.after(rollout.Millis(took), func() {
 		if !e.active[j] {
 			return
@@ -149,6 +163,24 @@
 	return i >= 0
 }
 
+// cancel ends a job early. Its tokens so far count.
+func (e *engine) cancel(j *job) {
+	if i := slices.Index(e.queue, j); i >= 0 {
+		e.queue = slices.Delete(e.queue, i, i+1)
+		j.done(false)
+		return
+	}
+	if !e.active[j] {
+		return
+	}
+	_, made := j.progress(e.t.now)
+	e.tokens += made
+	delete(e.active, j)
+	e.running--
+	e.fill()
+	j.done(false)
+}
+
 // crash ends all that runs and waits.
 func (e *engine) crash() {
 	e.down = true
--- a/internal/measure/scenarios.go
+++ b/internal/measure/scenarios.go
@@ -153,7 +153,7 @@
 	left := t.size
 	group := hedge.New(hedge.DefaultConfig(), t.size)
 	for range t.size {
-		s := &sample{t: t, group: group, began: start, tokens: 80 + t.f.rand.IntN(120)}
+		s := &sample{t: t, group: group, tokens: 80 + t.f.rand.IntN(120)}
 		s.finished = func() {
 			left--
 			if left == 0 {
@@ -168,18 +168,18 @@
 	}
 }
 
-// sample is one sample on its way.
+// sample is one sample on its way, with one attempt or two.
 type sample struct {
 	t        *trainer
 	group    *hedge.Group
-	began    rollout.Millis
 	tokens   int
 	done     bool
 	hedged   bool
+	attempts []*request
 	finished func()
 }
 
-// drawSlow makes one sample in forty a straggler.
+// drawSlow makes one attempt in forty a straggler.
 func (s *sample) drawSlow() float64 {
 	if s.t.f.rand.IntN(40) == 0 {
 		return 5
@@ -188,17 +188,33 @@
 }
 
 func (s *sample) attempt(slow float64) {
-	s.t.f.arrive(&request{account: s.t.name, weight: 1, prefix: 1, prompt: 300, tokens: s.tokens, slow: slow, done: func(ok bool, _ *engine) {
+	r := &request{account: s.t.name, weight: 1, prefix: 1, prompt: 300, tokens: s.tokens, slow: slow}
+	r.done = func(ok bool, _ *engine) {
 		switch {
 		case s.done:
 		case !ok:
 			s.t.f.t.after(200, func() { s.attempt(s.drawSlow()) })
 		default:
-			s.done = true
-			s.group.Finished(s.t.f.t.now - s.began)
-			s.finished()
+			s.win(r)
 		}
-	}})
+	}
+	s.attempts = append(s.attempts, r)
+	s.t.f.arrive(r)
+}
+
+// win ends the sample and cancels its other attempt.
+func (s *sample) win(r *request) {
+	s.done = true
+	if s.t.ours {
+		elapsed, _ := r.job.progress(s.t.f.t.now)
+		s.group.Finished(hedge.Attempt{ElapsedMS: elapsed, Tokens: s.tokens})
+		for _, other := range s.attempts {
+			if other != r && other.job != nil {
+				other.job.engine.cancel(other.job)
+			}
+		}
+	}
+	s.finished()
 }
 
 // watch gives a straggler a second attempt.
@@ -207,10 +223,14 @@
 		if s.done || s.hedged {
 			return
 		}
-		if s.group.Take(s.t.f.t.now - s.began) {
-			s.hedged = true
-			s.attempt(s.drawSlow())
-			return
+		last := s.attempts[len(s.attempts)-1]
+		if last.job != nil {
+			elapsed, tokens := last.job.progress(s.t.f.t.now)
+			if s.group.Take(hedge.Attempt{ElapsedMS: elapsed, Tokens: tokens}) {
+				s.hedged = true
+				s.attempt(s.drawSlow())
+				return
+			}
 		}
 		s.watch()
 	})
--- a/internal/measure/serve.go
+++ b/internal/measure/serve.go
@@ -33,6 +33,8 @@
 	slow    float64
 	arrived rollout.Millis
 	done    func(ok bool, e *engine)
+	// job is set once the request is at an engine.
+	job *job
 }
 
 // frontend is one entry with its queue and its choice of engines.
@@ -113,13 +115,14 @@
 	r := fe.byID[id]
 	delete(fe.byID, id)
 	e := fe.choose(r)
-	e.submit(&job{prefix: r.prefix, prompt: r.prompt, tokens: r.tokens, slow: r.slow, done: func(ok bool) {
+	r.job = &job{engine: e, prefix: r.prefix, prompt: r.prompt, tokens: r.tokens, slow: r.slow, done: func(ok bool) {
 		fe.router.Finished(fe.f.t.now, e.id, !ok, e.running)
 		r.done(ok, e)
 		for _, it := range fe.queue.Done(fe.f.t.now, id, float64(r.prompt+r.tokens)) {
 			fe.dispatch(it.ID)
 		}
-	}})
+	}}
+	e.submit(r.job)
 }
 
 func (fe *frontend) choose(r *request) *engine {
--- a/pkg/rollout/hedge/hedge.go
+++ b/pkg/rollout/hedge/hedge.go
@@ -1,4 +1,7 @@
-// Package hedge decides when a straggler of a group gets a second attempt.
+// Package hedge decides when a straggler of a group gets a second attempt. A
+// straggler is known by its pace: it makes far fewer tokens a second than the
+// others of its group. The loser of the two is cancelled, so that a hedge costs
+// little more than the tokens of the faster one.
 package hedge
 
 import (
@@ -9,59 +12,66 @@
 
 // Config sets up a Policy.
 type Config struct {
-	// DoneShare is the share of the group that must be finished before any
-	// straggler is hedged.
-	DoneShare float64
-	// Quantile and Factor bound the patience: a sample is a straggler once it
-	// has taken Factor times the Quantile of the finished ones.
-	Quantile, Factor float64
+	// MinElapsedMS is how long an attempt must have run before its pace counts.
+	MinElapsedMS rollout.Millis
+	// MinKnown is how many attempts must have finished before any is hedged.
+	MinKnown int
+	// PaceShare is the share of the median pace below which an attempt is a
+	// straggler.
+	PaceShare float64
 	// Budget is the largest share of the group that is hedged.
 	Budget float64
 }
 
-// DefaultConfig returns a policy that costs at most 5% more attempts.
+// DefaultConfig returns the settings for groups of tens to hundreds.
 func DefaultConfig() Config {
-	return Config{DoneShare: 0.5, Quantile: 0.9, Factor: 1.5, Budget: 0.05}
+	return Config{MinElapsedMS: 1_000, MinKnown: 3, PaceShare: 0.5, Budget: 0.1}
+}
+
+// Attempt is an attempt that runs.
+type Attempt struct {
+	// ElapsedMS is how long it has run, without the time in queues.
+	ElapsedMS rollout.Millis
+	// Tokens counts what it has made.
+	Tokens int
 }
 
 // Group follows the samples of one step. It is used by one thread at a time.
 type Group struct {
 	cfg  Config
 	size int
-	// finished holds the durations of the finished samples, sorted.
-	finished []rollout.Millis
-	hedged   int
+	// paces holds the tokens per millisecond of the finished attempts, sorted.
+	paces  []float64
+	hedged int
 }
 
 // New returns a group of a size.
 func New(cfg Config, size int) *Group { return &Group{cfg: cfg, size: size} }
 
-// Finished notes how long a sample took.
-func (g *Group) Finished(took rollout.Millis) {
-	i, _ := slices.BinarySearch(g.finished, took)
-	g.finished = slices.Insert(g.finished, i, took)
+// Finished notes an attempt that has ended well.
+func (g *Group) Finished(a Attempt) {
+	p := a.pace()
+	i, _ := slices.BinarySearch(g.paces, p)
+	g.paces = slices.Insert(g.paces, i, p)
 }
 
-// Patience returns after how long a running sample counts as a straggler, and
-// false while that is not known.
-func (g *Group) Patience() (rollout.Millis, bool) {
-	n := len(g.finished)
-	if n == 0 || float64(n) < g.cfg.DoneShare*float64(g.size) {
-		return 0, false
+// Take spends one hedge on an attempt. It returns false when the attempt is no
+// straggler or the budget is spent.
+func (g *Group) Take(a Attempt) bool {
+	if !g.isStraggler(a) || g.hedged >= max(1, int(g.cfg.Budget*float64(g.size))) {
+		return false
 	}
-	q := g.finished[min(int(g.cfg.Quantile*float64(n)), n-1)]
-	return rollout.Millis(g.cfg.Factor * float64(q)), true
+	g.hedged++
+	return true
 }
 
-// Take spends one hedge on a sample that has run for a time. It returns false
-// when the sample is no straggler or the budget is spent.
-func (g *Group) Take(running rollout.Millis) bool {
-	patience, ok := g.Patience()
-	if !ok || running <= patience || g.hedged >= g.budget() {
+func (g *Group) isStraggler(a Attempt) bool {
+	if a.ElapsedMS < g.cfg.MinElapsedMS || len(g.paces) < g.cfg.MinKnown {
 		return false
 	}
-	g.hedged++
-	return true
+	median := g.paces[len(g.paces)/2]
+	return a.pace() < g.cfg.PaceShare*median
 }
 
-func (g *Group) budget() int { return max(1, int(g.cfg.Budget*float64(g.size))) }
+// pace returns the tokens per millisecond.
+func (a Attempt) pace() float64 { return float64(a.Tokens) / float64(max(a.ElapsedMS, 1)) }
