Route by pace, wire hedges by progress, and fuzz the language and settings

The settings fuzzer crashed on an unknown field whose name is escaped. Ruled out: ejecting slow engines (they still serve, and paid time is lost); reported load alone (it lags, and says nothing of pace). Change: the router keeps a smoothed pace of each upstream and of its pool and weighs load with it; the entry tells it and counts the tokens of samples as they come; the place of an unknown field falls back to the decoder's offset.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 LINT_VERSION := v2.15.0
 LINT := .tools/golangci-lint-$(LINT_VERSION)
 
-.PHONY: build check demo format lint test test-race smoke-test fuzz measure
+.PHONY: build check demo format fuzz latency lint measure slopes smoke-test test
 
 build:
 	$(GO) build -o bin/coltsfootspoke .
@@ -31,4 +31,22 @@
 test: build
 	$(GO) test ./...
 
+# Compares calls through an entry and an agent with direct calls.
+latency: build
+	sh scripts/demo.sh latency
+
+# Compares the decision cores with plain baselines.
+measure:
+	$(GO) run ./internal/cmds/measure
+
+# Measures what control spends on agents, at four sizes.
+slopes: build
+	for n in 50 100 200 340; do scripts/slopes.sh $$n || exit 1; done
+
+# Runs each fuzz target for a short time.
+fuzz:
+	$(GO) test ./internal/disk -run '^$$' -fuzz FuzzDecodeRecords -fuzztime 20s
+	$(GO) test ./internal/language -run '^$$' -fuzz FuzzParse -fuzztime 20s
+	$(GO) test ./internal/settings -run '^$$' -fuzz FuzzLoad -fuzztime 20s
+
 check: lint test demo
--- a/internal/cmds/demo/main.go
+++ b/internal/cmds/demo/main.go
@@ -15,8 +15,9 @@
 )
 
 type cli struct {
-	Layout layoutCmd `cmd:"" help:"Write settings and command lines into a folder."`
-	Check  checkCmd  `cmd:"" help:"Run real requests against a started deployment."`
+	Layout  layoutCmd  `cmd:"" help:"Write settings and command lines into a folder."`
+	Check   checkCmd   `cmd:"" help:"Run real requests against a started deployment."`
+	Latency latencyCmd `cmd:"" help:"Compare calls through an entry with direct calls."`
 }
 
 type layoutCmd struct {
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -17,6 +17,8 @@
 	head    *wire.Head
 	bytes   uint64
 	end     *wire.End
+	// openedMS is when the attempt was begun.
+	openedMS rollout.Millis
 	// sent is true once the request may have reached the agent.
 	sent bool
 }
@@ -25,7 +27,7 @@
 // an error it may return a stream that is closed, for its end marker.
 func (e *entry) openAttempt(ctx context.Context, address string, req *wire.RunRequest) (*attemptStream, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	s := &attemptStream{attempt: req.Attempt, ctx: ctx, cancel: cancel}
+	s := &attemptStream{attempt: req.Attempt, ctx: ctx, cancel: cancel, openedMS: e.clock.Now()}
 	stream, err := wire.NewDRPCAgentClient(e.dialer.Conn(ctx, address)).Run(ctx, req)
 	if err != nil {
 		cancel()
@@ -100,14 +102,18 @@
 	return nil
 }
 
-// readAll returns the rest of the answer.
-func (s *attemptStream) readAll() ([]byte, error) {
+// readAll returns the rest of the answer. Note, which may be nil, sees the data
+// as it comes.
+func (s *attemptStream) readAll(note func([]byte)) ([]byte, error) {
 	var all []byte
 	for s.end == nil {
 		data, err := s.next()
 		if err != nil {
 			return nil, err
 		}
+		if note != nil {
+			note(data)
+		}
 		all = append(all, data...)
 	}
 	return all, nil
@@ -119,11 +125,3 @@
 		_ = s.stream.Close()
 	}
 }
-
-// running returns the load that the agent told, or -1.
-func (s *attemptStream) running() int {
-	if s == nil || s.end == nil {
-		return -1
-	}
-	return int(s.end.Running)
-}
--- a/internal/entry/attempt_test.go
+++ b/internal/entry/attempt_test.go
@@ -33,7 +33,7 @@
 
 func read(chunks ...*wire.RunChunk) ([]byte, error) {
 	s := &attemptStream{attempt: "mine", ctx: context.Background(), cancel: func() {}, stream: &fakeStream{chunks: chunks}}
-	return s.readAll()
+	return s.readAll(nil)
 }
 
 func head(attempt string) *wire.RunChunk {
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -48,16 +48,16 @@
 	}
 	results, err := e.control.Propose(x.ctx, ledger.Command{TakeClaim: &claim.Take{Claim: c}})
 	if err != nil {
-		e.finished(choice.Upstream.ID, nil, -1)
+		e.finished(choice.Upstream.ID, nil, nil)
 		return nil, rollout.AsError(err).WithNotRun()
 	}
 	taken, err := ledger.Decode[claim.Taken](results[0])
 	if err != nil {
-		e.finished(choice.Upstream.ID, nil, -1)
+		e.finished(choice.Upstream.ID, nil, nil)
 		return nil, err
 	}
 	if taken.Claim.Attempt != c.Attempt {
-		e.finished(choice.Upstream.ID, nil, -1)
+		e.finished(choice.Upstream.ID, nil, nil)
 	}
 	e.log.Info("Claim", zap.String("Request", x.id), zap.String("Account", c.Account), zap.String("RequestID", c.RequestID),
 		zap.String("Attempt", taken.Claim.Attempt), zap.Bool("New", taken.Claim.Attempt == c.Attempt))
@@ -114,12 +114,12 @@
 	req.Keep, req.Detached, req.Attach = true, true, !x.claimed.first
 	s, err := e.openAttempt(x.ctx, c.Address, req)
 	if err != nil {
-		e.finishedClaim(x, err, -1)
+		e.finishedClaim(x, err, s)
 		return err
 	}
 	defer s.close()
-	body, err := s.readAll()
-	e.finishedClaim(x, err, s.running())
+	body, err := s.readAll(nil)
+	e.finishedClaim(x, err, s)
 	if err != nil {
 		return err
 	}
@@ -129,9 +129,9 @@
 	return nil
 }
 
-func (e *entry) finishedClaim(x *exchange, err error, running int) {
+func (e *entry) finishedClaim(x *exchange, err error, s *attemptStream) {
 	if x.claimed.first {
-		e.finished(x.claimed.claim.Upstream, err, running)
+		e.finished(x.claimed.claim.Upstream, err, s)
 	}
 }
 
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -94,18 +94,23 @@
 	return choice, nil
 }
 
-// finished tells the router how an attempt ended.
-func (e *entry) finished(upstream string, err error, running int) {
-	failed := false
+// finished tells the router how an attempt ended. The stream may be nil.
+func (e *entry) finished(upstream string, err error, s *attemptStream) {
+	now := e.clock.Now()
+	out := routing.Outcome{Running: -1}
+	if s != nil && s.end != nil {
+		out.Running = int(s.end.Running)
+		out.TookMS, out.Tokens = now-s.openedMS, int(s.end.OutputTokens)
+	}
 	if err != nil {
 		switch k := rollout.AsError(err).Kind; k {
 		case rollout.KindUpstreamFailed, rollout.KindTruncated, rollout.KindUnavailable, rollout.KindNoUpstream:
-			failed = true
+			out.Failed = true
 		}
 	}
 	e.routeMu.Lock()
 	defer e.routeMu.Unlock()
-	e.router.Finished(e.clock.Now(), upstream, failed, running)
+	e.router.Finished(now, upstream, out)
 }
 
 func (e *entry) mayRetry(a retry.Attempt) bool {
@@ -143,7 +148,7 @@
 	s, err := e.openAttempt(x.ctx, choice.Upstream.Address, req)
 	x.noteCrash(s)
 	if err != nil {
-		e.finished(choice.Upstream.ID, err, -1)
+		e.finished(choice.Upstream.ID, err, s)
 		return err
 	}
 	if x.streamed && s.head != nil && s.end == nil {
@@ -151,9 +156,9 @@
 		return nil
 	}
 	defer s.close()
-	body, err := s.readAll()
+	body, err := s.readAll(nil)
 	x.noteCrash(s)
-	e.finished(choice.Upstream.ID, err, s.running())
+	e.finished(choice.Upstream.ID, err, s)
 	if err != nil {
 		return err
 	}
@@ -176,7 +181,7 @@
 	conn := x.rc.Conn()
 	x.rc.SetBodyStreamWriter(func(w *bufio.Writer) {
 		err := copyStream(x.ctx, w, s)
-		e.finished(choice.Upstream.ID, err, s.running())
+		e.finished(choice.Upstream.ID, err, s)
 		if s.end != nil {
 			x.tokens = s.end.InputTokens + s.end.OutputTokens
 		}
--- a/internal/entry/payloads.go
+++ b/internal/entry/payloads.go
@@ -20,6 +20,8 @@
 
 const (
 	holderTimeout = 2 * time.Second
+	// eventPrefix begins the data of a server-sent event.
+	eventPrefix = "data:"
 	// agentHolder marks the address of an agent among the holders.
 	agentHolder = "agent:"
 	// lostAfterMS is how long a payload may be out of reach before its sample
@@ -153,7 +155,7 @@
 		return nil, err
 	}
 	defer s.close()
-	return s.readAll()
+	return s.readAll(nil)
 }
 
 // definite tells whether a holder itself says that it has no payload.
@@ -185,7 +187,7 @@
 func textOf(payload []byte) string {
 	var out strings.Builder
 	for line := range bytes.Lines(payload) {
-		data, ok := bytes.CutPrefix(bytes.TrimSpace(line), []byte("data:"))
+		data, ok := bytes.CutPrefix(bytes.TrimSpace(line), []byte(eventPrefix))
 		if !ok {
 			continue
 		}
--- a/internal/entry/steps.go
+++ b/internal/entry/steps.go
@@ -1,10 +1,12 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"math"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -52,12 +54,15 @@
 
 // sampleRun is one sample on its way, with one attempt or two.
 type sampleRun struct {
-	startMS rollout.Millis
-	// began is when the first attempt was admitted. Zero while it waits.
-	began  rollout.Millis
-	hedged bool
-	cancel context.CancelFunc
 	ctx    context.Context
+	cancel context.CancelFunc
+	// beganMS is when the newest attempt went to an upstream. Zero while it
+	// waits.
+	beganMS atomic.Int64
+	// tokens counts what the newest attempt has made.
+	tokens atomic.Int64
+	// hedged is true once a second attempt was begun.
+	hedged bool
 }
 
 func newSteps(e *entry) *steps { return &steps{entry: e, byKey: make(map[string]*stepRun)} }
@@ -86,7 +91,7 @@
 			continue
 		}
 		ctx, cancel := context.WithCancel(context.Background())
-		sr := &sampleRun{startMS: s.entry.clock.Now(), ctx: ctx, cancel: cancel}
+		sr := &sampleRun{ctx: ctx, cancel: cancel}
 		run.running[index] = sr
 		s.wait.Go(func() { s.makeSample(run, sr, index, nil) })
 	}
@@ -125,9 +130,10 @@
 	now := s.entry.clock.Now()
 	for key, run := range s.byKey {
 		for index, sr := range run.running {
-			if sr.began > 0 && !sr.hedged && run.hedges.Take(now-sr.began) {
+			if a, ok := sr.progress(now); ok && !sr.hedged && run.hedges.Take(a) {
 				sr.hedged = true
-				s.entry.log.Info("Hedge", zap.String("Group", run.group), zap.String("Step", run.req.Step), zap.Int("Index", index), zap.Int64("RunningMS", int64(now-sr.began)))
+				s.entry.log.Info("Hedge", zap.String("Group", run.group), zap.String("Step", run.req.Step), zap.Int("Index", index),
+					zap.Int64("RunningMS", int64(a.ElapsedMS)), zap.Int("Tokens", a.Tokens))
 				s.wait.Go(func() { s.makeSample(run, sr, index, nil) })
 			}
 		}
@@ -192,8 +198,8 @@
 	if run.running[index] == sr {
 		delete(run.running, index)
 	}
-	if sr.began > 0 {
-		run.hedges.Finished(s.entry.clock.Now() - sr.began)
+	if a, ok := sr.progress(s.entry.clock.Now()); ok {
+		run.hedges.Finished(a)
 	}
 }
 
@@ -211,14 +217,15 @@
 	if err := e.admit(x); err != nil {
 		return false, "", err
 	}
-	s.noteBegan(sr)
 	choice, err := e.route(x, tried)
 	if err != nil {
 		return false, "", err
 	}
 	req := e.runRequest(x, choice, newID())
 	req.Keep = true
-	payload, end, err := e.collect(x, choice, req)
+	sr.tokens.Store(0)
+	sr.beganMS.Store(int64(e.clock.Now()))
+	payload, end, err := e.collect(x, choice, req, sr.noteData)
 	if err != nil {
 		x.full = rollout.AsError(err).Kind == rollout.KindOverloaded
 		return false, choice.Upstream.ID, err
@@ -228,27 +235,31 @@
 	return done, choice.Upstream.ID, err
 }
 
-func (s *steps) noteBegan(sr *sampleRun) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if sr.began == 0 {
-		sr.began = s.entry.clock.Now()
-	}
+// progress returns how far the newest attempt has come, and false while it
+// waits for its turn.
+func (sr *sampleRun) progress(now rollout.Millis) (hedge.Attempt, bool) {
+	began := sr.beganMS.Load()
+	return hedge.Attempt{ElapsedMS: now - rollout.Millis(began), Tokens: int(sr.tokens.Load())}, began > 0
+}
+
+// noteData counts the tokens of an answer as they come.
+func (sr *sampleRun) noteData(data []byte) {
+	sr.tokens.Add(int64(bytes.Count(data, []byte(eventPrefix))))
 }
 
-// collect takes the whole answer of an attempt.
-func (e *entry) collect(x *exchange, choice routing.Choice, req *wire.RunRequest) ([]byte, *wire.End, error) {
+// collect takes the whole answer of an attempt. Note sees it as it comes.
+func (e *entry) collect(x *exchange, choice routing.Choice, req *wire.RunRequest, note func([]byte)) ([]byte, *wire.End, error) {
 	s, err := e.openAttempt(x.ctx, choice.Upstream.Address, req)
 	if err != nil {
-		e.finished(choice.Upstream.ID, err, -1)
+		e.finished(choice.Upstream.ID, err, s)
 		return nil, nil, err
 	}
 	defer s.close()
-	payload, err := s.readAll()
+	payload, err := s.readAll(note)
 	if err == nil && s.head.Status != statusOK {
 		err = rollout.NewError(rollout.KindUpstreamFailed, "engine answered %d", s.head.Status)
 	}
-	e.finished(choice.Upstream.ID, err, s.running())
+	e.finished(choice.Upstream.ID, err, s)
 	return payload, s.end, err
 }
 
--- /dev/null
+++ b/internal/language/language_test.go
@@ -0,0 +1,97 @@
+package language
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/ledger"
+)
+
+func assertError(t *testing.T, err error, want string) {
+	t.Helper()
+	if err == nil || !strings.Contains(err.Error(), want) {
+		t.Fatalf("error %v, want %q", err, want)
+	}
+}
+
+func TestMistakesAreNamedWithTheirPlace(t *testing.T) {
+	for _, tc := range []struct{ statement, want string }{
+		{"", `column 1: unexpected token "<EOF>"`},
+		{"show", `column 5: unexpected token "<EOF>"`},
+		{"show keys where", "column 16"},
+		{"show keys where ID", "column 19"},
+		{"make account x", `column 1: unexpected token "make"`},
+		{"create account x weight", "column 24"},
+		{"create thing x", `column 1: unknown change "create thing"`},
+		{"create account x colour red", `column 18: unknown property "colour"; want weight, priority, queue`},
+		{"create account x weight 2 weight 3", `column 27: property "weight" is given twice`},
+		{"create account x weight many", `column 18: weight "many": want a whole number`},
+		{"create route r pool p open perhaps", `column 23: open "perhaps": want yes or no`},
+		{"create route r", "column 1: create route needs pool"},
+		{"set target paraiso min 1", "want FAILUREDOMAIN/POOL"},
+		{"set account x weight 2", `no account "x"; use create`},
+		{"withdraw key k now", "column 19"},
+	} {
+		t.Run(tc.statement, func(t *testing.T) {
+			st, err := Parse(tc.statement)
+			if err == nil && st.Change != nil {
+				_, err = Build(st.Change, "", ledger.New())
+			}
+			assertError(t, err, tc.want)
+		})
+	}
+}
+
+func TestSelect(t *testing.T) {
+	table := &Table{Columns: []string{"Name", "Slots"}, Rows: [][]Cell{
+		{Text("b"), Int(10)}, {Text("a"), Int(9)}, {Text("c"), Int(10)},
+	}}
+	for _, tc := range []struct{ statement, want string }{
+		{"show t", "b a c"},
+		{"show t order by Name", "a b c"},
+		{"show t order by Slots desc", "b c a"},
+		{"show t where Slots = 10", "b c"},
+		{"show t where Slots > 9 and Name != c", "b"},
+		{"show t order by name limit 2", "a b"},
+	} {
+		t.Run(tc.statement, func(t *testing.T) {
+			st, err := Parse(tc.statement)
+			if err != nil {
+				t.Fatal(err)
+			}
+			got, err := table.Select(st.Show)
+			if err != nil {
+				t.Fatal(err)
+			}
+			assertNames(t, got, tc.want)
+		})
+	}
+}
+
+func assertNames(t *testing.T, table *Table, want string) {
+	t.Helper()
+	var names []string
+	for _, row := range table.Rows {
+		names = append(names, row[0].Text)
+	}
+	if got := strings.Join(names, " "); got != want {
+		t.Fatalf("rows %q, want %q", got, want)
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add("show upstreams where Slots >= 8 order by ID desc limit 3")
+	f.Add(`create account "with space" weight 2`)
+	f.Add("explain set target a/b min 1 max 2")
+	f.Fuzz(func(_ *testing.T, text string) {
+		st, err := Parse(text)
+		if err != nil {
+			return
+		}
+		for _, ch := range []*Change{st.Change, st.Explain} {
+			if ch != nil {
+				_, _ = Build(ch, "", ledger.New())
+			}
+		}
+	})
+}
--- a/internal/measure/scenarios.go
+++ b/internal/measure/scenarios.go
@@ -322,7 +322,8 @@
 // load returns the busy slots that callers ask for at a time.
 func (c *capacityRun) load(now rollout.Millis) float64 {
 	x := float64(now) / capacityLength
-	return 14 + 60*math.Exp(-math.Pow((x-0.45)/0.13, 2)) + 2*c.noise()
+	fromPeak := (x - 0.45) / 0.13
+	return 14 + 60*math.Exp(-fromPeak*fromPeak) + 2*c.noise()
 }
 
 func (c *capacityRun) run() (out struct{ paid, served float64 }) {
--- a/internal/measure/serve.go
+++ b/internal/measure/serve.go
@@ -116,7 +116,8 @@
 	delete(fe.byID, id)
 	e := fe.choose(r)
 	r.job = &job{engine: e, prefix: r.prefix, prompt: r.prompt, tokens: r.tokens, slow: r.slow, done: func(ok bool) {
-		fe.router.Finished(fe.f.t.now, e.id, !ok, e.running)
+		elapsed, _ := r.job.progress(fe.f.t.now)
+		fe.router.Finished(fe.f.t.now, e.id, routing.Outcome{Failed: !ok && e.down, Running: e.running, TookMS: elapsed, Tokens: tokensOf(r, ok)})
 		r.done(ok, e)
 		for _, it := range fe.queue.Done(fe.f.t.now, id, float64(r.prompt+r.tokens)) {
 			fe.dispatch(it.ID)
@@ -125,6 +126,14 @@
 	e.submit(r.job)
 }
 
+// tokensOf returns the tokens that tell a pace.
+func tokensOf(r *request, ok bool) int {
+	if !ok {
+		return 0
+	}
+	return r.tokens
+}
+
 func (fe *frontend) choose(r *request) *engine {
 	c, ok := fe.router.Pick(fe.f.t.now, routing.Query{Pool: poolName, Prefix: uint64(r.prefix+1) * 0x9e3779b97f4a7c15})
 	if !ok {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -156,7 +156,9 @@
 		return fieldError(position(path, data, wrongType.Offset), strings.TrimPrefix(wrongType.Field, "Common."), cause)
 	}
 	if name, ok := strings.CutPrefix(err.Error(), "json: unknown field "); ok {
-		offset = int64(bytes.Index(data, []byte(name)))
+		if found := bytes.Index(data, []byte(name)); found >= 0 {
+			offset = int64(found)
+		}
 		return fieldError(position(path, data, offset), strings.Trim(name, `"`), "unknown field")
 	}
 	if errors.Is(err, io.ErrUnexpectedEOF) {
--- a/pkg/rollout/routing/routing.go
+++ b/pkg/rollout/routing/routing.go
@@ -71,7 +71,22 @@
 	Load float64
 }
 
+// Outcome is how a request ended at an upstream.
+type Outcome struct {
+	Failed bool
+	// Running is what the agent told of all requests at the upstream, or
+	// negative when it told nothing.
+	Running int
+	// TookMS and Tokens tell the pace. No tokens tell nothing.
+	TookMS rollout.Millis
+	Tokens int
+}
+
 const (
+	// paceWeight is the weight of the newest request in the mean pace.
+	paceWeight = 0.1
+	// maxSlowness bounds how slow an upstream may count.
+	maxSlowness = 4.0
 	// pointsPerUpstream is the number of points of an upstream on the ring.
 	pointsPerUpstream = 40
 	// ringTries bounds the upstreams tried along the ring.
@@ -98,6 +113,8 @@
 	// ejectedUntil is zero while the upstream is in.
 	ejectedUntil rollout.Millis
 	probing      bool
+	// msPerToken is the smoothed pace. Zero while it is not known.
+	msPerToken float64
 }
 
 type pool struct {
@@ -107,6 +124,8 @@
 	// outstanding is the sum over nodes.
 	outstanding int
 	slots       int
+	// msPerToken is the smoothed pace of the pool.
+	msPerToken float64
 }
 
 // Router is used by one thread at a time.
@@ -139,9 +158,8 @@
 	return Choice{Upstream: n.upstream, Reason: reason, Load: load}, true
 }
 
-// Finished notes the end of a request. Running is what the agent told of all
-// requests at the upstream, or negative when it told nothing.
-func (r *Router) Finished(now rollout.Millis, id string, failed bool, running int) {
+// Finished notes the end of a request.
+func (r *Router) Finished(now rollout.Millis, id string, o Outcome) {
 	n := r.nodes[id]
 	if n == nil {
 		return
@@ -150,11 +168,16 @@
 	if p := r.pools[n.upstream.Pool]; p != nil {
 		p.outstanding = max(0, p.outstanding-1)
 	}
-	if running >= 0 {
-		n.reported = math.Max(0, float64(running-n.outstanding-1))
+	if o.Running >= 0 {
+		n.reported = math.Max(0, float64(o.Running-n.outstanding-1))
 		n.reportedAt = now
 	}
-	n.noteOutcome(now, r.cfg, failed)
+	if p := r.pools[n.upstream.Pool]; p != nil && !o.Failed && o.Tokens > 0 {
+		pace := float64(o.TookMS) / float64(o.Tokens)
+		n.msPerToken = smooth(n.msPerToken, pace, paceWeight)
+		p.msPerToken = smooth(p.msPerToken, pace, paceWeight/float64(len(p.nodes)))
+	}
+	n.noteOutcome(now, r.cfg, o.Failed)
 }
 
 // Slots returns the slots of a pool's upstreams that take work.
@@ -246,7 +269,7 @@
 	for range pairTries {
 		a := set[r.rand.Int64N(int64(len(set)))]
 		b := set[r.rand.Int64N(int64(len(set)))]
-		if r.usable(now, b, q) && (!r.usable(now, a, q) || r.load(now, b) < r.load(now, a)) {
+		if r.usable(now, b, q) && (!r.usable(now, a, q) || r.cost(now, b) < r.cost(now, a)) {
 			a = b
 		}
 		if r.usable(now, a, q) {
@@ -256,6 +279,21 @@
 	return nil
 }
 
+// cost returns the load with one more request, weighted by how slow the
+// upstream is beside its pool.
+func (r *Router) cost(now rollout.Millis, n *node) float64 {
+	return (r.load(now, n) + 1/float64(max(n.upstream.Slots, 1))) * r.slowness(n)
+}
+
+// slowness returns the pace of an upstream over that of its pool.
+func (r *Router) slowness(n *node) float64 {
+	p := r.pools[n.upstream.Pool]
+	if p == nil || p.msPerToken == 0 || n.msPerToken == 0 {
+		return 1
+	}
+	return min(max(n.msPerToken/p.msPerToken, 1/maxSlowness), maxSlowness)
+}
+
 // load returns the requests per slot: the own ones, and the reported ones
 // discounted by their age.
 func (r *Router) load(now rollout.Millis, n *node) float64 {
@@ -265,6 +303,9 @@
 
 func (r *Router) rebuild(name string) {
 	p := &pool{}
+	if old := r.pools[name]; old != nil {
+		p.msPerToken = old.msPerToken
+	}
 	for _, n := range r.nodes {
 		if n.upstream.Pool != name {
 			continue
@@ -302,8 +343,15 @@
 // withinBound tells whether one more request keeps an upstream within the
 // bound over the mean load of its pool.
 func (r *Router) withinBound(now rollout.Millis, n *node, mean float64) bool {
-	next := r.load(now, n) + 1/float64(max(n.upstream.Slots, 1))
-	return next <= math.Max(r.cfg.LoadBound*mean, 1/float64(max(n.upstream.Slots, 1)))
+	return r.cost(now, n) <= math.Max(r.cfg.LoadBound*mean, 1/float64(max(n.upstream.Slots, 1)))
+}
+
+// smooth moves a mean towards a new value.
+func smooth(mean, value, weight float64) float64 {
+	if mean == 0 {
+		return value
+	}
+	return mean + weight*(value-mean)
 }
 
 func (n *node) noteOutcome(now rollout.Millis, cfg Config, failed bool) {
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
 # Starts a small deployment on the loopback address, runs real requests against
-# it and stops all processes by their IDs.
+# it and stops all processes by their IDs. With "latency", times calls instead.
 set -u
 cd "$(dirname "$0")/.." || exit 1
 dir=.demo/run.$$
@@ -19,7 +19,7 @@
 	bin/$command >"$dir/$name.log" 2>&1 &
 	ids="$ids $!"
 done <"$dir/processes"
-bin/demo check "$dir"
+bin/demo "${1:-check}" "$dir"
 status=$?
 stop
 [ "$status" -eq 0 ] && rm -r "$dir"
