--- /dev/null
+++ b/pkg/rollout/fair/fair_test.go
@@ -0,0 +1,171 @@
+package fair
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
+)
+
+var config = Config{MaxQueued: 1_000, MinLimit: 1, MaxLimit: 64}
+
+func push(t *testing.T, q *Queue, it Item) bool {
+	t.Helper()
+	if it.DeadlineMS == 0 {
+		it.DeadlineMS = 1 << 40
+	}
+	if it.Cost == 0 {
+		it.Cost = 10
+	}
+	started, err := q.Push(0, it)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return started
+}
+
+// drain ends one request after the other and returns the cost served to each
+// account over the first n.
+func drain(q *Queue, running []uint64, n int) map[string]float64 {
+	served := make(map[string]float64)
+	for i := 0; i < n && len(running) > 0; i++ {
+		id := running[0]
+		it := q.running[id]
+		served[it.Account] += it.Cost
+		running = running[1:]
+		for _, next := range q.Done(rollout.Millis(i), id, it.Cost) {
+			running = append(running, next.ID)
+		}
+	}
+	return served
+}
+
+func TestSharesFollowTheWeights(t *testing.T) {
+	q := New(config, 1)
+	var running []uint64
+	id := uint64(0)
+	for _, a := range []struct {
+		name   string
+		weight int
+		count  int
+		cost   float64
+	}{{"greedy", 1, 900, 10}, {"small", 1, 200, 10}, {"heavy", 2, 300, 10}, {"long", 1, 60, 40}} {
+		for range a.count {
+			id++
+			if push(t, q, Item{ID: id, Account: a.name, Weight: a.weight, Cost: a.cost}) {
+				running = append(running, id)
+			}
+		}
+	}
+	served := drain(q, running, 400)
+	unit := served["small"]
+	for name, want := range map[string]float64{"greedy": 1, "small": 1, "heavy": 2, "long": 1} {
+		if got := served[name] / unit; got < 0.95*want || got > 1.05*want {
+			t.Errorf("%s got %.2f of a share, want %.0f (%v)", name, got, want, served)
+		}
+	}
+}
+
+func TestAnIdleAccountSavesNoCredit(t *testing.T) {
+	q := New(config, 1)
+	var running []uint64
+	for id := range uint64(200) {
+		if push(t, q, Item{ID: id + 1, Account: "busy", Weight: 1}) {
+			running = append(running, id+1)
+		}
+	}
+	drainSome := drain(q, running, 100)
+	if drainSome["busy"] != 1_000 {
+		t.Fatalf("served %v", drainSome)
+	}
+	for id := range uint64(100) {
+		push(t, q, Item{ID: 1_000 + id, Account: "late", Weight: 1})
+	}
+	served := drain(q, keys(q.running), 40)
+	if served["late"] > 1.2*served["busy"] {
+		t.Fatalf("served %v", served)
+	}
+}
+
+func keys(m map[uint64]Item) []uint64 {
+	var ids []uint64
+	for id := range m {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+func TestHigherClassesGoFirst(t *testing.T) {
+	q := New(config, 1)
+	push(t, q, Item{ID: 1, Account: "a", Weight: 1})
+	push(t, q, Item{ID: 2, Account: "a", Weight: 1})
+	push(t, q, Item{ID: 3, Account: "b", Weight: 1, Priority: 1})
+	if next := q.Done(0, 1, 10); len(next) != 1 || next[0].ID != 3 {
+		t.Fatalf("next %+v", next)
+	}
+}
+
+func TestRefusalsComeAtOnceWithATime(t *testing.T) {
+	q := New(config, 1)
+	for id := range uint64(21) {
+		push(t, q, Item{ID: id, Account: "a", Weight: 1, MaxQueued: 20})
+	}
+	for i := range 3 {
+		q.Done(rollout.Millis(100*i), uint64(i), 10)
+	}
+	for _, tc := range []struct {
+		name string
+		item Item
+	}{
+		{"account's queue is full", Item{ID: 90, Account: "a", Weight: 1, MaxQueued: 5, DeadlineMS: 1 << 40}},
+		{"wait would pass the deadline", Item{ID: 91, Account: "b", Weight: 1, DeadlineMS: 1_000}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			_, err := q.Push(300, tc.item)
+			var e *rollout.Error
+			if !errors.As(err, &e) || e.Kind != rollout.KindOverloaded || !e.NotRun || e.RetryAfter < 1_000 {
+				t.Fatalf("error %v", err)
+			}
+		})
+	}
+}
+
+func TestDeadlinesAndCancels(t *testing.T) {
+	q := New(config, 1)
+	push(t, q, Item{ID: 1, Account: "a", Weight: 1})
+	push(t, q, Item{ID: 2, Account: "a", Weight: 1, DeadlineMS: 50})
+	push(t, q, Item{ID: 3, Account: "a", Weight: 1})
+	if got := q.Expire(50); len(got) != 1 || got[0].ID != 2 {
+		t.Fatalf("expired %+v", got)
+	}
+	if !q.Cancel(3) || q.Cancel(3) || q.Waiting() != 0 {
+		t.Fatalf("waiting %d", q.Waiting())
+	}
+}
+
+func TestTheLimitFollowsFullUpstreams(t *testing.T) {
+	q := New(config, 20)
+	for id := range uint64(20) {
+		push(t, q, Item{ID: id, Account: fmt.Sprint(id % 3), Weight: 1})
+	}
+	q.Backoff()
+	if q.Limit() != 19 {
+		t.Fatalf("limit %d after a full upstream", q.Limit())
+	}
+	for range 40 {
+		q.Grow()
+	}
+	if q.Limit() < 20 {
+		t.Fatalf("limit %d after 40 good answers", q.Limit())
+	}
+}
+
+func BenchmarkPushDone(b *testing.B) {
+	q := New(config, 32)
+	b.ReportAllocs()
+	for i := range uint64(b.N) {
+		_, _ = q.Push(rollout.Millis(i), Item{ID: i, Account: "a", Weight: 1, Cost: 1, DeadlineMS: 1 << 40})
+		q.Done(rollout.Millis(i), i, 1)
+	}
+}
--- /dev/null
+++ b/pkg/rollout/routing/routing_test.go
@@ -0,0 +1,143 @@
+package routing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/catalog"
+)
+
+// newRouter returns a router with upstreams u0, u1, ... in domains 0 to 2.
+func newRouter(upstreams int, change func(i int, u *catalog.Upstream)) *Router {
+	r := New(DefaultConfig("d0"), rand.New(rand.NewPCG(1, 1)))
+	c := catalog.New()
+	for i := range upstreams {
+		u := catalog.Upstream{
+			ID: fmt.Sprintf("u%d", i), Pool: "p", FailureDomain: fmt.Sprintf("d%d", i%3), Slots: 8, Incarnation: "1",
+			Versions: map[string]uint64{"g": uint64(i)},
+		}
+		if change != nil {
+			change(i, &u)
+		}
+		c.Upstreams[u.ID] = u
+	}
+	r.Sync(c)
+	return r
+}
+
+func pick(t *testing.T, r *Router, now rollout.Millis, q Query) Choice {
+	t.Helper()
+	q.Pool = "p"
+	c, ok := r.Pick(now, q)
+	if !ok {
+		t.Fatal("no upstream was chosen")
+	}
+	return c
+}
+
+func assertNone(t *testing.T, r *Router, now rollout.Millis, q Query) {
+	t.Helper()
+	q.Pool = "p"
+	if c, ok := r.Pick(now, q); ok {
+		t.Fatalf("%s was chosen", c.Upstream.ID)
+	}
+}
+
+func TestOnlyFitUpstreamsAreChosen(t *testing.T) {
+	t.Run("leaving", func(t *testing.T) {
+		r := newRouter(3, func(i int, u *catalog.Upstream) { u.Leaving = i != 1 })
+		for range 20 {
+			if c := pick(t, r, 0, Query{}); c.Upstream.ID != "u1" {
+				t.Fatalf("%s was chosen", c.Upstream.ID)
+			}
+		}
+	})
+	t.Run("too old a version", func(t *testing.T) {
+		r := newRouter(5, nil)
+		for range 20 {
+			if c := pick(t, r, 0, Query{Group: "g", MinVersion: 4, Prefix: 7}); c.Upstream.ID != "u4" {
+				t.Fatalf("%s was chosen", c.Upstream.ID)
+			}
+		}
+		assertNone(t, r, 0, Query{Group: "g", MinVersion: 5})
+	})
+	t.Run("tried before", func(t *testing.T) {
+		assertNone(t, newRouter(2, nil), 0, Query{Exclude: []string{"u0", "u1"}})
+	})
+}
+
+func TestFailingUpstreamIsEjectedAndProbed(t *testing.T) {
+	r := newRouter(1, nil)
+	cfg := DefaultConfig("")
+	for range cfg.EjectAfter {
+		pick(t, r, 0, Query{})
+		r.Finished(0, "u0", Outcome{Failed: true, Running: -1})
+	}
+	assertNone(t, r, cfg.EjectMS-1, Query{})
+	pick(t, r, cfg.EjectMS, Query{})
+	assertNone(t, r, cfg.EjectMS, Query{})
+	r.Finished(cfg.EjectMS, "u0", Outcome{Failed: true, Running: -1})
+	assertNone(t, r, cfg.EjectMS+2*cfg.EjectMS-1, Query{})
+	pick(t, r, 3*cfg.EjectMS, Query{})
+	r.Finished(3*cfg.EjectMS, "u0", Outcome{Running: -1})
+	pick(t, r, 3*cfg.EjectMS, Query{})
+	pick(t, r, 3*cfg.EjectMS, Query{})
+}
+
+func TestAffinityYieldsToLoad(t *testing.T) {
+	r := newRouter(4, nil)
+	first := pick(t, r, 0, Query{Prefix: 99}).Upstream.ID
+	counts := map[string]int{first: 1}
+	for range 31 {
+		counts[pick(t, r, 0, Query{Prefix: 99}).Upstream.ID]++
+	}
+	for id, n := range counts {
+		if n > 10+1 {
+			t.Errorf("%s has %d of 32 requests", id, n)
+		}
+	}
+	if len(counts) < 3 {
+		t.Errorf("only %v were used", counts)
+	}
+}
+
+func TestOwnFailureDomainFirst(t *testing.T) {
+	r := newRouter(9, nil)
+	for range 6 {
+		if c := pick(t, r, 0, Query{}); c.Upstream.FailureDomain != "d0" {
+			t.Fatalf("%s is elsewhere", c.Upstream.ID)
+		}
+	}
+}
+
+func TestSlowUpstreamGetsLess(t *testing.T) {
+	r := newRouter(3, func(_ int, u *catalog.Upstream) { u.FailureDomain = "d0" })
+	counts := make(map[string]int)
+	for range 600 {
+		id := pick(t, r, 0, Query{}).Upstream.ID
+		counts[id]++
+		took := rollout.Millis(100)
+		if id == "u0" {
+			took = 300
+		}
+		r.Finished(0, id, Outcome{Running: 0, TookMS: took, Tokens: 10})
+	}
+	if counts["u0"] > 150 {
+		t.Fatalf("counts %v", counts)
+	}
+}
+
+func BenchmarkPick680(b *testing.B) {
+	for _, size := range []int{68, 340, 680} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			r := newRouter(size, nil)
+			b.ReportAllocs()
+			for i := range b.N {
+				c, _ := r.Pick(rollout.Millis(i), Query{Pool: "p", Prefix: uint64(i%997) * 0x9e3779b97f4a7c15})
+				r.Finished(rollout.Millis(i), c.Upstream.ID, Outcome{Running: 1, TookMS: 10, Tokens: 5})
+			}
+		})
+	}
+}
