Refuse only requests that crash alone, and close what mutations showed

Cause: a sample that merely ran beside a poison on two engines was refused; a poison sample stalled its step; samples went on under a withdrawn key. Ruled out: counting crashes per attempt (copies of one prompt count many times); cutting samples with the authority (they are of no use before the leader commits them). Change: a crash counts as certain only when the request ran as a suspect, which runs alone among suspects; a suspect that ends well is cleared; a poison sample closes its index as void; samples end with their key; tests for each survivor. Conclusion: a poison that is sent in n copies at once may crash n+1 engines; sent one after the other, two.

--- /dev/null
+++ b/internal/agent/agent_test.go
@@ -0,0 +1,161 @@
+package agent
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"testing"
+
+	"go.uber.org/zap"
+
+	"github.com/coltsfootspoke/coltsfootspoke/internal/settings"
+	"github.com/coltsfootspoke/coltsfootspoke/internal/wire"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/catalog"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/clock"
+)
+
+func testAgent(t *testing.T) *agent {
+	t.Helper()
+	cfg := settings.Agent{Common: settings.Common{Name: "a", Control: []string{"127.0.0.1:1"}}, KeptBytes: 10}
+	a, err := newAgent(cfg, clock.NewManual(1_000), zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a
+}
+
+// runInputs runs what waits for the control thread.
+func (a *agent) runInputs() {
+	for len(a.inbox) > 0 {
+		input := <-a.inbox
+		input(a.clock.Now())
+	}
+}
+
+func (a *agent) setVersions(versions map[string]uint64) {
+	a.targets.Store(&map[string]target{"u": {versions: versions}})
+}
+
+func TestVersionsAreThoseThatTrulyProduced(t *testing.T) {
+	event := func(v int) string { return fmt.Sprintf("data: {\"weight_version\":%d}\n\n", v) }
+	for _, tc := range []struct {
+		name   string
+		answer string
+		before uint64
+		after  uint64
+		want   []uint64
+	}{
+		{"one version", event(5) + event(5), 7, 7, []uint64{5}},
+		{"swapped in the middle", event(5) + event(6) + event(6), 5, 6, []uint64{5, 6}},
+		{"old version after the order was accepted", event(5), 6, 6, []uint64{5}},
+		{"not told, and unchanged", "data: {}\n\n", 5, 5, []uint64{5}},
+		{"not told, and swapped meanwhile", "data: {}\n\n", 5, 6, []uint64{5, 6}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			a := testAgent(t)
+			a.setVersions(map[string]uint64{"g": tc.after})
+			obs := &observer{streamed: true}
+			for _, b := range []byte(tc.answer) {
+				obs.add([]byte{b})
+			}
+			before := target{versions: map[string]uint64{"g": tc.before}}
+			got := a.versionsOf(&wire.RunRequest{Upstream: "u", Group: "g"}, before, obs)
+			if !slices.Equal(got, tc.want) {
+				t.Fatalf("versions %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
+
+func TestAnUpstreamThatTheLeaderForgotIsToldAgain(t *testing.T) {
+	a := testAgent(t)
+	l := &local{announced: announcement{ID: "u", Slots: 1}, polled: true, reported: &catalog.Upstream{ID: "u"}}
+	a.locals["u"] = l
+	known := catalog.New()
+	known.Upstreams["u"] = catalog.Upstream{ID: "u", Incarnation: a.incarnation}
+	for _, tc := range []struct {
+		name string
+		view *catalog.Catalog
+		told bool
+	}{{"known", known, true}, {"forgotten", catalog.New(), false}} {
+		a.Update(tc.view)
+		a.runInputs()
+		if (l.reported != nil) != tc.told {
+			t.Fatalf("%s: reported %v", tc.name, l.reported)
+		}
+	}
+}
+
+func TestAnswersOfUpstreams(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		serve func(w http.ResponseWriter)
+		want  rollout.Kind
+	}{
+		{"stream without an end marker", func(w http.ResponseWriter) {
+			w.Header().Set("Content-Type", "text/event-stream")
+			_, _ = w.Write([]byte("data: {}\n\n"))
+		}, rollout.KindTruncated},
+		{"body shorter than told", func(w http.ResponseWriter) {
+			w.Header().Set("Content-Length", "100")
+			_, _ = w.Write([]byte("short"))
+		}, rollout.KindTruncated},
+		{"connection closed without an answer", func(http.ResponseWriter) { panic(http.ErrAbortHandler) }, rollout.KindUpstreamFailed},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { tc.serve(w) }))
+			defer server.Close()
+			out := call(t.Context(), newClient(true), server.URL, &wire.RunRequest{Method: "POST", Path: "/"}, newAnswer(), &observer{})
+			if out.err == nil || out.err.Kind != tc.want || out.err.NotRun {
+				t.Fatalf("outcome %+v, want %v", out.err, tc.want)
+			}
+		})
+	}
+	t.Run("no connection", func(t *testing.T) {
+		server := httptest.NewServer(nil)
+		server.Close()
+		out := call(t.Context(), newClient(true), server.URL, &wire.RunRequest{Method: "POST", Path: "/"}, newAnswer(), &observer{})
+		if out.err == nil || !out.err.NotRun || !out.broken {
+			t.Fatalf("outcome %+v", out)
+		}
+	})
+}
+
+// TestARequestThatMayRunOnceIsSentOnce covers an HTTP client that sends a
+// request with a request ID again when a reused connection breaks.
+func TestARequestThatMayRunOnceIsSentOnce(t *testing.T) {
+	runs := 0
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasSuffix(r.URL.Path, "warm") {
+			return
+		}
+		runs++
+		panic(http.ErrAbortHandler)
+	}))
+	defer server.Close()
+	client := newClient(false)
+	headers := []*wire.Header{{Name: "Idempotency-Key", Value: "order-1"}}
+	for _, path := range []string{"/warm", "/order"} {
+		call(t.Context(), client, server.URL, &wire.RunRequest{Method: "POST", Path: path, Headers: headers}, newAnswer(), &observer{})
+	}
+	if runs != 1 {
+		t.Fatalf("the order ran %d times", runs)
+	}
+}
+
+func TestKeptAnswersAreBounded(t *testing.T) {
+	k := newKeeper(10)
+	for i := range 4 {
+		id := fmt.Sprint(i)
+		k.begin(id).add(&wire.RunChunk{Data: []byte("1234"), End: &wire.End{}})
+		k.finish(id, true)
+	}
+	for i, kept := range []bool{false, false, true, true} {
+		if (k.find(fmt.Sprint(i)) != nil) != kept {
+			t.Errorf("answer %d: kept %v", i, !kept)
+		}
+	}
+}
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -142,7 +142,7 @@
 		end.Error, end.NotRun = out.err.Error(), out.err.NotRun
 	}
 	a.traffic.Lock()
-	suspects := a.gate.Crashed(req.Upstream)
+	running := a.gate.Crashed(req.Upstream)
 	a.gate.Finish(req.Attempt)
 	end.Running = int32(a.gate.Running(req.Upstream))
 	if !end.NotRun {
@@ -153,16 +153,16 @@
 	a.traffic.Unlock()
 	if out.broken {
 		a.log.Warn("UpstreamBroke", zap.String("Upstream", req.Upstream), zap.String("Attempt", req.Attempt), zap.Error(out.err))
-		a.awaitCrash(req.Upstream, suspects)
+		a.awaitCrash(req.Upstream, running)
 	}
 	return end
 }
 
 // awaitCrash waits until the leader knows of the crash that broke an attempt,
 // so that the request is known as a suspect before it can come again.
-func (a *agent) awaitCrash(upstream string, suspects []string) {
+func (a *agent) awaitCrash(upstream string, running map[string]bool) {
 	settled := make(chan struct{})
-	a.do(func(rollout.Millis) { a.broken(upstream, suspects, settled) })
+	a.do(func(rollout.Millis) { a.broken(upstream, running, settled) })
 	select {
 	case <-settled:
 	case <-time.After(crashReportTimeout):
--- a/internal/agent/upstreams.go
+++ b/internal/agent/upstreams.go
@@ -62,7 +62,7 @@
 	reported *catalog.Upstream
 	// suspects are the fingerprints that ran when a connection broke, waiting
 	// the attempts that want to know whether that was a crash.
-	suspects []string
+	suspects map[string]bool
 	waiting  []chan struct{}
 	swapping bool
 }
@@ -163,7 +163,7 @@
 	running := a.gate.Crashed(id)
 	a.gate.Remove(id)
 	a.traffic.Unlock()
-	crashed := slices.Compact(slices.Sorted(slices.Values(append(running, l.suspects...))))
+	crashed := union(running, l.suspects)
 	delete(a.locals, id)
 	if l.reported != nil {
 		a.gone[id] = true
@@ -171,7 +171,7 @@
 	if len(crashed) > 0 {
 		a.crashCount++
 		a.crashes = append(a.crashes, crashNote{
-			crash:   fleet.Crash{ID: fmt.Sprintf("%s-%d", a.incarnation, a.crashCount), Upstream: id, Fingerprints: crashed},
+			crash:   newCrash(fmt.Sprintf("%s-%d", a.incarnation, a.crashCount), id, crashed),
 			waiting: l.waiting,
 		})
 	}
@@ -183,13 +183,13 @@
 // broken notes that a connection to an upstream broke while the given
 // requests ran, and looks whether it is still there. Settled is closed once
 // the leader knows of a crash, or when there was none.
-func (a *agent) broken(id string, fingerprints []string, settled chan struct{}) {
+func (a *agent) broken(id string, running map[string]bool, settled chan struct{}) {
 	l := a.locals[id]
 	if l == nil {
 		a.settleWithLast(settled)
 		return
 	}
-	l.suspects = append(l.suspects, fingerprints...)
+	l.suspects = union(l.suspects, running)
 	l.waiting = append(l.waiting, settled)
 	a.poll(id)
 }
@@ -213,6 +213,28 @@
 	l.waiting = nil
 }
 
+// union returns the fingerprints of both, and of each whether it ran as a
+// suspect in either.
+func union(a, b map[string]bool) map[string]bool {
+	out := make(map[string]bool)
+	for _, m := range []map[string]bool{a, b} {
+		for f, suspect := range m {
+			out[f] = out[f] || suspect
+		}
+	}
+	return out
+}
+
+func newCrash(id, upstream string, ran map[string]bool) fleet.Crash {
+	c := fleet.Crash{ID: id, Upstream: upstream, Fingerprints: slices.Sorted(maps.Keys(ran))}
+	for _, f := range c.Fingerprints {
+		if ran[f] {
+			c.Suspects = append(c.Suspects, f)
+		}
+	}
+	return c
+}
+
 // crashNote is a crash that the leader is to learn of.
 type crashNote struct {
 	crash   fleet.Crash
--- a/internal/control/renew.go
+++ b/internal/control/renew.go
@@ -185,7 +185,7 @@
 		cmds = append(cmds, ledger.Command{LoseUpstream: &ledger.LoseUpstream{ID: id, Incarnation: req.Incarnation}})
 	}
 	for _, c := range r.Crashes {
-		cmds = append(cmds, ledger.Command{Crash: &ledger.Crash{ID: c.ID, Upstream: c.Upstream, Fingerprints: c.Fingerprints}})
+		cmds = append(cmds, ledger.Command{Crash: &ledger.Crash{ID: c.ID, Upstream: c.Upstream, Fingerprints: c.Fingerprints, Suspects: c.Suspects}})
 	}
 	if r.Usage != nil {
 		cmds = append(cmds, ledger.Command{AddUsage: r.Usage})
--- a/internal/demo/trainer.go
+++ b/internal/demo/trainer.go
@@ -149,6 +149,7 @@
 	t.cursor = s.Position
 	if s.Void != "" {
 		t.result.Void++
+		got[s.Index] = got[s.Index] || (s.Void != "stale" && s.Void != "lost")
 		return
 	}
 	if s.Step == step && got[s.Index] {
--- a/internal/e2e/stop_test.go
+++ b/internal/e2e/stop_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -153,3 +154,12 @@
 		t.Fatalf("reported %d tokens, served %d; changed %d, old terms %d", sum, served*tokens, p.Changed, p.OldTerm)
 	}
 }
+
+func TestFrozenAgentComesBack(t *testing.T) {
+	d := deploy(t, demo.DefaultOptions())
+	count := func() int { return len(d.do("show upstreams").Table.Rows) }
+	d.signal("agent-2", syscall.SIGSTOP)
+	eventually(t, "its upstream is taken out", patience, func() bool { return count() == len(d.layout.Upstreams)-1 })
+	d.signal("agent-2", syscall.SIGCONT)
+	eventually(t, "its upstream is back", patience, func() bool { return count() == len(d.layout.Upstreams) })
+}
--- a/internal/e2e/trainer_test.go
+++ b/internal/e2e/trainer_test.go
@@ -70,3 +70,67 @@
 		return len(d.do("show upstreams where Versions = drafts:1").Table.Rows) == 3
 	})
 }
+
+func TestAPoisonSampleDoesNotStallItsStep(t *testing.T) {
+	o := demo.DefaultOptions()
+	o.Upstreams = append([]demo.Upstream(nil), o.Upstreams...)
+	for i := range 3 {
+		o.Upstreams[i].Args = []string{"--crash-on=boom"}
+	}
+	d := deploy(t, o)
+	p := &puller{d: d}
+	p.send("steps", `{"Step":"s1","Samples":12,"MaxTokens":8,"Prompts":["a","b","c","boom","d","e"]}`)
+	got := make(map[int]string)
+	eventually(t, "the step is whole", 2*patience, func() bool {
+		d.restartExited("engine-1", "engine-2", "engine-3")
+		for _, s := range p.pull() {
+			p.cursor = s.Position
+			if s.Void != "stale" && s.Void != "lost" {
+				got[s.Index] = s.Void
+			}
+		}
+		return len(got) == 12
+	})
+	for index, void := range got {
+		if (index%6 == 3) != (void == "poisoned") {
+			t.Errorf("index %d is %q", index, void)
+		}
+	}
+}
+
+// restartExited starts the processes again that have ended by themselves.
+func (d *deployment) restartExited(names ...string) {
+	for _, name := range names {
+		if exited(d, name) {
+			_ = d.procs[name].Wait()
+			d.start(name)
+		}
+	}
+}
+
+func TestSamplesEndWithTheKey(t *testing.T) {
+	d := deploy(t, demo.DefaultOptions())
+	p := &puller{d: d}
+	p.send("steps", `{"Step":"s1","Samples":12,"MaxTokens":60000,"Prompts":["a"]}`)
+	total := func() int { return d.running("engine-1") + d.running("engine-2") + d.running("engine-3") }
+	eventually(t, "samples are made", patience, func() bool { return total() == 12 })
+	d.do("withdraw key trainer-1")
+	eventually(t, "no sample is made", inForce, func() bool { return total() == 0 })
+}
+
+func TestAStepIsTakenOverFromAnEntryThatIsGone(t *testing.T) {
+	d := deploy(t, demo.DefaultOptions())
+	p := &puller{d: d}
+	p.send("steps", `{"Step":"step-1","Samples":24,"MaxTokens":1500,"Prompts":["a"]}`)
+	eventually(t, "entry-1 owns the step", patience, func() bool {
+		return len(d.do("show steps where Entry = entry-1").Table.Rows) == 1
+	})
+	d.kill("entry-1")
+	tr := &demo.Trainer{URLs: d.layout.EntryURLs, Key: "cfs_trainer", Group: "drafts", Steps: 1, Samples: 24, MaxTokens: 10}
+	ctx, cancel := contextFor(t, 2*patience)
+	defer cancel()
+	r, err := tr.Run(ctx)
+	if err != nil || r.Samples != 24 || r.Repeated > 0 {
+		t.Fatalf("trainer got %+v, %v", r, err)
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -49,14 +49,18 @@
 // entry is one run of the process.
 type entry struct {
 	wire.DRPCEntryUnimplementedServer
-	cfg       settings.Entry
-	log       *zap.Logger
-	clock     rollout.Clock
-	dialer    *link.Dialer
-	control   *daemon.Client
-	renewer   *daemon.Renewer
-	metrics   *metrics
+	cfg     settings.Entry
+	log     *zap.Logger
+	clock   rollout.Clock
+	dialer  *link.Dialer
+	control *daemon.Client
+	renewer *daemon.Renewer
+	metrics *metrics
+	// sessions holds callers' requests, sampling those for samples. Only the
+	// former end with the authority: a sample is of no use before it is
+	// committed, which the leader decides.
 	sessions  *sessions
+	sampling  *sessions
 	admission *admission
 	payloads  *payloads
 	steps     *steps
@@ -66,6 +70,9 @@
 	router  *routing.Router
 	budget  *retry.Budget
 
+	// background holds the threads that outlast their request.
+	background sync.WaitGroup
+
 	// queuedTold is true while the leader believes that requests wait. Only
 	// the thread that reports uses it.
 	queuedTold bool
@@ -109,6 +116,7 @@
 	})
 	log.Info("Started", zap.String("Address", cfg.Address), zap.String("ListenAddress", cfg.ListenAddress))
 	err := group.Wait()
+	e.background.Wait()
 	log.Info("Stopped", zap.Error(err))
 	return err
 }
@@ -121,6 +129,7 @@
 		cfg: cfg, log: log, clock: clock, dialer: dialer, control: control,
 		metrics:   newMetrics(),
 		sessions:  newSessions(),
+		sampling:  newSessions(),
 		admission: newAdmission(clock, cfg.MaxInFlight, cfg.MaxQueued),
 		payloads:  newPayloads(),
 		scorer:    newScorer(cfg.ScorerURL),
@@ -153,6 +162,7 @@
 // Update implements daemon.Reporter.
 func (e *entry) Update(c *catalog.Catalog) {
 	e.sessions.cutWithdrawn(c)
+	e.sampling.cutWithdrawn(c)
 	e.routeMu.Lock()
 	e.router.Sync(c)
 	pools := make(map[string]int)
--- a/internal/entry/filters.go
+++ b/internal/entry/filters.go
@@ -36,10 +36,9 @@
 	defaultMaxTokens  = 256
 	bytesPerToken     = 4
 	maxRequestIDBytes = 256
-	// poisonCrashes is how many crashes make a request poisonous.
-	poisonCrashes = 2
 	// suspectPause lets all entries learn of a suspect before it runs again.
-	suspectPause = 150 * time.Millisecond
+	suspectPause  = 150 * time.Millisecond
+	acquitTimeout = 5 * time.Second
 )
 
 // forwardedHeaders lists what goes on to upstreams.
@@ -56,6 +55,9 @@
 
 // classify finds the pool and the kind of a request.
 func (e *entry) classify(x *exchange) error {
+	if x.view.Version == 0 {
+		return rollout.NewError(rollout.KindNoAuthority, "the entry has no configuration yet").WithNotRun()
+	}
 	path := string(x.rc.Path())
 	x.method = string(x.rc.Method())
 	x.body = bytes.Clone(x.rc.PostBody())
@@ -174,7 +176,7 @@
 		return nil
 	}
 	x.suspect = true
-	if len(p.Crashes) >= poisonCrashes {
+	if p.IsCertain() {
 		return e.refusePoison(x, p)
 	}
 	return e.askPoison(x)
@@ -209,12 +211,25 @@
 	if err != nil {
 		return err
 	}
-	if len(p.Crashes) >= poisonCrashes {
+	if p.IsCertain() {
 		return e.refusePoison(x, p)
 	}
 	return nil
 }
 
+// acquit clears a suspect that has run to its end, so that it need not run
+// alone any more.
+func (e *entry) acquit(x *exchange) {
+	if !x.suspect {
+		return
+	}
+	e.background.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), acquitTimeout)
+		defer cancel()
+		_, _ = e.control.Propose(ctx, ledger.Command{Acquit: &ledger.Acquit{Fingerprint: x.fingerprint}})
+	})
+}
+
 func (e *entry) refusePoison(x *exchange, p catalog.Poison) error {
 	e.log.Warn("PoisonRefused", zap.String("Request", x.id), zap.String("Account", x.account.Name), zap.Int("Crashes", len(p.Crashes)))
 	return rollout.NewError(rollout.KindPoisoned, "%d upstreams crashed while they ran this request", len(p.Crashes)).
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -163,6 +163,7 @@
 		return err
 	}
 	x.tokens = s.end.InputTokens + s.end.OutputTokens
+	e.acquit(x)
 	e.answerWhole(x, s, body)
 	x.end(e)
 	return nil
@@ -186,6 +187,9 @@
 			x.tokens = s.end.InputTokens + s.end.OutputTokens
 		}
 		s.close()
+		if err == nil {
+			e.acquit(x)
+		}
 		if err != nil {
 			e.log.Warn("StreamBroken", zap.String("Request", x.id), zap.String("Upstream", choice.Upstream.ID), zap.Error(err))
 			_, _ = w.WriteString("event: error\ndata: " + errorText(x, rollout.AsError(err)) + "\n\n")
--- a/internal/entry/steps.go
+++ b/internal/entry/steps.go
@@ -43,9 +43,12 @@
 // stepRun is one step on its way.
 type stepRun struct {
 	account catalog.Account
-	group   string
-	req     stepRequest
-	hedges  *hedge.Group
+	// keyID is the key under which the step was asked for last. Its samples
+	// are made only while the key is valid.
+	keyID  string
+	group  string
+	req    stepRequest
+	hedges *hedge.Group
 	// running holds the samples that are being made, by index.
 	running map[int]*sampleRun
 	askedMS rollout.Millis
@@ -68,19 +71,20 @@
 func newSteps(e *entry) *steps { return &steps{entry: e, byKey: make(map[string]*stepRun)} }
 
 // start begins a step, or takes notice of the samples that it still lacks.
-func (s *steps) start(account catalog.Account, group string, req stepRequest, step stream.Step) {
+func (s *steps) start(x *exchange, group string, req stepRequest, step stream.Step) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	key := group + "/" + req.Step
 	run := s.byKey[key]
 	if run == nil {
 		run = &stepRun{
-			account: account, group: group, req: req,
+			account: x.account, group: group, req: req,
 			hedges: hedge.New(hedge.DefaultConfig(), step.Size), running: make(map[int]*sampleRun),
 		}
 		s.byKey[key] = run
 		s.entry.log.Info("StepBegun", zap.String("Group", group), zap.String("Step", req.Step), zap.Int("Missing", len(step.Missing())))
 	}
+	run.keyID = x.key.ID
 	s.fill(run, step)
 }
 
@@ -175,6 +179,9 @@
 	for sr.ctx.Err() == nil {
 		done, upstream, err := s.trySample(run, sr, index, tried)
 		s.entry.metrics.samples.WithLabelValues(outcomeName(err)).Inc()
+		if isPoison(err) {
+			done, err = s.refuse(run, sr, index)
+		}
 		if done {
 			s.finish(run, sr, index)
 			return
@@ -191,6 +198,19 @@
 	}
 }
 
+// refuse tells the trainer that a sample cannot be made, since its request
+// crashes engines.
+func (s *steps) refuse(run *stepRun, sr *sampleRun, index int) (bool, error) {
+	_, err := propose[stream.Committed](sr.ctx, s.entry, ledger.Command{CommitSample: &stream.Commit{
+		Group: run.group, Step: run.req.Step, Index: index, Refused: "poisoned",
+	}})
+	return err == nil, err
+}
+
+func isPoison(err error) bool {
+	return err != nil && rollout.AsError(err).Kind == rollout.KindPoisoned
+}
+
 func (s *steps) finish(run *stepRun, sr *sampleRun, index int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -231,6 +251,7 @@
 		return false, choice.Upstream.ID, err
 	}
 	x.tokens = end.InputTokens + end.OutputTokens
+	e.acquit(x)
 	done, err = s.commit(run, sr, index, choice, req.Attempt, payload, end)
 	return done, choice.Upstream.ID, err
 }
@@ -327,7 +348,23 @@
 	}
 	x.ctx, x.cancel = context.WithCancelCause(sr.ctx)
 	x.withDeadline(e)
+	keyID := s.keyOf(run)
+	x.forget = e.sampling.add(keyID, x.cancel)
+	if k, ok := e.renewer.View().Keys[keyID]; !ok || k.Withdrawn {
+		x.end(e)
+		return nil, rollout.NewError(rollout.KindWithdrawn, "key %s was withdrawn", keyID).WithNotRun()
+	}
 	x.prefix = prefixHash([]byte(prompt))
 	x.fingerprint = fingerprintOf(x.method, x.path, body)
-	return x, e.checkPoison(x)
+	if err := e.checkPoison(x); err != nil {
+		x.end(e)
+		return nil, err
+	}
+	return x, nil
+}
+
+func (s *steps) keyOf(run *stepRun) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return run.keyID
 }
--- a/internal/entry/trainer.go
+++ b/internal/entry/trainer.go
@@ -120,7 +120,7 @@
 		return err
 	}
 	if step.Entry == e.cfg.Name && !step.Settled {
-		e.steps.start(x.account, g.Name, req, step)
+		e.steps.start(x, g.Name, req, step)
 	}
 	return writeJSON(x.rc, stepAnswerOf(step))
 }
--- a/pkg/rollout/catalog/entities.go
+++ b/pkg/rollout/catalog/entities.go
@@ -101,6 +101,9 @@
 	Fingerprint string
 	// Crashes holds the IDs of the crashes of upstreams that ran it.
 	Crashes []string
+	// Confirmed is true once a crash happened while the request ran as a
+	// suspect, and so alone among suspects.
+	Confirmed bool
 	// UntilMS is when it is forgotten.
 	UntilMS rollout.Millis
 }
@@ -111,9 +114,17 @@
 	return hex.EncodeToString(sum[:])
 }
 
+// poisonCrashes is how many crashes make a request poisonous.
+const poisonCrashes = 2
+
+// IsCertain tells whether the request is to be refused. Requests that only ran
+// beside it are suspects and may run again, one at a time on an upstream.
+func (p Poison) IsCertain() bool { return p.Confirmed && len(p.Crashes) >= poisonCrashes }
+
 // WithCrash returns the poison with one more crash, unless it is known.
-func (p Poison) WithCrash(id string, until rollout.Millis) Poison {
+func (p Poison) WithCrash(id string, asSuspect bool, until rollout.Millis) Poison {
 	p.UntilMS = max(p.UntilMS, until)
+	p.Confirmed = p.Confirmed || asSuspect
 	if !slices.Contains(p.Crashes, id) {
 		p.Crashes = append(slices.Clone(p.Crashes), id)
 	}
--- a/pkg/rollout/fleet/fleet.go
+++ b/pkg/rollout/fleet/fleet.go
@@ -47,6 +47,8 @@
 	ID           string
 	Upstream     string
 	Fingerprints []string
+	// Suspects are those of Fingerprints that ran as suspects.
+	Suspects []string `json:",omitempty"`
 }
 
 // Report is what a daemon has to tell. Empty parts have not changed since the
--- a/pkg/rollout/gate/gate.go
+++ b/pkg/rollout/gate/gate.go
@@ -5,9 +5,6 @@
 package gate
 
 import (
-	"maps"
-	"slices"
-
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 )
 
@@ -128,15 +125,16 @@
 	return VerdictRun, nil
 }
 
-// Crashed returns the fingerprints of the requests that run at an upstream.
-func (g *Gate) Crashed(upstream string) []string {
+// Crashed returns the fingerprints of the requests that run at an upstream,
+// and tells of each whether it runs as a suspect.
+func (g *Gate) Crashed(upstream string) map[string]bool {
 	seen := make(map[string]bool)
 	for id := range g.running[upstream] {
-		if f := g.attempts[id].req.Fingerprint; f != "" {
-			seen[f] = true
+		if r := g.attempts[id].req; r.Fingerprint != "" {
+			seen[r.Fingerprint] = seen[r.Fingerprint] || r.Suspect
 		}
 	}
-	return slices.Sorted(maps.Keys(seen))
+	return seen
 }
 
 // Finish ends an attempt.
--- a/pkg/rollout/gate/gate_test.go
+++ b/pkg/rollout/gate/gate_test.go
@@ -92,11 +92,11 @@
 
 func TestCrashNamesWhatRan(t *testing.T) {
 	g := newGate(4)
-	for i, f := range []string{"x", "y", "x"} {
-		_, _ = begin(g, fmt.Sprint(i), func(r *Request) { r.Fingerprint = f })
+	for i, f := range []string{"x", "y", "x", "z"} {
+		_, _ = begin(g, fmt.Sprint(i), func(r *Request) { r.Fingerprint, r.Suspect = f, f == "z" })
 	}
 	g.Finish("1")
-	if got := fmt.Sprint(g.Crashed("u")); got != "[x]" {
+	if got := fmt.Sprint(g.Crashed("u")); got != "map[x:false z:true]" {
 		t.Fatalf("crashed %s", got)
 	}
 }
--- a/pkg/rollout/ledger/command.go
+++ b/pkg/rollout/ledger/command.go
@@ -39,6 +39,7 @@
 	LoseUpstream   *LoseUpstream     `json:",omitempty"`
 	Crash          *Crash            `json:",omitempty"`
 	CheckPoison    *CheckPoison      `json:",omitempty"`
+	Acquit         *Acquit           `json:",omitempty"`
 
 	TakeClaim *claim.Take `json:",omitempty"`
 	VoidClaim *claim.Void `json:",omitempty"`
@@ -96,8 +97,13 @@
 	ID           string
 	Upstream     string
 	Fingerprints []string
+	// Suspects are those of Fingerprints that ran as suspects.
+	Suspects []string `json:",omitempty"`
 }
 
+// Acquit clears a suspect that has run to its end.
+type Acquit struct{ Fingerprint string }
+
 // CheckPoison asks what is known of a request that has crashed an upstream.
 type CheckPoison struct{ Fingerprint string }
 
--- a/pkg/rollout/ledger/ledger.go
+++ b/pkg/rollout/ledger/ledger.go
@@ -244,6 +244,11 @@
 		return nil, nil
 	case c.CheckPoison != nil:
 		return cat.Poisons[c.CheckPoison.Fingerprint], nil
+	case c.Acquit != nil:
+		if p, ok := cat.Poisons[c.Acquit.Fingerprint]; ok && !p.IsCertain() {
+			cat.Remove(index, catalog.KindPoison, p.Fingerprint)
+		}
+		return nil, nil
 	default:
 		return nil, rollout.NewError(rollout.KindInvalidInput, "empty command")
 	}
@@ -251,7 +256,8 @@
 
 func (s *State) applyCrash(index uint64, c Command) {
 	for _, f := range c.Crash.Fingerprints {
-		p := s.Catalog.Poisons[f].WithCrash(c.Crash.ID, c.AtMS+poisonRetentionMS)
+		asSuspect := slices.Contains(c.Crash.Suspects, f)
+		p := s.Catalog.Poisons[f].WithCrash(c.Crash.ID, asSuspect, c.AtMS+poisonRetentionMS)
 		p.Fingerprint = f
 		s.Catalog.Put(index, catalog.KindPoison, f, p)
 	}
--- a/pkg/rollout/stream/stream.go
+++ b/pkg/rollout/stream/stream.go
@@ -45,6 +45,9 @@
 	Score  float64
 	// Holders are the addresses that hold the payload.
 	Holders []string
+	// Refused tells why the sample can never be made. Its position is void and
+	// closes the index, so that the step can become whole.
+	Refused string `json:",omitempty"`
 }
 
 // Handover asks for the samples after a cursor and acknowledges those up to
@@ -73,8 +76,9 @@
 	Digest   string
 	Score    float64
 	Holders  []string
-	// Void samples were stale or lost before they were acknowledged. Another
-	// sample takes their place in the step at a later position.
+	// Void positions hold no sample. After "stale" and "lost" another sample
+	// takes the place in the step at a later position; after any other reason
+	// none does.
 	Void string `json:",omitempty"`
 }
 
@@ -142,10 +146,10 @@
 	if p := step.Positions[c.Index]; p != 0 {
 		return Committed{Position: p, Duplicate: true}, nil
 	}
-	if len(c.Versions) == 0 {
+	if c.Refused == "" && len(c.Versions) == 0 {
 		return Committed{}, rollout.NewError(rollout.KindInvalidInput, "sample without weight version")
 	}
-	if isStale(g, c.Versions) {
+	if c.Refused == "" && isStale(g, c.Versions) {
 		gs.Stale++
 		return Committed{Stale: true}, nil
 	}
@@ -154,7 +158,7 @@
 	step.Positions[c.Index] = p
 	gs.Samples = append(gs.Samples, Sample{
 		Position: p, Step: c.Step, Index: c.Index, Attempt: c.Attempt,
-		Versions: c.Versions, Digest: c.Digest, Score: c.Score, Holders: c.Holders,
+		Versions: c.Versions, Digest: c.Digest, Score: c.Score, Holders: c.Holders, Void: c.Refused,
 	})
 	return Committed{Position: p}, nil
 }
--- a/pkg/rollout/stream/stream_test.go
+++ b/pkg/rollout/stream/stream_test.go
@@ -116,6 +116,21 @@
 	})
 }
 
+func TestARefusedSampleClosesItsIndex(t *testing.T) {
+	s := New()
+	g := catalog.Group{Name: "g"}
+	if _, err := s.OpenStep(OpenStep{Group: "g", Step: "1", Size: 1}); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := s.Commit(g, Commit{Group: "g", Step: "1", Refused: "poisoned"}); err != nil {
+		t.Fatal(err)
+	}
+	out, err := s.Handover(g.WithVersion(9), Handover{Group: "g", Max: 9})
+	if err != nil || len(out.Samples) != 1 || out.Samples[0].Void != "poisoned" || len(out.OpenSteps) != 0 {
+		t.Fatalf("handed %+v, %v", out, err)
+	}
+}
+
 func TestCursorsOutsideTheStreamAreRefused(t *testing.T) {
 	s := New()
 	g := catalog.Group{Name: "g", StalenessBound: 9}
