Run attempts on the thread of their call and measure idle daemons

Change: an attempt whose answer is not kept runs on the thread of its call; an answer that is no stream travels in one message; the check of a deployment waits for /readyz of each entry; make idle. Kept, since it copies and holds less.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 LINT_VERSION := v2.15.0
 LINT := .tools/golangci-lint-$(LINT_VERSION)
 
-.PHONY: build check demo format fuzz latency lint measure slopes smoke-test test
+.PHONY: build check demo format fuzz idle latency lint measure slopes smoke-test test
 
 build:
 	$(GO) build -o bin/coltsfootspoke .
@@ -35,6 +35,10 @@
 latency: build
 	sh scripts/demo.sh latency
 
+# Measures the daemons without traffic.
+idle: build
+	sh scripts/demo.sh idle
+
 # Compares the decision cores with plain baselines.
 measure:
 	$(GO) run ./internal/cmds/measure
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -108,7 +108,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { tc.serve(w) }))
 			defer server.Close()
-			out := call(t.Context(), newClient(true), server.URL, &wire.RunRequest{Method: "POST", Path: "/"}, newAnswer(), &observer{})
+			out := call(t.Context(), newClient(true), server.URL, &wire.RunRequest{Method: "POST", Path: "/"}, newAnswer().add, &observer{})
 			if out.err == nil || out.err.Kind != tc.want || out.err.NotRun {
 				t.Fatalf("outcome %+v, want %v", out.err, tc.want)
 			}
@@ -117,7 +117,7 @@
 	t.Run("no connection", func(t *testing.T) {
 		server := httptest.NewServer(nil)
 		server.Close()
-		out := call(t.Context(), newClient(true), server.URL, &wire.RunRequest{Method: "POST", Path: "/"}, newAnswer(), &observer{})
+		out := call(t.Context(), newClient(true), server.URL, &wire.RunRequest{Method: "POST", Path: "/"}, newAnswer().add, &observer{})
 		if out.err == nil || !out.err.NotRun || !out.broken {
 			t.Fatalf("outcome %+v", out)
 		}
@@ -128,7 +128,7 @@
 // request with a request ID again when a reused connection breaks.
 func TestARequestThatMayRunOnceIsSentOnce(t *testing.T) {
 	runs := 0
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		if strings.HasSuffix(r.URL.Path, "warm") {
 			return
 		}
@@ -139,7 +139,7 @@
 	client := newClient(false)
 	headers := []*wire.Header{{Name: "Idempotency-Key", Value: "order-1"}}
 	for _, path := range []string{"/warm", "/order"} {
-		call(t.Context(), client, server.URL, &wire.RunRequest{Method: "POST", Path: path, Headers: headers}, newAnswer(), &observer{})
+		call(t.Context(), client, server.URL, &wire.RunRequest{Method: "POST", Path: path, Headers: headers}, newAnswer().add, &observer{})
 	}
 	if runs != 1 {
 		t.Fatalf("the order ran %d times", runs)
@@ -150,8 +150,8 @@
 	k := newKeeper(10)
 	for i := range 4 {
 		id := fmt.Sprint(i)
-		k.begin(id).add(&wire.RunChunk{Data: []byte("1234"), End: &wire.End{}})
-		k.finish(id, true)
+		_ = k.begin(id).add(&wire.RunChunk{Data: []byte("1234"), End: &wire.End{}})
+		k.finish(id)
 	}
 	for i, kept := range []bool{false, false, true, true} {
 		if (k.find(fmt.Sprint(i)) != nil) != kept {
--- a/internal/agent/answer.go
+++ b/internal/agent/answer.go
@@ -22,7 +22,7 @@
 func newAnswer() *answer { return &answer{changed: make(chan struct{})} }
 
 // add appends a chunk. A chunk with End is the last.
-func (a *answer) add(c *wire.RunChunk) {
+func (a *answer) add(c *wire.RunChunk) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.chunks = append(a.chunks, c)
@@ -30,6 +30,7 @@
 	a.ended = c.End != nil
 	close(a.changed)
 	a.changed = make(chan struct{})
+	return nil
 }
 
 // next returns the chunks from an index on and whether the answer ends with
@@ -87,18 +88,14 @@
 	return k.answers[attempt]
 }
 
-// finish keeps or drops a finished answer.
-func (k *keeper) finish(attempt string, keep bool) {
+// finish counts a finished answer and drops the oldest beyond the bound.
+func (k *keeper) finish(attempt string) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	a := k.answers[attempt]
 	if a == nil {
 		return
 	}
-	if !keep {
-		delete(k.answers, attempt)
-		return
-	}
 	k.used += a.size()
 	k.finished = append(k.finished, attempt)
 	for k.used > k.limit && len(k.finished) > 0 {
--- a/internal/agent/call.go
+++ b/internal/agent/call.go
@@ -44,10 +44,13 @@
 	// broken is true when the connection failed, as after a crash.
 	broken bool
 	bytes  uint64
+	// whole holds the head and the data of an answer that is no stream. It goes
+	// out together with the end.
+	whole *wire.RunChunk
 }
 
-// call sends a request to an upstream and writes what it answers.
-func call(ctx context.Context, client *http.Client, base string, req *wire.RunRequest, ans *answer, obs *observer) outcome {
+// call sends a request to an upstream and passes a stream on as it comes.
+func call(ctx context.Context, client *http.Client, base string, req *wire.RunRequest, out sink, obs *observer) outcome {
 	hreq, err := http.NewRequestWithContext(ctx, req.Method, base+req.Path, bytes.NewReader(req.Body))
 	if err != nil {
 		return outcome{err: rollout.NewError(rollout.KindInvalidInput, "request").WithCause(err).WithNotRun()}
@@ -62,11 +65,33 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	obs.streamed = strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
-	ans.add(&wire.RunChunk{Attempt: req.Attempt, Head: headOf(resp)})
-	return copyBody(ctx, req.Attempt, resp, ans, obs)
+	if obs.streamed {
+		return passStream(ctx, req.Attempt, resp, out, obs)
+	}
+	whole := &wire.RunChunk{Attempt: req.Attempt, Head: headOf(resp)}
+	result := copyBody(ctx, resp, obs, func(data []byte) error {
+		whole.Data = append(whole.Data, data...)
+		return nil
+	})
+	result.whole = whole
+	return result
+}
+
+func passStream(ctx context.Context, attempt string, resp *http.Response, out sink, obs *observer) outcome {
+	if err := out(&wire.RunChunk{Attempt: attempt, Head: headOf(resp)}); err != nil {
+		return outcome{err: callerGone(err)}
+	}
+	return copyBody(ctx, resp, obs, func(data []byte) error {
+		return out(&wire.RunChunk{Attempt: attempt, Data: data})
+	})
 }
 
-func copyBody(ctx context.Context, attempt string, resp *http.Response, ans *answer, obs *observer) outcome {
+func callerGone(err error) *rollout.Error {
+	return rollout.NewError(rollout.KindUnavailable, "the caller went away").WithCause(err)
+}
+
+// copyBody passes a body on as it is read.
+func copyBody(ctx context.Context, resp *http.Response, obs *observer, pass func(data []byte) error) outcome {
 	var out outcome
 	buf := make([]byte, readBufferBytes)
 	for {
@@ -75,7 +100,10 @@
 			data := bytes.Clone(buf[:n])
 			obs.add(data)
 			out.bytes += uint64(n)
-			ans.add(&wire.RunChunk{Attempt: attempt, Data: data})
+			if err := pass(data); err != nil {
+				out.err = callerGone(err)
+				return out
+			}
 		}
 		if out.bytes > maxAnswerBytes {
 			out.err = rollout.NewError(rollout.KindUpstreamFailed, "answer exceeds %d bytes", maxAnswerBytes)
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -33,19 +33,37 @@
 	versions map[string]uint64
 }
 
-// Run begins an attempt or takes part in one, and streams its answer.
+// sink takes the chunks of an answer in order.
+type sink func(c *wire.RunChunk) error
+
+// Run begins an attempt or takes part in one, and streams its answer. An
+// attempt whose answer is not kept runs on the thread of the call.
 func (a *agent) Run(req *wire.RunRequest, stream wire.DRPCAgent_RunStream) error {
-	ans, err := a.begin(stream.Context(), req)
-	if err != nil {
+	ctx := stream.Context()
+	verdict, ans, err := a.begin(ctx, req)
+	switch {
+	case err != nil:
 		return stream.Send(endOf(req.Attempt, err))
+	case verdict == gate.VerdictRun && !req.Keep:
+		return a.execute(ctx, req, stream.Send)
+	case verdict == gate.VerdictRun:
+		a.background.Go(func() {
+			_ = a.execute(ctx, req, ans.add)
+			a.kept.finish(req.Attempt)
+		})
 	}
+	return follow(ans, stream)
+}
+
+// follow streams an answer that another thread writes.
+func follow(ans *answer, stream wire.DRPCAgent_RunStream) error {
 	from := 0
 	for {
 		chunks, ended, err := ans.next(stream.Context(), from)
 		if err != nil {
 			return err
 		}
-		for _, c := range chunks {
+		for _, c := range merge(chunks) {
 			if err := stream.Send(c); err != nil {
 				return err
 			}
@@ -57,24 +75,41 @@
 	}
 }
 
-// begin returns the answer to follow.
-func (a *agent) begin(ctx context.Context, req *wire.RunRequest) (*answer, *rollout.Error) {
+// merge puts chunks that are ready together into one message.
+func merge(chunks []*wire.RunChunk) []*wire.RunChunk {
+	if len(chunks) == 1 {
+		return chunks
+	}
+	one := &wire.RunChunk{Attempt: chunks[0].Attempt}
+	for _, c := range chunks {
+		if c.Head != nil {
+			one.Head = c.Head
+		}
+		if c.End != nil {
+			one.End = c.End
+		}
+		one.Data = append(one.Data, c.Data...)
+	}
+	return []*wire.RunChunk{one}
+}
+
+// begin asks for authority and passes the gate. It returns the answer of an
+// attempt that is kept.
+func (a *agent) begin(ctx context.Context, req *wire.RunRequest) (gate.Verdict, *answer, *rollout.Error) {
 	if !req.Attach && req.Account != "" && !a.renewer.Valid() {
-		return nil, rollout.NewError(rollout.KindNoAuthority, "agent %s has no authority", a.cfg.Name).WithNotRun()
+		return 0, nil, rollout.NewError(rollout.KindNoAuthority, "agent %s has no authority", a.cfg.Name).WithNotRun()
 	}
 	verdict, ans, err := a.passGate(ctx, req)
 	if err != nil {
 		a.log.Info("AttemptRefused", zap.String("Attempt", req.Attempt), zap.String("Upstream", req.Upstream), zap.Error(err))
-		return nil, rollout.AsError(err)
+		return 0, nil, rollout.AsError(err)
 	}
 	if verdict == gate.VerdictJoin {
 		if ans = a.kept.find(req.Attempt); ans == nil {
-			return nil, rollout.NewError(rollout.KindOutcomeUnknown, "attempt %s ran and its answer is no longer kept", req.Attempt)
+			return 0, nil, rollout.NewError(rollout.KindOutcomeUnknown, "attempt %s ran and its answer is no longer kept", req.Attempt)
 		}
-		return ans, nil
 	}
-	a.background.Go(func() { a.execute(ctx, req, ans) })
-	return ans, nil
+	return verdict, ans, nil
 }
 
 // passGate asks the gate. A request that attaches to an attempt that has not
@@ -103,7 +138,7 @@
 		Attempt: req.Attempt, Upstream: req.Upstream, Incarnation: req.Incarnation, Fingerprint: req.Fingerprint,
 		Suspect: req.Suspect, Claimed: req.Keep, Attach: req.Attach, Bar: bar,
 	})
-	if verdict == gate.VerdictRun {
+	if verdict == gate.VerdictRun && req.Keep {
 		return verdict, a.kept.begin(req.Attempt), nil
 	}
 	return verdict, nil, err
@@ -111,7 +146,7 @@
 
 // execute runs an attempt to its end. A detached attempt goes on when its caller
 // has gone.
-func (a *agent) execute(caller context.Context, req *wire.RunRequest, ans *answer) {
+func (a *agent) execute(caller context.Context, req *wire.RunRequest, out sink) error {
 	deadline := time.Duration(req.DeadlineMs) * time.Millisecond
 	if deadline <= 0 {
 		deadline = defaultDeadline
@@ -125,11 +160,15 @@
 	t := (*a.targets.Load())[req.Upstream]
 	obs := &observer{}
 	start := a.clock.Now()
-	out := call(ctx, client, t.url, req, ans, obs)
-	end := a.endAttempt(req, t, obs, out, a.clock.Now()-start)
-	ans.add(&wire.RunChunk{Attempt: req.Attempt, End: end})
-	a.kept.finish(req.Attempt, req.Keep)
-	a.metrics.attempts.WithLabelValues(outcomeName(out.err)).Inc()
+	result := call(ctx, client, t.url, req, out, obs)
+	end := a.endAttempt(req, t, obs, result, a.clock.Now()-start)
+	a.metrics.attempts.WithLabelValues(outcomeName(result.err)).Inc()
+	last := result.whole
+	if last == nil {
+		last = &wire.RunChunk{Attempt: req.Attempt}
+	}
+	last.End = end
+	return out(last)
 }
 
 // endAttempt settles an attempt: the gate, the meter and the end marker.
--- a/internal/cmds/demo/main.go
+++ b/internal/cmds/demo/main.go
@@ -17,6 +17,7 @@
 type cli struct {
 	Layout  layoutCmd  `cmd:"" help:"Write settings and command lines into a folder."`
 	Check   checkCmd   `cmd:"" help:"Run real requests against a started deployment."`
+	Idle    idleCmd    `cmd:"" help:"Measure the daemons without traffic."`
 	Latency latencyCmd `cmd:"" help:"Compare calls through an entry with direct calls."`
 }
 
--- a/internal/cmds/slope/main.go
+++ b/internal/cmds/slope/main.go
@@ -7,9 +7,7 @@
 	"fmt"
 	"os"
 	"os/signal"
-	"path/filepath"
 	"sort"
-	"strconv"
 	"strings"
 	"syscall"
 	"time"
@@ -123,8 +121,8 @@
 	}
 	after, bytesAfter := b.processes(), b.bytes()
 	for _, p := range sortedNames(after) {
-		core := (after[p].cpu - before[p].cpu).Seconds() / d.Seconds()
-		b.print(name, "Process", p, "CorePercent", fmt.Sprintf("%.2f", 100*core), "MemoryMB", after[p].memory>>20)
+		core := (after[p].CPU - before[p].CPU).Seconds() / d.Seconds()
+		b.print(name, "Process", p, "CorePercent", fmt.Sprintf("%.2f", 100*core), "MemoryMB", after[p].Memory>>20)
 	}
 	b.print(name, "BytesPerAgentAndSecond", int64(float64(bytesAfter-bytesBefore)/d.Seconds())/int64(max(b.cli.Agents, 1)))
 	return nil
@@ -144,7 +142,7 @@
 		took := time.Since(start)
 		after := b.processes()
 		for _, p := range sortedNames(after) {
-			b.print("publish", "Process", p, "CoreMS", (after[p].cpu - before[p].cpu).Milliseconds())
+			b.print("publish", "Process", p, "CoreMS", (after[p].CPU - before[p].CPU).Milliseconds())
 		}
 		b.print("publish", "Version", version, "MS", took.Milliseconds())
 		if err != nil {
@@ -243,48 +241,12 @@
 	fmt.Println(line)
 }
 
-// process is what a process has used.
-type process struct {
-	cpu    time.Duration
-	memory int64
+// processes reads the control hosts and entries.
+func (b *bench) processes() map[string]demo.Spent {
+	return demo.Processes(b.layout.Dir, "control", "entry")
 }
 
-// processes reads the processes whose IDs the script left in the folder.
-func (b *bench) processes() map[string]process {
-	out := make(map[string]process)
-	files, _ := filepath.Glob(filepath.Join(b.layout.Dir, "*.pid"))
-	for _, f := range files {
-		name := strings.TrimSuffix(filepath.Base(f), ".pid")
-		id, err := os.ReadFile(f)
-		if err != nil || (!strings.HasPrefix(name, "control") && !strings.HasPrefix(name, "entry")) {
-			continue
-		}
-		if p, err := readProcess(strings.TrimSpace(string(id))); err == nil {
-			out[name] = p
-		}
-	}
-	return out
-}
-
-func readProcess(id string) (process, error) {
-	const userTicks, systemTicks, residentPages = 13, 14, 23
-	const tick = 10 * time.Millisecond
-	data, err := os.ReadFile("/proc/" + id + "/stat")
-	if err != nil {
-		return process{}, err
-	}
-	fields := strings.Fields(string(data))
-	number := func(i int) int64 {
-		n, _ := strconv.ParseInt(fields[i], 10, 64)
-		return n
-	}
-	return process{
-		cpu:    time.Duration(number(userTicks)+number(systemTicks)) * tick,
-		memory: number(residentPages) * int64(os.Getpagesize()),
-	}, nil
-}
-
-func sortedNames(m map[string]process) []string {
+func sortedNames(m map[string]demo.Spent) []string {
 	names := make([]string, 0, len(m))
 	for n := range m {
 		names = append(names, n)
--- a/internal/demo/check.go
+++ b/internal/demo/check.go
@@ -86,7 +86,7 @@
 		a, err := c.operator.Do(ctx, "show upstreams")
 		if err == nil && len(a.Table.Rows) == len(c.layout.Upstreams) {
 			w, err := c.operator.Do(ctx, fmt.Sprintf("wait version %d", a.Version))
-			if err == nil && w.InForce {
+			if err == nil && w.InForce && c.entriesReady(ctx) {
 				return nil
 			}
 		}
@@ -95,6 +95,26 @@
 	return errors.New("the upstreams did not announce themselves")
 }
 
+// entriesReady tells whether each entry serves with authority. The leader
+// knows nothing of an entry that has not yet started.
+func (c *Check) entriesReady(ctx context.Context) bool {
+	for _, admin := range c.layout.EntryAdmins {
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, admin+"/readyz", nil)
+		if err != nil {
+			return false
+		}
+		resp, err := c.client.Do(req)
+		if err != nil {
+			return false
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode != http.StatusOK {
+			return false
+		}
+	}
+	return true
+}
+
 // Run runs all parts.
 func (c *Check) Run(ctx context.Context) (Result, error) {
 	defer c.operator.Close()
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -17,6 +17,8 @@
 	head    *wire.Head
 	bytes   uint64
 	end     *wire.End
+	// first is the data of the first chunk, not yet read.
+	first []byte
 	// openedMS is when the attempt was begun.
 	openedMS rollout.Millis
 	// sent is true once the request may have reached the agent.
@@ -34,10 +36,12 @@
 		return nil, s.openError(ctx, err)
 	}
 	s.stream, s.sent = stream, true
-	if _, err := s.next(); err != nil {
+	first, err := s.receive()
+	if err != nil {
 		s.close()
 		return s, err
 	}
+	s.first = first
 	return s, nil
 }
 
@@ -54,29 +58,37 @@
 	return rollout.NewError(rollout.KindUpstreamFailed, "the agent failed").WithCause(err)
 }
 
-// next returns the next data, or nil once the answer has ended well.
+// next returns the next data. The answer has ended well once end is set.
 func (s *attemptStream) next() ([]byte, error) {
-	for {
-		c, err := s.stream.Recv()
-		if err != nil {
-			return nil, s.receiveError(err)
-		}
-		if c.Attempt != s.attempt {
-			return nil, rollout.NewError(rollout.KindInternal, "answer of attempt %s came for %s", c.Attempt, s.attempt)
-		}
-		switch {
-		case c.End != nil:
-			return nil, s.finish(c.End)
-		case c.Head != nil:
-			s.head = c.Head
-			return nil, nil
-		default:
-			s.bytes += uint64(len(c.Data))
-			return c.Data, nil
-		}
+	if data := s.first; data != nil {
+		s.first = nil
+		return data, nil
 	}
+	return s.receive()
 }
 
+// receive takes one chunk.
+func (s *attemptStream) receive() ([]byte, error) {
+	c, err := s.stream.Recv()
+	if err != nil {
+		return nil, s.receiveError(err)
+	}
+	if c.Attempt != s.attempt {
+		return nil, rollout.NewError(rollout.KindInternal, "answer of attempt %s came for %s", c.Attempt, s.attempt)
+	}
+	if c.Head != nil {
+		s.head = c.Head
+	}
+	s.bytes += uint64(len(c.Data))
+	if c.End != nil {
+		return c.Data, s.finish(c.End)
+	}
+	return c.Data, nil
+}
+
+// more tells whether there is more to read.
+func (s *attemptStream) more() bool { return s.first != nil || s.end == nil }
+
 func (s *attemptStream) receiveError(err error) error {
 	if cause := context.Cause(s.ctx); cause != nil && rollout.AsError(cause).Kind != rollout.KindInternal {
 		return rollout.AsError(cause)
@@ -106,7 +118,7 @@
 // as it comes.
 func (s *attemptStream) readAll(note func([]byte)) ([]byte, error) {
 	var all []byte
-	for s.end == nil {
+	for s.more() {
 		data, err := s.next()
 		if err != nil {
 			return nil, err
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -202,7 +202,7 @@
 }
 
 func copyStream(ctx context.Context, w *bufio.Writer, s *attemptStream) error {
-	for s.end == nil {
+	for s.more() {
 		data, err := s.next()
 		if err != nil {
 			if cause := context.Cause(ctx); cause != nil {
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"testing"
@@ -33,7 +34,7 @@
 func assertClosed(t *testing.T, conn net.Conn) {
 	t.Helper()
 	_ = conn.SetReadDeadline(time.Now().Add(2 * handshakeTimeout))
-	if n, err := conn.Read(make([]byte, 1)); err != io.EOF || n > 0 {
+	if n, err := conn.Read(make([]byte, 1)); !errors.Is(err, io.EOF) || n > 0 {
 		t.Fatalf("read %d bytes, %v", n, err)
 	}
 }
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -1,6 +1,7 @@
 #!/bin/sh
 # Starts a small deployment on the loopback address, runs real requests against
-# it and stops all processes by their IDs. With "latency", times calls instead.
+# it and stops all processes by their IDs. With "latency" or "idle", measures
+# calls or idle daemons instead.
 set -u
 cd "$(dirname "$0")/.." || exit 1
 dir=.demo/run.$$
@@ -18,6 +19,7 @@
 	# shellcheck disable=SC2086
 	bin/$command >"$dir/$name.log" 2>&1 &
 	ids="$ids $!"
+	echo $! >"$dir/$name.pid"
 done <"$dir/processes"
 bin/demo "${1:-check}" "$dir"
 status=$?
