Hand the lead over on SIGTERM, and close connections of a leaving entry last

Cause: restarting one control host after the other, a second or two apart, took authority from an entry for 1.8 s: each loss of a leader costs 0.8 to 1.6 s and a voter that has just restarted gives no vote for 0.8 s. A caller's request met a connection that the entry was just closing as idle. Two deployments took the same port. Ruled out: a longer lease (withdrawals would take longer than 5 s); shorter election timeouts (slow disks would cost leaders). Change: a leader that ends lets its calls of the platform finish, gives up the lease and asks a voter that has the whole log to take the lead; a forced vote needs no wait, and one of an earlier term is ignored. An entry that leaves asks callers to close, and waits 2 s before it closes idle connections. Layouts take ports below the range of outgoing connections.

--- a/internal/cmds/standin/main.go
+++ b/internal/cmds/standin/main.go
@@ -5,8 +5,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -25,7 +23,6 @@
 	Scorer      scorerCmd      `cmd:"" help:"A service that scores samples."`
 	Platform    platformCmd    `cmd:"" help:"The platform: orders and usage reports."`
 	Trainer     trainerCmd     `cmd:"" help:"A trainer that pulls steps."`
-	Ports       portsCmd       `cmd:"" help:"Print free ports."`
 }
 
 func main() {
@@ -37,24 +34,6 @@
 	kctx.FatalIfErrorf(kctx.Run())
 }
 
-// portsCmd prints free ports of the loopback address.
-type portsCmd struct {
-	Count int `arg:"" help:"How many."`
-}
-
-// Run implements the command.
-func (c *portsCmd) Run() error {
-	for range c.Count {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return err
-		}
-		defer func() { _ = l.Close() }()
-		fmt.Println(l.Addr().(*net.TCPAddr).Port)
-	}
-	return nil
-}
-
 // serve serves HTTP until the context ends.
 func serve(ctx context.Context, address string, handler http.Handler) error {
 	server := &http.Server{Addr: address, Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -132,7 +132,7 @@
 	w := &wire.PeerMessage{
 		Type: uint32(m.Type), From: string(m.From), To: string(m.To), Term: m.Term,
 		PrevIndex: m.PrevIndex, PrevTerm: m.PrevTerm, Commit: m.Commit,
-		Round: m.Round, Reject: m.Reject, Match: m.Match,
+		Round: m.Round, Reject: m.Reject, Match: m.Match, Force: m.Force,
 	}
 	for _, e := range m.Entries {
 		w.Entries = append(w.Entries, &wire.LogEntry{Index: e.Index, Term: e.Term, Kind: uint32(e.Kind), Data: e.Data})
@@ -148,7 +148,7 @@
 	m := quorum.Message{
 		Type: quorum.MessageType(w.Type), From: quorum.MemberID(w.From), To: quorum.MemberID(w.To), Term: w.Term,
 		PrevIndex: w.PrevIndex, PrevTerm: w.PrevTerm, Commit: w.Commit,
-		Round: w.Round, Reject: w.Reject, Match: w.Match,
+		Round: w.Round, Reject: w.Reject, Match: w.Match, Force: w.Force,
 	}
 	for _, e := range w.Entries {
 		m.Entries = append(m.Entries, quorum.Entry{Index: e.Index, Term: e.Term, Kind: quorum.EntryKind(e.Kind), Data: e.Data})
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -5,6 +5,7 @@
 	"crypto/subtle"
 	"math/rand/v2"
 	"net"
+	"time"
 
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
@@ -21,6 +22,9 @@
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/quorum"
 )
 
+// leaveGrace lets a transfer of the lead go out and be known.
+const leaveGrace = 300 * time.Millisecond
+
 // Listeners are the open ports of a control host.
 type Listeners struct {
 	Peers net.Listener
@@ -45,7 +49,10 @@
 	}
 	dialer := link.NewDialer(cfg.Secret)
 	defer func() { _ = dialer.Close() }()
-	group, ctx := errgroup.WithContext(ctx)
+	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	signalled := ctx.Done()
+	group, ctx := errgroup.WithContext(serving)
 	t, err := newThread(ctx, cfg, store, saved, dialer, clk, log)
 	if err != nil {
 		return err
@@ -63,12 +70,39 @@
 	if cfg.PlatformURL != "" {
 		group.Go(func() error { return t.servePlatform(ctx) })
 	}
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+		case <-signalled:
+			t.leave(ctx)
+			stop()
+		}
+		return nil
+	})
 	log.Info("Started", zap.String("Member", string(store.Member())), zap.String("Address", cfg.Address))
 	err = group.Wait()
 	log.Info("Stopped", zap.Error(err))
 	return err
 }
 
+// leave gives the lead to another host before the own process ends. Calls of
+// the platform that are under way end first; no other begins.
+func (t *thread) leave(ctx context.Context) {
+	busy := ask(ctx, t, func() bool {
+		t.leaving = true
+		t.leaseUntil.Store(0)
+		return len(t.inFlight) > 0
+	})
+	if busy {
+		time.Sleep(platformTimeoutMS * time.Millisecond)
+	}
+	handed := ask(ctx, t, func() bool { return t.node.Transfer(t.clock.Now()) })
+	t.log.Info("Leaving", zap.Bool("LeadHandedOver", handed))
+	if handed {
+		time.Sleep(leaveGrace)
+	}
+}
+
 func newThread(
 	ctx context.Context, cfg settings.Control, store *disk.Store, saved quorum.Saved,
 	dialer *link.Dialer, clk rollout.Clock, log *zap.Logger,
--- a/internal/control/thread.go
+++ b/internal/control/thread.go
@@ -52,6 +52,8 @@
 	// unsaved is output that the disk has refused so far.
 	unsaved *quorum.Output
 
+	// leaving is true once the process is to end.
+	leaving     bool
 	leading     bool
 	leadingTerm uint64
 	leadSinceMS rollout.Millis
@@ -359,6 +361,9 @@
 // observeLeadership resets what only a leader knows when the lead changes.
 func (t *thread) observeLeadership(now rollout.Millis) {
 	t.leaseUntil.Store(int64(t.node.LeaseUntil()))
+	if t.leaving {
+		t.leaseUntil.Store(0)
+	}
 	t.ready.Store(t.node.Leader() != "" && t.unsaved == nil)
 	t.metrics.term.Set(float64(t.node.Term()))
 	leads := t.node.IsLeader() && t.inCharge(now)
--- a/internal/demo/layout.go
+++ b/internal/demo/layout.go
@@ -4,11 +4,13 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 
 	"github.com/coltsfootspoke/coltsfootspoke/internal/settings"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
@@ -230,16 +232,34 @@
 	return os.WriteFile(filepath.Join(b.layout.Dir, processesName), []byte(lines.String()), filePerm)
 }
 
-// freePorts returns ports of the loopback address that were free just now.
+const (
+	// firstPort and lastPort lie below the ports that the system gives to
+	// outgoing connections, so that none is taken before its process listens.
+	firstPort = 10_000
+	lastPort  = 32_000
+	// portStride spreads the processes that lay deployments out.
+	portStride = 1_000
+)
+
+// portCursor counts the ports that this process has given out.
+var portCursor atomic.Int64
+
+// freePorts returns ports of the loopback address that were free just now and
+// that this process has not given out before.
 func freePorts(count int) ([]int, error) {
 	ports := make([]int, 0, count)
-	for range count {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for tries := 0; len(ports) < count; tries++ {
+		if tries > lastPort-firstPort {
+			return nil, errors.New("no free ports")
+		}
+		offset := portCursor.Add(1) + int64(os.Getpid()%(lastPort-firstPort)*portStride)
+		port := firstPort + int(offset%(lastPort-firstPort))
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err != nil {
-			return nil, err
+			continue
 		}
-		defer func() { _ = l.Close() }()
-		ports = append(ports, l.Addr().(*net.TCPAddr).Port)
+		_ = l.Close()
+		ports = append(ports, port)
 	}
 	return ports, nil
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -31,10 +31,12 @@
 )
 
 const (
-	idBytes            = 12
-	authorityCheck     = 100 * time.Millisecond
-	maxRequestBytes    = 16 << 20
-	shutdownGrace      = 200 * time.Millisecond
+	idBytes         = 12
+	authorityCheck  = 100 * time.Millisecond
+	maxRequestBytes = 16 << 20
+	// shutdownGrace lets the balancer see that the entry leaves, and callers use
+	// their connections for one last request, before idle ones are closed.
+	shutdownGrace      = 2 * time.Second
 	expireInterval     = 50 * time.Millisecond
 	incarnationAllowed = 8
 )
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -75,6 +75,9 @@
 func (e *entry) handle(rc *fasthttp.RequestCtx) {
 	x := &exchange{rc: rc, view: e.renewer.View(), id: newID()}
 	start := e.clock.Now()
+	if e.stopping.Load() {
+		rc.SetConnectionClose()
+	}
 	x.ctx, x.cancel = context.WithCancelCause(context.Background())
 	err := e.serve(x)
 	if err != nil {
--- a/pkg/rollout/quorum/cluster_test.go
+++ b/pkg/rollout/quorum/cluster_test.go
@@ -134,6 +134,10 @@
 		c.proposed++
 		_, _, _ = h.node.Propose(c.local(h), []byte(strconv.Itoa(c.proposed)))
 	}
+	if c.rand.IntN(100) == 0 {
+		h.node.Transfer(c.local(h))
+		return
+	}
 	for _, l := range h.node.Members().Learners {
 		if !h.node.CaughtUp(l.ID) {
 			continue
--- a/pkg/rollout/quorum/election.go
+++ b/pkg/rollout/quorum/election.go
@@ -27,6 +27,8 @@
 		n.handleAppendReply(now, m)
 	case MessageSnapshot:
 		n.handleSnapshot(now, m)
+	case MessageTransfer:
+		n.handleTransfer(now, m)
 	}
 }
 
@@ -53,13 +55,13 @@
 	n.startRound(now)
 }
 
-func (n *Node) campaign(now rollout.Millis) {
+func (n *Node) campaign(now rollout.Millis, force bool) {
 	n.role = candidate
 	n.hard = HardState{Term: n.hard.Term + 1, Vote: n.cfg.ID}
 	n.saveHard()
 	n.leader = ""
 	n.resetElection(now)
-	n.requestVotes(now, MessageVote, n.hard.Term)
+	n.requestVotes(now, MessageVote, n.hard.Term, force)
 }
 
 func (n *Node) granted() int {
@@ -84,7 +86,7 @@
 	}
 	n.votes[m.From] = true
 	if n.granted() >= n.members.Quorum() {
-		n.campaign(now)
+		n.campaign(now, false)
 	}
 }
 
@@ -96,7 +98,7 @@
 	if m.Type == MessagePreVote {
 		reply.Type = MessagePreVoteReply
 	}
-	if n.withholdsVote(now) {
+	if n.withholdsVote(now) && !m.Force {
 		reply.Reject, reply.Term = true, n.hard.Term
 		n.send(reply)
 		return
@@ -117,6 +119,15 @@
 	n.send(reply)
 }
 
+// handleTransfer begins an election at once. A transfer of an earlier term
+// comes too late and is ignored.
+func (n *Node) handleTransfer(now rollout.Millis, m Message) {
+	if m.Term != n.hard.Term || n.role == leader || !n.members.IsVoter(n.cfg.ID) {
+		return
+	}
+	n.campaign(now, true)
+}
+
 func (n *Node) handleVoteReply(now rollout.Millis, m Message) {
 	if n.role != candidate || m.Term != n.hard.Term || m.Reject {
 		return
@@ -141,11 +152,11 @@
 	return n.hard.Vote == "" || n.hard.Vote == m.From
 }
 
-func (n *Node) requestVotes(now rollout.Millis, t MessageType, term uint64) {
+func (n *Node) requestVotes(now rollout.Millis, t MessageType, term uint64, force bool) {
 	n.votes = map[MemberID]bool{n.cfg.ID: true}
 	if n.granted() >= n.members.Quorum() {
 		if t == MessagePreVote {
-			n.campaign(now)
+			n.campaign(now, false)
 		} else {
 			n.becomeLeader(now)
 		}
@@ -156,7 +167,7 @@
 			continue
 		}
 		n.send(Message{
-			Type: t, To: v.ID, Term: term,
+			Type: t, To: v.ID, Term: term, Force: force,
 			PrevIndex: n.log.lastIndex(), PrevTerm: n.log.lastTerm(),
 		})
 	}
@@ -166,7 +177,7 @@
 	n.role = preCandidate
 	n.leader = ""
 	n.resetElection(now)
-	n.requestVotes(now, MessagePreVote, n.hard.Term+1)
+	n.requestVotes(now, MessagePreVote, n.hard.Term+1, false)
 }
 
 func (n *Node) withholdsVote(now rollout.Millis) bool {
--- a/pkg/rollout/quorum/message.go
+++ b/pkg/rollout/quorum/message.go
@@ -72,6 +72,9 @@
 	MessageAppend
 	MessageAppendReply
 	MessageSnapshot
+	// MessageTransfer asks a voter to take the lead at once. Its sender has
+	// given up the lead and the lease.
+	MessageTransfer
 )
 
 // Message travels between members.
@@ -89,6 +92,9 @@
 	// Round numbers the heartbeat rounds of a leader. A reply carries the
 	// round that it answers.
 	Round uint64
+	// Force marks a vote request that follows a transfer. It is granted in
+	// spite of a leader heard lately, since that leader has given up.
+	Force bool
 	// Reject is true when a reply refuses.
 	Reject bool
 	// Match is the last index known to be the same as the leader's, or after
--- a/pkg/rollout/quorum/node.go
+++ b/pkg/rollout/quorum/node.go
@@ -246,6 +246,24 @@
 	n.resetElection(now)
 }
 
+// Transfer gives the lead to a voter that holds the whole log. The lease is
+// given up before the message goes out. It returns false when there is no such
+// voter.
+func (n *Node) Transfer(now rollout.Millis) bool {
+	if n.role != leader {
+		return false
+	}
+	for _, v := range n.members.Voters {
+		if v.ID == n.cfg.ID || n.matchOf(v.ID) != n.log.lastIndex() {
+			continue
+		}
+		n.becomeFollower(now, n.hard.Term, "")
+		n.send(Message{Type: MessageTransfer, To: v.ID, Term: n.hard.Term})
+		return true
+	}
+	return false
+}
+
 func (n *Node) adoptMembers(e Entry) {
 	if e.Kind != EntryMembers {
 		return
--- a/pkg/rollout/quorum/node_test.go
+++ b/pkg/rollout/quorum/node_test.go
@@ -160,3 +160,27 @@
 		t.Fatalf("error %v, want kind %v", err, want)
 	}
 }
+
+func TestTransferNeedsNoTimeout(t *testing.T) {
+	n, now := newTestNode(Bootstrap(threeVoters))
+	now = lead(t, n, now)
+	if !n.Transfer(now) || n.LeaseUntil() != 0 || n.IsLeader() {
+		t.Fatalf("lease until %d, leader %v after a transfer", n.LeaseUntil(), n.IsLeader())
+	}
+	out := n.Take()
+	if len(out.Messages) != 1 || out.Messages[0].Type != MessageTransfer {
+		t.Fatalf("messages %+v", out.Messages)
+	}
+	n.Step(now, Message{Type: MessageVote, From: "b", To: "a", Term: n.Term() + 1, PrevIndex: 9, PrevTerm: 9, Force: true})
+	assertReply(t, n, false)
+}
+
+func TestALateTransferIsIgnored(t *testing.T) {
+	n, now := newTestNode(Bootstrap(threeVoters))
+	n.Step(now, Message{Type: MessageAppend, From: "b", To: "a", Term: 5, PrevIndex: 1, PrevTerm: 1})
+	n.Take()
+	n.Step(now, Message{Type: MessageTransfer, From: "c", To: "a", Term: 4})
+	if out := n.Take(); !out.Empty() || n.Term() != 5 {
+		t.Fatalf("term %d, output %+v", n.Term(), out)
+	}
+}
