--- a/pkg/rollout/claim/claim.go
+++ b/pkg/rollout/claim/claim.go
@@ -10,9 +10,10 @@
 const (
 	// DefaultRetentionMS is how long a claim is kept. A request ID that comes
 	// back later counts as a new request.
-	DefaultRetentionMS = 24 * 60 * 60 * 1_000
-	// DefaultLimit bounds the claims that are kept.
-	DefaultLimit = 400_000
+	DefaultRetentionMS = 60 * 60 * 1_000
+	// DefaultLimit bounds the claims that are kept, so that a snapshot is
+	// encoded well within the leader's lease.
+	DefaultLimit = 100_000
 )
 
 // Claim binds a request ID to the one attempt that may run.
