Tell a refused connection from a cancelled attempt

Cause: after an agent had ended, 630 requests were answered Internal: the context of the attempt was cancelled before its error was read, so that a refused connection looked like a cancel and was not sent again. Ruled out: the agent ending too early (it had reported its upstreams gone; the entry may still route to it for a few ms, and that must do no harm). Change: the error is read first; a test with a port that nobody listens on.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -32,8 +32,9 @@
 	s := &attemptStream{attempt: req.Attempt, ctx: ctx, cancel: cancel, openedMS: e.clock.Now()}
 	stream, err := wire.NewDRPCAgentClient(e.dialer.Conn(ctx, address)).Run(ctx, req)
 	if err != nil {
+		err = s.openError(ctx, err)
 		cancel()
-		return nil, s.openError(ctx, err)
+		return nil, err
 	}
 	s.stream, s.sent = stream, true
 	first, err := s.receive()
--- a/internal/entry/attempt_test.go
+++ b/internal/entry/attempt_test.go
@@ -4,12 +4,17 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"testing"
 
+	"go.uber.org/zap"
 	"storj.io/drpc"
 
+	"github.com/coltsfootspoke/coltsfootspoke/internal/settings"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/wire"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/clock"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/retry"
 )
 
 // fakeStream plays back chunks.
@@ -76,3 +81,23 @@
 		}
 	})
 }
+
+// TestAnAgentThatIsGoneHasNotRun covers an agent that has just ended while the
+// entry still routes to it.
+func TestAnAgentThatIsGoneHasNotRun(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := l.Addr().String()
+	_ = l.Close()
+	e := newEntry(settings.Entry{Common: settings.Common{Control: []string{address}}}, clock.NewManual(0), zap.NewNop())
+	_, err = e.openAttempt(t.Context(), address, &wire.RunRequest{Attempt: "mine"})
+	var r *rollout.Error
+	if !errors.As(err, &r) || r.Kind != rollout.KindUnavailable || !r.NotRun {
+		t.Fatalf("error %v, want Unavailable and not run", err)
+	}
+	if !retry.Allowed(retry.Attempt{Err: r, Number: 1, Left: 1}) {
+		t.Fatal("the request may not be sent again")
+	}
+}
