--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -19,9 +19,11 @@
 	"golang.org/x/sync/errgroup"
 	"storj.io/drpc/drpcmux"
 
+	"github.com/coltsfootspoke/coltsfootspoke/internal/answer"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/daemon"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/link"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/settings"
+	"github.com/coltsfootspoke/coltsfootspoke/internal/upstream"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/wire"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/catalog"
@@ -78,7 +80,7 @@
 	traffic sync.Mutex
 	gate    *gate.Gate
 	meter   *usage.Meter
-	kept    *keeper
+	kept    *answer.Keeper
 	targets atomic.Pointer[map[string]target]
 
 	blobMu sync.Mutex
@@ -132,14 +134,14 @@
 	a := &agent{
 		cfg: cfg, incarnation: hex.EncodeToString(id), log: log, clock: clock,
 		dialer: link.NewDialer(cfg.Secret),
-		client: newClient(true), onceClient: newClient(false),
+		client: upstream.NewClient(true), onceClient: upstream.NewClient(false),
 		metrics:  newMetrics(),
 		inbox:    make(chan func(rollout.Millis), inboxLength),
 		locals:   make(map[string]*local),
 		gone:     make(map[string]bool),
 		fetching: make(map[weights.Blob]bool),
 		meter:    usage.NewMeter(),
-		kept:     newKeeper(cfg.KeptBytes),
+		kept:     answer.NewKeeper(cfg.KeptBytes),
 		blobs:    make(map[weights.Blob]blob),
 	}
 	a.gate = gate.New(a.incarnation)
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -10,7 +10,9 @@
 
 	"go.uber.org/zap"
 
+	"github.com/coltsfootspoke/coltsfootspoke/internal/answer"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/settings"
+	"github.com/coltsfootspoke/coltsfootspoke/internal/upstream"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/wire"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/catalog"
@@ -57,9 +59,9 @@
 		t.Run(tc.name, func(t *testing.T) {
 			a := testAgent(t)
 			a.setVersions(map[string]uint64{"g": tc.after})
-			obs := &observer{streamed: true}
+			obs := &upstream.Observer{Streamed: true}
 			for _, b := range []byte(tc.answer) {
-				obs.add([]byte{b})
+				obs.Add([]byte{b})
 			}
 			before := target{versions: map[string]uint64{"g": tc.before}}
 			got := a.versionsOf(&wire.RunRequest{Upstream: "u", Group: "g"}, before, obs)
@@ -108,17 +110,17 @@
 		t.Run(tc.name, func(t *testing.T) {
 			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { tc.serve(w) }))
 			defer server.Close()
-			out := call(t.Context(), newClient(true), server.URL, &wire.RunRequest{Method: "POST", Path: "/"}, newAnswer().add, &observer{})
-			if out.err == nil || out.err.Kind != tc.want || out.err.NotRun {
-				t.Fatalf("outcome %+v, want %v", out.err, tc.want)
+			out := upstream.Call(t.Context(), upstream.NewClient(true), server.URL, &wire.RunRequest{Method: "POST", Path: "/"}, answer.New().Add, &upstream.Observer{})
+			if out.Err == nil || out.Err.Kind != tc.want || out.Err.NotRun {
+				t.Fatalf("outcome %+v, want %v", out.Err, tc.want)
 			}
 		})
 	}
 	t.Run("no connection", func(t *testing.T) {
 		server := httptest.NewServer(nil)
 		server.Close()
-		out := call(t.Context(), newClient(true), server.URL, &wire.RunRequest{Method: "POST", Path: "/"}, newAnswer().add, &observer{})
-		if out.err == nil || !out.err.NotRun || !out.broken {
+		out := upstream.Call(t.Context(), upstream.NewClient(true), server.URL, &wire.RunRequest{Method: "POST", Path: "/"}, answer.New().Add, &upstream.Observer{})
+		if out.Err == nil || !out.Err.NotRun || !out.Broken {
 			t.Fatalf("outcome %+v", out)
 		}
 	})
@@ -136,10 +138,10 @@
 		panic(http.ErrAbortHandler)
 	}))
 	defer server.Close()
-	client := newClient(false)
+	client := upstream.NewClient(false)
 	headers := []*wire.Header{{Name: "Idempotency-Key", Value: "order-1"}}
 	for _, path := range []string{"/warm", "/order"} {
-		call(t.Context(), client, server.URL, &wire.RunRequest{Method: "POST", Path: path, Headers: headers}, newAnswer().add, &observer{})
+		upstream.Call(t.Context(), client, server.URL, &wire.RunRequest{Method: "POST", Path: path, Headers: headers}, answer.New().Add, &upstream.Observer{})
 	}
 	if runs != 1 {
 		t.Fatalf("the order ran %d times", runs)
@@ -147,14 +149,14 @@
 }
 
 func TestKeptAnswersAreBounded(t *testing.T) {
-	k := newKeeper(10)
+	k := answer.NewKeeper(10)
 	for i := range 4 {
 		id := fmt.Sprint(i)
-		_ = k.begin(id).add(&wire.RunChunk{Data: []byte("1234"), End: &wire.End{}})
-		k.finish(id)
+		_ = k.Begin(id).Add(&wire.RunChunk{Data: []byte("1234"), End: &wire.End{}})
+		k.Finish(id)
 	}
 	for i, kept := range []bool{false, false, true, true} {
-		if (k.find(fmt.Sprint(i)) != nil) != kept {
+		if (k.Find(fmt.Sprint(i)) != nil) != kept {
 			t.Errorf("answer %d: kept %v", i, !kept)
 		}
 	}
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -7,6 +7,8 @@
 
 	"go.uber.org/zap"
 
+	"github.com/coltsfootspoke/coltsfootspoke/internal/answer"
+	"github.com/coltsfootspoke/coltsfootspoke/internal/upstream"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/wire"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/gate"
@@ -33,9 +35,6 @@
 	versions map[string]uint64
 }
 
-// sink takes the chunks of an answer in order.
-type sink func(c *wire.RunChunk) error
-
 // Run begins an attempt or takes part in one, and streams its answer. An
 // attempt whose answer is not kept runs on the thread of the call.
 func (a *agent) Run(req *wire.RunRequest, stream wire.DRPCAgent_RunStream) error {
@@ -48,18 +47,18 @@
 		return a.execute(ctx, req, stream.Send)
 	case verdict == gate.VerdictRun:
 		a.background.Go(func() {
-			_ = a.execute(ctx, req, ans.add)
-			a.kept.finish(req.Attempt)
+			_ = a.execute(ctx, req, ans.Add)
+			a.kept.Finish(req.Attempt)
 		})
 	}
 	return follow(ans, stream)
 }
 
 // follow streams an answer that another thread writes.
-func follow(ans *answer, stream wire.DRPCAgent_RunStream) error {
+func follow(ans *answer.Answer, stream wire.DRPCAgent_RunStream) error {
 	from := 0
 	for {
-		chunks, ended, err := ans.next(stream.Context(), from)
+		chunks, ended, err := ans.Next(stream.Context(), from)
 		if err != nil {
 			return err
 		}
@@ -95,7 +94,7 @@
 
 // begin asks for authority and passes the gate. It returns the answer of an
 // attempt that is kept.
-func (a *agent) begin(ctx context.Context, req *wire.RunRequest) (gate.Verdict, *answer, *rollout.Error) {
+func (a *agent) begin(ctx context.Context, req *wire.RunRequest) (gate.Verdict, *answer.Answer, *rollout.Error) {
 	if !req.Attach && req.Account != "" && !a.renewer.Valid() {
 		return 0, nil, rollout.NewError(rollout.KindNoAuthority, "agent %s has no authority", a.cfg.Name).WithNotRun()
 	}
@@ -105,7 +104,7 @@
 		return 0, nil, rollout.AsError(err)
 	}
 	if verdict == gate.VerdictJoin {
-		if ans = a.kept.find(req.Attempt); ans == nil {
+		if ans = a.kept.Find(req.Attempt); ans == nil {
 			return 0, nil, rollout.NewError(rollout.KindOutcomeUnknown, "attempt %s ran and its answer is no longer kept", req.Attempt)
 		}
 	}
@@ -115,7 +114,7 @@
 // passGate asks the gate. A request that attaches to an attempt that has not
 // begun waits for it before it bars it, since the one that holds the claim may
 // be on its way.
-func (a *agent) passGate(ctx context.Context, req *wire.RunRequest) (gate.Verdict, *answer, error) {
+func (a *agent) passGate(ctx context.Context, req *wire.RunRequest) (gate.Verdict, *answer.Answer, error) {
 	bar := time.Now().Add(attachPatience)
 	for {
 		late := time.Now().After(bar)
@@ -131,7 +130,7 @@
 	}
 }
 
-func (a *agent) askGate(req *wire.RunRequest, bar bool) (gate.Verdict, *answer, error) {
+func (a *agent) askGate(req *wire.RunRequest, bar bool) (gate.Verdict, *answer.Answer, error) {
 	a.traffic.Lock()
 	defer a.traffic.Unlock()
 	verdict, err := a.gate.Begin(a.clock.Now(), gate.Request{
@@ -139,14 +138,14 @@
 		Suspect: req.Suspect, Claimed: req.Keep, Attach: req.Attach, Bar: bar,
 	})
 	if verdict == gate.VerdictRun && req.Keep {
-		return verdict, a.kept.begin(req.Attempt), nil
+		return verdict, a.kept.Begin(req.Attempt), nil
 	}
 	return verdict, nil, err
 }
 
 // execute runs an attempt to its end. A detached attempt goes on when its caller
 // has gone.
-func (a *agent) execute(caller context.Context, req *wire.RunRequest, out sink) error {
+func (a *agent) execute(caller context.Context, req *wire.RunRequest, out upstream.Sink) error {
 	deadline := time.Duration(req.DeadlineMs) * time.Millisecond
 	if deadline <= 0 {
 		deadline = defaultDeadline
@@ -158,12 +157,12 @@
 	ctx, cancel := context.WithTimeout(parent, deadline)
 	defer cancel()
 	t := (*a.targets.Load())[req.Upstream]
-	obs := &observer{}
+	obs := &upstream.Observer{}
 	start := a.clock.Now()
-	result := call(ctx, client, t.url, req, out, obs)
+	result := upstream.Call(ctx, client, t.url, req, out, obs)
 	end := a.endAttempt(req, t, obs, result, a.clock.Now()-start)
-	a.metrics.attempts.WithLabelValues(outcomeName(result.err)).Inc()
-	last := result.whole
+	a.metrics.attempts.WithLabelValues(outcomeName(result.Err)).Inc()
+	last := result.Whole
 	if last == nil {
 		last = &wire.RunChunk{Attempt: req.Attempt}
 	}
@@ -172,13 +171,13 @@
 }
 
 // endAttempt settles an attempt: the gate, the meter and the end marker.
-func (a *agent) endAttempt(req *wire.RunRequest, t target, obs *observer, out outcome, took rollout.Millis) *wire.End {
+func (a *agent) endAttempt(req *wire.RunRequest, t target, obs *upstream.Observer, out upstream.Outcome, took rollout.Millis) *wire.End {
 	end := &wire.End{
-		Length: out.bytes, Versions: a.versionsOf(req, t, obs),
-		InputTokens: obs.input, OutputTokens: obs.output, Crashed: out.broken && !out.err.NotRun,
+		Length: out.Bytes, Versions: a.versionsOf(req, t, obs),
+		InputTokens: obs.Input, OutputTokens: obs.Output, Crashed: out.Broken && !out.Err.NotRun,
 	}
-	if out.err != nil {
-		end.Error, end.NotRun = out.err.Error(), out.err.NotRun
+	if out.Err != nil {
+		end.Error, end.NotRun = out.Err.Error(), out.Err.NotRun
 	}
 	a.traffic.Lock()
 	running := a.gate.Crashed(req.Upstream)
@@ -186,12 +185,12 @@
 	end.Running = int32(a.gate.Running(req.Upstream))
 	if !end.NotRun {
 		a.meter.Add(usage.Subject{Account: req.Account, Pool: t.pool}, usage.Figures{
-			Requests: 1, InputTokens: obs.input, OutputTokens: obs.output, UpstreamMS: uint64(took),
+			Requests: 1, InputTokens: obs.Input, OutputTokens: obs.Output, UpstreamMS: uint64(took),
 		})
 	}
 	a.traffic.Unlock()
-	if out.broken {
-		a.log.Warn("UpstreamBroke", zap.String("Upstream", req.Upstream), zap.String("Attempt", req.Attempt), zap.Error(out.err))
+	if out.Broken {
+		a.log.Warn("UpstreamBroke", zap.String("Upstream", req.Upstream), zap.String("Attempt", req.Attempt), zap.Error(out.Err))
 		a.awaitCrash(req.Upstream, running)
 	}
 	return end
@@ -199,9 +198,9 @@
 
 // awaitCrash waits until the leader knows of the crash that broke an attempt,
 // so that the request is known as a suspect before it can come again.
-func (a *agent) awaitCrash(upstream string, running map[string]bool) {
+func (a *agent) awaitCrash(id string, running map[string]bool) {
 	settled := make(chan struct{})
-	a.do(func(rollout.Millis) { a.broken(upstream, running, settled) })
+	a.do(func(rollout.Millis) { a.broken(id, running, settled) })
 	select {
 	case <-settled:
 	case <-time.After(crashReportTimeout):
@@ -210,12 +209,12 @@
 
 // versionsOf returns the weight versions that produced an answer: what the
 // engine said in it, or else what it reported before and after.
-func (a *agent) versionsOf(req *wire.RunRequest, before target, obs *observer) []uint64 {
+func (a *agent) versionsOf(req *wire.RunRequest, before target, obs *upstream.Observer) []uint64 {
 	if req.Group == "" {
 		return nil
 	}
-	if len(obs.versions) > 0 {
-		return obs.versions
+	if len(obs.Versions) > 0 {
+		return obs.Versions
 	}
 	versions := []uint64{before.versions[req.Group]}
 	if after := (*a.targets.Load())[req.Upstream].versions[req.Group]; !slices.Contains(versions, after) {
--- a/internal/agent/answer.go
+++ b/internal/answer/answer.go
@@ -1,4 +1,6 @@
-package agent
+// Package answer collects the answers of attempts and keeps those that may be
+// asked for again.
+package answer
 
 import (
 	"context"
@@ -7,9 +9,9 @@
 	"github.com/coltsfootspoke/coltsfootspoke/internal/wire"
 )
 
-// answer collects the answer of one attempt. One thread writes it, any number
+// Answer collects the answer of one attempt. One thread writes it, any number
 // read it from the beginning.
-type answer struct {
+type Answer struct {
 	mu sync.Mutex
 	// chunks in the order of the answer. The last one carries End.
 	chunks []*wire.RunChunk
@@ -19,10 +21,11 @@
 	changed chan struct{}
 }
 
-func newAnswer() *answer { return &answer{changed: make(chan struct{})} }
+// New returns an answer without chunks.
+func New() *Answer { return &Answer{changed: make(chan struct{})} }
 
-// add appends a chunk. A chunk with End is the last.
-func (a *answer) add(c *wire.RunChunk) error {
+// Add appends a chunk. A chunk with End is the last.
+func (a *Answer) Add(c *wire.RunChunk) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.chunks = append(a.chunks, c)
@@ -33,9 +36,9 @@
 	return nil
 }
 
-// next returns the chunks from an index on and whether the answer ends with
+// Next returns the chunks from an index on and whether the answer ends with
 // them. It waits until there is at least one.
-func (a *answer) next(ctx context.Context, from int) ([]*wire.RunChunk, bool, error) {
+func (a *Answer) Next(ctx context.Context, from int) ([]*wire.RunChunk, bool, error) {
 	for {
 		a.mu.Lock()
 		chunks, ended, changed := a.chunks[from:], a.ended, a.changed
@@ -51,45 +54,46 @@
 	}
 }
 
-func (a *answer) size() int64 {
+func (a *Answer) size() int64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return a.bytes
 }
 
-// keeper holds finished answers for requests that come again, up to a bound.
-type keeper struct {
+// Keeper holds finished answers for requests that come again, up to a bound.
+type Keeper struct {
 	mu    sync.Mutex
 	limit int64
 	// used is the sum of the sizes of the finished answers.
 	used    int64
-	answers map[string]*answer
+	answers map[string]*Answer
 	// finished lists the finished answers that are kept, oldest first.
 	finished []string
 }
 
-func newKeeper(limit int64) *keeper {
-	return &keeper{limit: limit, answers: make(map[string]*answer)}
+// NewKeeper returns a keeper of at most limit bytes.
+func NewKeeper(limit int64) *Keeper {
+	return &Keeper{limit: limit, answers: make(map[string]*Answer)}
 }
 
-// begin returns a new answer for an attempt.
-func (k *keeper) begin(attempt string) *answer {
+// Begin returns a new answer for an attempt.
+func (k *Keeper) Begin(attempt string) *Answer {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	a := newAnswer()
+	a := New()
 	k.answers[attempt] = a
 	return a
 }
 
-// find returns the answer of an attempt, or nil when it is no longer kept.
-func (k *keeper) find(attempt string) *answer {
+// Find returns the answer of an attempt, or nil when it is no longer kept.
+func (k *Keeper) Find(attempt string) *Answer {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.answers[attempt]
 }
 
-// finish counts a finished answer and drops the oldest beyond the bound.
-func (k *keeper) finish(attempt string) {
+// Finish counts a finished answer and drops the oldest beyond the bound.
+func (k *Keeper) Finish(attempt string) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	a := k.answers[attempt]
--- a/internal/entry/attempt.go
+++ b/internal/attempt/attempt.go
@@ -1,36 +1,40 @@
-package entry
+// Package attempt is the client of one attempt at an agent.
+package attempt
 
 import (
 	"context"
 
+	"github.com/coltsfootspoke/coltsfootspoke/internal/link"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/wire"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 )
 
-// attemptStream is the answer of one attempt as it comes from an agent. It
+// Stream is the answer of one attempt as it comes from an agent. It
 // takes chunks of its own attempt only and checks that the answer is whole.
-type attemptStream struct {
+type Stream struct {
 	attempt string
 	ctx     context.Context
 	stream  wire.DRPCAgent_RunClient
 	cancel  context.CancelFunc
-	head    *wire.Head
-	bytes   uint64
-	end     *wire.End
+	// Head is set once the upstream has answered.
+	Head  *wire.Head
+	bytes uint64
+	// End is set once the answer has ended.
+	End *wire.End
 	// first is the data of the first chunk, not yet read.
 	first []byte
-	// openedMS is when the attempt was begun.
-	openedMS rollout.Millis
+	// OpenedMS is when the attempt was begun.
+	OpenedMS rollout.Millis
 	// sent is true once the request may have reached the agent.
 	sent bool
 }
 
-// openAttempt sends a request to an agent and waits for the first chunk. With
+// Open sends a request to an agent and waits for the first chunk. With
 // an error it may return a stream that is closed, for its end marker.
-func (e *entry) openAttempt(ctx context.Context, address string, req *wire.RunRequest) (*attemptStream, error) {
+func Open(ctx context.Context, dialer *link.Dialer, clock rollout.Clock, address string, req *wire.RunRequest) (*Stream, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	s := &attemptStream{attempt: req.Attempt, ctx: ctx, cancel: cancel, openedMS: e.clock.Now()}
-	stream, err := wire.NewDRPCAgentClient(e.dialer.Conn(ctx, address)).Run(ctx, req)
+	s := &Stream{attempt: req.Attempt, ctx: ctx, cancel: cancel, OpenedMS: clock.Now()}
+	stream, err := wire.NewDRPCAgentClient(dialer.Conn(ctx, address)).Run(ctx, req)
 	if err != nil {
 		err = s.openError(ctx, err)
 		cancel()
@@ -39,7 +43,7 @@
 	s.stream, s.sent = stream, true
 	first, err := s.receive()
 	if err != nil {
-		s.close()
+		s.Close()
 		return s, err
 	}
 	s.first = first
@@ -48,7 +52,7 @@
 
 // openError tells whether the request never left: only when no connection was
 // made.
-func (s *attemptStream) openError(ctx context.Context, err error) error {
+func (s *Stream) openError(ctx context.Context, err error) error {
 	if cause := context.Cause(ctx); cause != nil {
 		return rollout.AsError(cause)
 	}
@@ -59,8 +63,8 @@
 	return rollout.NewError(rollout.KindUpstreamFailed, "the agent failed").WithCause(err)
 }
 
-// next returns the next data. The answer has ended well once end is set.
-func (s *attemptStream) next() ([]byte, error) {
+// Next returns the next data. The answer has ended well once End is set.
+func (s *Stream) Next() ([]byte, error) {
 	if data := s.first; data != nil {
 		s.first = nil
 		return data, nil
@@ -69,7 +73,7 @@
 }
 
 // receive takes one chunk.
-func (s *attemptStream) receive() ([]byte, error) {
+func (s *Stream) receive() ([]byte, error) {
 	c, err := s.stream.Recv()
 	if err != nil {
 		return nil, s.receiveError(err)
@@ -78,7 +82,7 @@
 		return nil, rollout.NewError(rollout.KindInternal, "answer of attempt %s came for %s", c.Attempt, s.attempt)
 	}
 	if c.Head != nil {
-		s.head = c.Head
+		s.Head = c.Head
 	}
 	s.bytes += uint64(len(c.Data))
 	if c.End != nil {
@@ -87,23 +91,23 @@
 	return c.Data, nil
 }
 
-// more tells whether there is more to read.
-func (s *attemptStream) more() bool { return s.first != nil || s.end == nil }
+// More tells whether there is more to read.
+func (s *Stream) More() bool { return s.first != nil || s.End == nil }
 
-func (s *attemptStream) receiveError(err error) error {
+func (s *Stream) receiveError(err error) error {
 	if cause := context.Cause(s.ctx); cause != nil && rollout.AsError(cause).Kind != rollout.KindInternal {
 		return rollout.AsError(cause)
 	}
 	kind := rollout.KindUpstreamFailed
-	if s.head != nil {
+	if s.Head != nil {
 		kind = rollout.KindTruncated
 	}
 	return rollout.NewError(kind, "the agent's answer broke off").WithCause(err)
 }
 
 // finish checks the end marker.
-func (s *attemptStream) finish(end *wire.End) error {
-	s.end = end
+func (s *Stream) finish(end *wire.End) error {
+	s.End = end
 	if end.Error != "" {
 		e := rollout.ParseError(end.Error)
 		e.NotRun = end.NotRun
@@ -115,12 +119,12 @@
 	return nil
 }
 
-// readAll returns the rest of the answer. Note, which may be nil, sees the data
+// ReadAll returns the rest of the answer. Note, which may be nil, sees the data
 // as it comes.
-func (s *attemptStream) readAll(note func([]byte)) ([]byte, error) {
+func (s *Stream) ReadAll(note func([]byte)) ([]byte, error) {
 	var all []byte
-	for s.more() {
-		data, err := s.next()
+	for s.More() {
+		data, err := s.Next()
 		if err != nil {
 			return nil, err
 		}
@@ -132,7 +136,8 @@
 	return all, nil
 }
 
-func (s *attemptStream) close() {
+// Close ends the attempt at the agent, unless it is detached.
+func (s *Stream) Close() {
 	s.cancel()
 	if s.stream != nil {
 		_ = s.stream.Close()
--- a/internal/entry/attempt_test.go
+++ b/internal/attempt/attempt_test.go
@@ -1,4 +1,4 @@
-package entry
+package attempt
 
 import (
 	"context"
@@ -7,10 +7,9 @@
 	"net"
 	"testing"
 
-	"go.uber.org/zap"
 	"storj.io/drpc"
 
-	"github.com/coltsfootspoke/coltsfootspoke/internal/settings"
+	"github.com/coltsfootspoke/coltsfootspoke/internal/link"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/wire"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/clock"
@@ -37,8 +36,8 @@
 func (s *fakeStream) Close() error { return nil }
 
 func read(chunks ...*wire.RunChunk) ([]byte, error) {
-	s := &attemptStream{attempt: "mine", ctx: context.Background(), cancel: func() {}, stream: &fakeStream{chunks: chunks}}
-	return s.readAll(nil)
+	s := &Stream{attempt: "mine", ctx: context.Background(), cancel: func() {}, stream: &fakeStream{chunks: chunks}}
+	return s.ReadAll(nil)
 }
 
 func head(attempt string) *wire.RunChunk {
@@ -91,8 +90,9 @@
 	}
 	address := l.Addr().String()
 	_ = l.Close()
-	e := newEntry(settings.Entry{Common: settings.Common{Control: []string{address}}}, clock.NewManual(0), zap.NewNop())
-	_, err = e.openAttempt(t.Context(), address, &wire.RunRequest{Attempt: "mine"})
+	dialer := link.NewDialer("secret")
+	defer func() { _ = dialer.Close() }()
+	_, err = Open(t.Context(), dialer, clock.NewManual(0), address, &wire.RunRequest{Attempt: "mine"})
 	var r *rollout.Error
 	if !errors.As(err, &r) || r.Kind != rollout.KindUnavailable || !r.NotRun {
 		t.Fatalf("error %v, want Unavailable and not run", err)
--- a/internal/cmd/agentcmd.go
+++ b/internal/cmd/agentcmd.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"fmt"
 
 	"github.com/coltsfootspoke/coltsfootspoke/internal/agent"
-	"github.com/coltsfootspoke/coltsfootspoke/internal/logging"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/settings"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/clock"
 )
@@ -21,25 +19,12 @@
 	if err != nil {
 		return err
 	}
-	log, err := logging.New(streams.Err, levelOf(cfg.LogLevel), cfg.Name)
-	if err != nil {
-		return err
-	}
-	if c.Check {
-		_, err := fmt.Fprintf(streams.Out, "%s: ok\n", c.Config)
-		return err
-	}
-	peers, err := settings.Listen(c.Config, "Address", cfg.Address)
-	if err != nil {
-		return err
-	}
-	announce, err := settings.Listen(c.Config, "AnnounceAddress", cfg.AnnounceAddress)
-	if err != nil {
-		return err
-	}
-	admin, err := settings.Listen(c.Config, "AdminAddress", cfg.AdminAddress)
-	if err != nil {
+	ls, log, err := c.open(streams, cfg.Common,
+		port{"Address", cfg.Address},
+		port{"AnnounceAddress", cfg.AnnounceAddress},
+		port{"AdminAddress", cfg.AdminAddress})
+	if err != nil || log == nil {
 		return err
 	}
-	return agent.Run(ctx, cfg, agent.Listeners{Peers: peers, Announce: announce, Admin: admin}, clock.New(), log)
+	return agent.Run(ctx, cfg, agent.Listeners{Peers: ls[0], Announce: ls[1], Admin: ls[2]}, clock.New(), log)
 }
--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -5,12 +5,16 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"os"
 	"os/signal"
 	"syscall"
 
 	"github.com/alecthomas/kong"
+	"go.uber.org/zap"
 
+	"github.com/coltsfootspoke/coltsfootspoke/internal/logging"
+	"github.com/coltsfootspoke/coltsfootspoke/internal/settings"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 )
 
@@ -43,6 +47,38 @@
 	Check  bool   `help:"Check the settings file and exit."`
 }
 
+// port is a listen address with the field of the settings that holds it.
+type port struct {
+	field   string
+	address string
+}
+
+// open builds the logger and opens the ports of a daemon. With --check it only
+// says that the file is good, and returns no logger.
+func (f daemonFlags) open(streams Streams, common settings.Common, ports ...port) ([]net.Listener, *zap.Logger, error) {
+	level := common.LogLevel
+	if level == "" {
+		level = "info"
+	}
+	log, err := logging.New(streams.Err, level, common.Name)
+	if err != nil {
+		return nil, nil, err
+	}
+	if f.Check {
+		_, err := fmt.Fprintf(streams.Out, "%s: ok\n", f.Config)
+		return nil, nil, err
+	}
+	var listeners []net.Listener
+	for _, p := range ports {
+		l, err := settings.Listen(f.Config, p.field, p.address)
+		if err != nil {
+			return nil, nil, err
+		}
+		listeners = append(listeners, l)
+	}
+	return listeners, log, nil
+}
+
 // Main runs the command line and returns the exit code.
 func Main(args []string, streams Streams) int {
 	var c cli
--- a/internal/cmd/controlcmd.go
+++ b/internal/cmd/controlcmd.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"fmt"
 
 	"github.com/coltsfootspoke/coltsfootspoke/internal/control"
-	"github.com/coltsfootspoke/coltsfootspoke/internal/logging"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/settings"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/clock"
 )
@@ -21,28 +19,11 @@
 	if err != nil {
 		return err
 	}
-	log, err := logging.New(streams.Err, levelOf(cfg.LogLevel), cfg.Name)
-	if err != nil {
-		return err
-	}
-	if c.Check {
-		_, err := fmt.Fprintf(streams.Out, "%s: ok\n", c.Config)
-		return err
-	}
-	peers, err := settings.Listen(c.Config, "Address", cfg.Address)
-	if err != nil {
+	ls, log, err := c.open(streams, cfg.Common,
+		port{"Address", cfg.Address},
+		port{"AdminAddress", cfg.AdminAddress})
+	if err != nil || log == nil {
 		return err
 	}
-	admin, err := settings.Listen(c.Config, "AdminAddress", cfg.AdminAddress)
-	if err != nil {
-		return err
-	}
-	return control.Run(ctx, cfg, control.Listeners{Peers: peers, Admin: admin}, clock.New(), log)
-}
-
-func levelOf(level string) string {
-	if level == "" {
-		return "info"
-	}
-	return level
+	return control.Run(ctx, cfg, control.Listeners{Peers: ls[0], Admin: ls[1]}, clock.New(), log)
 }
--- a/internal/cmd/entrycmd.go
+++ b/internal/cmd/entrycmd.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"fmt"
 
 	"github.com/coltsfootspoke/coltsfootspoke/internal/entry"
-	"github.com/coltsfootspoke/coltsfootspoke/internal/logging"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/settings"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/clock"
 )
@@ -21,25 +19,12 @@
 	if err != nil {
 		return err
 	}
-	log, err := logging.New(streams.Err, levelOf(cfg.LogLevel), cfg.Name)
-	if err != nil {
-		return err
-	}
-	if c.Check {
-		_, err := fmt.Fprintf(streams.Out, "%s: ok\n", c.Config)
-		return err
-	}
-	callers, err := settings.Listen(c.Config, "ListenAddress", cfg.ListenAddress)
-	if err != nil {
-		return err
-	}
-	peers, err := settings.Listen(c.Config, "Address", cfg.Address)
-	if err != nil {
-		return err
-	}
-	admin, err := settings.Listen(c.Config, "AdminAddress", cfg.AdminAddress)
-	if err != nil {
+	ls, log, err := c.open(streams, cfg.Common,
+		port{"ListenAddress", cfg.ListenAddress},
+		port{"Address", cfg.Address},
+		port{"AdminAddress", cfg.AdminAddress})
+	if err != nil || log == nil {
 		return err
 	}
-	return entry.Run(ctx, cfg, entry.Listeners{Callers: callers, Peers: peers, Admin: admin}, clock.New(), log)
+	return entry.Run(ctx, cfg, entry.Listeners{Callers: ls[0], Peers: ls[1], Admin: ls[2]}, clock.New(), log)
 }
--- a/internal/control/join.go
+++ b/internal/control/join.go
@@ -139,6 +139,6 @@
 		t.log.Debug("MemberChangeWaits", zap.Error(err))
 		return
 	}
-	t.peers.learnAll(m)
+	t.peers.LearnAll(m)
 	t.log.Info(event, zap.String("Member", string(id)), zap.Int("Voters", len(m.Voters)), zap.Int("Learners", len(m.Learners)))
 }
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -14,6 +14,8 @@
 	"github.com/coltsfootspoke/coltsfootspoke/internal/daemon"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/disk"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/link"
+	"github.com/coltsfootspoke/coltsfootspoke/internal/peer"
+	"github.com/coltsfootspoke/coltsfootspoke/internal/platform"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/settings"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/wire"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
@@ -94,7 +96,7 @@
 		return len(t.inFlight) > 0
 	})
 	if busy {
-		time.Sleep(platformTimeoutMS * time.Millisecond)
+		time.Sleep(platform.TimeoutMS * time.Millisecond)
 	}
 	handed := ask(ctx, t, func() bool { return t.node.Transfer(t.clock.Now()) })
 	t.log.Info("Leaving", zap.Bool("LeadHandedOver", handed))
@@ -110,7 +112,7 @@
 	t := &thread{
 		cfg: cfg, log: log, clock: clk, store: store,
 		state:   ledger.New(),
-		peers:   newPeerSender(ctx, dialer, cfg.Address),
+		peers:   peer.New(ctx, dialer, cfg.Address),
 		inbox:   make(chan func(rollout.Millis), inboxLength),
 		waiters: make(map[uint64][]waiter),
 		joiners: make(map[quorum.MemberID]joiner),
@@ -133,7 +135,7 @@
 	}
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	t.node = quorum.New(quorum.DefaultConfig(t.store.Member()), saved, t.clock.Now(), random)
-	t.peers.learnAll(t.node.Members())
+	t.peers.LearnAll(t.node.Members())
 	return nil
 }
 
@@ -171,12 +173,10 @@
 }
 
 func (t *thread) servePlatform(ctx context.Context) error {
-	platform := &leasedPlatform{
-		next:       newHTTPPlatform(t.cfg.PlatformURL),
-		clock:      t.clock,
-		leaseUntil: func() rollout.Millis { return rollout.Millis(t.leaseUntil.Load()) },
-	}
-	runPlatform(ctx, platform, t.jobs, func(job platformJob, err error) {
+	leased := platform.NewLeased(platform.NewHTTP(t.cfg.PlatformURL), t.clock, func() rollout.Millis {
+		return rollout.Millis(t.leaseUntil.Load())
+	})
+	runPlatform(ctx, leased, t.jobs, func(job platformJob, err error) {
 		t.do(func(rollout.Millis) { t.jobDone(job, err) })
 	})
 	return nil
@@ -227,11 +227,11 @@
 func (s *server) Deliver(_ context.Context, req *wire.PeerMessages) (*wire.Empty, error) {
 	ms := make([]quorum.Message, 0, len(req.Messages))
 	for _, w := range req.Messages {
-		m, err := fromWire(w)
+		m, err := peer.FromWire(w)
 		if err != nil {
 			return nil, rollout.NewError(rollout.KindInvalidInput, "peer message").WithCause(err)
 		}
-		s.thread.peers.learn(m.From, req.Address)
+		s.thread.peers.Learn(m.From, req.Address)
 		ms = append(ms, m)
 	}
 	s.thread.do(func(now rollout.Millis) {
@@ -259,7 +259,7 @@
 // Hello answers a control host whose data folder is blank.
 func (s *server) Hello(ctx context.Context, req *wire.HelloRequest) (*wire.HelloReply, error) {
 	t := s.thread
-	t.peers.learn(quorum.MemberID(req.Member), req.Address)
+	t.peers.Learn(quorum.MemberID(req.Member), req.Address)
 	return call(ctx, t, func(now rollout.Millis, done func(*wire.HelloReply, error)) {
 		if t.leading && req.Blank {
 			t.noteJoiner(now, quorum.MemberID(req.Member), req.Address)
--- a/internal/control/thread.go
+++ b/internal/control/thread.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/coltsfootspoke/coltsfootspoke/internal/disk"
+	"github.com/coltsfootspoke/coltsfootspoke/internal/peer"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/settings"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/capacity"
@@ -41,7 +42,7 @@
 	store *disk.Store
 	node  *quorum.Node
 	state *ledger.State
-	peers *peerSender
+	peers *peer.Sender
 	inbox chan func(now rollout.Millis)
 	jobs  chan platformJob
 
@@ -175,7 +176,7 @@
 		if n := len(out.Entries); n > 0 {
 			t.node.Persisted(t.clock.Now(), out.Entries[n-1].Index)
 		}
-		t.peers.send(out.Messages)
+		t.peers.Send(out.Messages)
 		if err := t.applyOutput(out); err != nil {
 			return err
 		}
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/coltsfootspoke/coltsfootspoke/internal/attempt"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/catalog"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/claim"
@@ -112,24 +113,24 @@
 	choice := routing.Choice{Upstream: catalog.Upstream{ID: c.Upstream, Address: c.Address, Incarnation: c.Incarnation}}
 	req := e.runRequest(x, choice, c.Attempt)
 	req.Keep, req.Detached, req.Attach = true, true, !x.claimed.first
-	s, err := e.openAttempt(x.ctx, c.Address, req)
+	s, err := e.open(x.ctx, c.Address, req)
 	if err != nil {
 		e.finishedClaim(x, err, s)
 		return err
 	}
-	defer s.close()
-	body, err := s.readAll(nil)
+	defer s.Close()
+	body, err := s.ReadAll(nil)
 	e.finishedClaim(x, err, s)
 	if err != nil {
 		return err
 	}
-	x.tokens = s.end.InputTokens + s.end.OutputTokens
+	x.tokens = s.End.InputTokens + s.End.OutputTokens
 	e.answerWhole(x, s, body)
 	x.end(e)
 	return nil
 }
 
-func (e *entry) finishedClaim(x *exchange, err error, s *attemptStream) {
+func (e *entry) finishedClaim(x *exchange, err error, s *attempt.Stream) {
 	if x.claimed.first {
 		e.finished(x.claimed.claim.Upstream, err, s)
 	}
@@ -144,9 +145,9 @@
 	req := e.runRequest(x, choice, c.Attempt)
 	req.Attach = true
 	req.Body, req.Headers = nil, nil
-	s, err := e.openAttempt(x.ctx, c.Address, req)
+	s, err := e.open(x.ctx, c.Address, req)
 	if err == nil {
-		s.close()
+		s.Close()
 		return false
 	}
 	r := rollout.AsError(err)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -18,8 +18,12 @@
 	"golang.org/x/sync/errgroup"
 	"storj.io/drpc/drpcmux"
 
+	"github.com/coltsfootspoke/coltsfootspoke/internal/admission"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/daemon"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/link"
+	"github.com/coltsfootspoke/coltsfootspoke/internal/payload"
+	"github.com/coltsfootspoke/coltsfootspoke/internal/scorer"
+	"github.com/coltsfootspoke/coltsfootspoke/internal/session"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/settings"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/wire"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
@@ -61,12 +65,12 @@
 	// sessions holds callers' requests, sampling those for samples. Only the
 	// former end with the authority: a sample is of no use before it is
 	// committed, which the leader decides.
-	sessions  *sessions
-	sampling  *sessions
-	admission *admission
-	payloads  *payloads
+	sessions  *session.Table
+	sampling  *session.Table
+	admission *admission.Queues
+	payloads  *payload.Store
 	steps     *steps
-	scorer    *scorer
+	scorer    *scorer.Scorer
 
 	routeMu sync.Mutex
 	router  *routing.Router
@@ -130,11 +134,11 @@
 	e := &entry{
 		cfg: cfg, log: log, clock: clock, dialer: dialer, control: control,
 		metrics:   newMetrics(),
-		sessions:  newSessions(),
-		sampling:  newSessions(),
-		admission: newAdmission(clock, cfg.MaxInFlight, cfg.MaxQueued),
-		payloads:  newPayloads(),
-		scorer:    newScorer(cfg.ScorerURL),
+		sessions:  session.New(),
+		sampling:  session.New(),
+		admission: admission.New(clock, cfg.MaxInFlight, cfg.MaxQueued),
+		payloads:  payload.New(),
+		scorer:    scorer.New(cfg.ScorerURL),
 		router:    routing.New(routing.DefaultConfig(cfg.FailureDomain), random),
 		budget:    retry.NewBudget(retry.DefaultRatio, retry.DefaultBurst),
 	}
@@ -148,7 +152,7 @@
 
 // Report implements daemon.Reporter.
 func (e *entry) Report() (*fleet.Report, func()) {
-	queued := e.admission.queued()
+	queued := e.admission.Queued()
 	if len(queued) == 0 && !e.queuedTold {
 		return nil, func() {}
 	}
@@ -163,8 +167,8 @@
 
 // Update implements daemon.Reporter.
 func (e *entry) Update(c *catalog.Catalog) {
-	e.sessions.cutWithdrawn(c)
-	e.sampling.cutWithdrawn(c)
+	e.sessions.CutWithdrawn(c)
+	e.sampling.CutWithdrawn(c)
 	e.routeMu.Lock()
 	e.router.Sync(c)
 	pools := make(map[string]int)
@@ -172,7 +176,7 @@
 		pools[u.Pool] = e.router.Slots(u.Pool)
 	}
 	e.routeMu.Unlock()
-	e.admission.setSlots(pools)
+	e.admission.SetSlots(pools)
 }
 
 // watchAuthority cuts the requests of keys when the authority ends, and gives
@@ -186,9 +190,9 @@
 			return nil
 		case <-ticker.C:
 		}
-		e.admission.expire()
+		e.admission.Expire()
 		if !e.renewer.Valid() {
-			e.sessions.cutAll(rollout.NewError(rollout.KindNoAuthority, "the entry lost its authority"))
+			e.sessions.CutAll(rollout.NewError(rollout.KindNoAuthority, "the entry lost its authority"))
 		}
 	}
 }
--- a/internal/entry/filters.go
+++ b/internal/entry/filters.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"github.com/coltsfootspoke/coltsfootspoke/internal/attempt"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/wire"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/catalog"
@@ -160,7 +161,7 @@
 		return rollout.NewError(rollout.KindForbidden, "model %s belongs to another client account", x.group).WithNotRun()
 	}
 	x.key, x.account = k, account
-	x.forget = e.sessions.add(k.ID, x.cancel)
+	x.forget = e.sessions.Add(k.ID, x.cancel)
 	x.withDeadline(e)
 	if current := e.renewer.View().Keys[k.ID]; current.Withdrawn {
 		return rollout.NewError(rollout.KindWithdrawn, "key %s was withdrawn", k.ID).WithNotRun()
@@ -183,8 +184,8 @@
 }
 
 // noteCrash marks the exchange as a suspect when its upstream crashed.
-func (x *exchange) noteCrash(s *attemptStream) {
-	if s != nil && s.end != nil && s.end.Crashed {
+func (x *exchange) noteCrash(s *attempt.Stream) {
+	if s != nil && s.End != nil && s.End.Crashed {
 		x.suspect, x.crashed = true, true
 	}
 }
@@ -269,7 +270,7 @@
 	e.routeMu.Lock()
 	e.budget.Request()
 	e.routeMu.Unlock()
-	release, err := e.admission.admit(x.ctx, x.pool, fair.Item{
+	release, err := e.admission.Admit(x.ctx, x.pool, fair.Item{
 		Account: x.account.Name, Weight: x.account.Weight, Priority: x.account.Priority,
 		MaxQueued: x.account.MaxQueued, Cost: x.cost, DeadlineMS: x.deadline,
 	})
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"github.com/coltsfootspoke/coltsfootspoke/internal/attempt"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/wire"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/retry"
@@ -78,6 +79,11 @@
 	}
 }
 
+// open begins an attempt at an agent.
+func (e *entry) open(ctx context.Context, address string, req *wire.RunRequest) (*attempt.Stream, error) {
+	return attempt.Open(ctx, e.dialer, e.clock, address, req)
+}
+
 // route chooses an upstream and logs the decision.
 func (e *entry) route(x *exchange, tried []string) (routing.Choice, error) {
 	e.routeMu.Lock()
@@ -95,12 +101,12 @@
 }
 
 // finished tells the router how an attempt ended. The stream may be nil.
-func (e *entry) finished(upstream string, err error, s *attemptStream) {
+func (e *entry) finished(upstream string, err error, s *attempt.Stream) {
 	now := e.clock.Now()
 	out := routing.Outcome{Running: -1}
-	if s != nil && s.end != nil {
-		out.Running = int(s.end.Running)
-		out.TookMS, out.Tokens = now-s.openedMS, int(s.end.OutputTokens)
+	if s != nil && s.End != nil {
+		out.Running = int(s.End.Running)
+		out.TookMS, out.Tokens = now-s.OpenedMS, int(s.End.OutputTokens)
 	}
 	if err != nil {
 		switch k := rollout.AsError(err).Kind; k {
@@ -145,24 +151,24 @@
 // caller's, whole or in its stream.
 func (e *entry) tryUpstream(x *exchange, choice routing.Choice) error {
 	req := e.runRequest(x, choice, newID())
-	s, err := e.openAttempt(x.ctx, choice.Upstream.Address, req)
+	s, err := e.open(x.ctx, choice.Upstream.Address, req)
 	x.noteCrash(s)
 	if err != nil {
 		e.finished(choice.Upstream.ID, err, s)
 		return err
 	}
-	if x.streamed && s.head != nil && s.end == nil {
+	if x.streamed && s.Head != nil && s.End == nil {
 		e.stream(x, choice, s)
 		return nil
 	}
-	defer s.close()
-	body, err := s.readAll(nil)
+	defer s.Close()
+	body, err := s.ReadAll(nil)
 	x.noteCrash(s)
 	e.finished(choice.Upstream.ID, err, s)
 	if err != nil {
 		return err
 	}
-	x.tokens = s.end.InputTokens + s.end.OutputTokens
+	x.tokens = s.End.InputTokens + s.End.OutputTokens
 	e.acquit(x)
 	e.answerWhole(x, s, body)
 	x.end(e)
@@ -170,23 +176,23 @@
 }
 
 // answerWhole gives the caller an answer that has ended.
-func (e *entry) answerWhole(x *exchange, s *attemptStream, body []byte) {
+func (e *entry) answerWhole(x *exchange, s *attempt.Stream, body []byte) {
 	writeHead(x.rc, s)
 	x.rc.Response.SetBodyRaw(body)
 }
 
 // stream gives the caller the answer as it comes. A stream that breaks ends
 // with an error event and a closed connection, never with an end marker.
-func (e *entry) stream(x *exchange, choice routing.Choice, s *attemptStream) {
+func (e *entry) stream(x *exchange, choice routing.Choice, s *attempt.Stream) {
 	writeHead(x.rc, s)
 	conn := x.rc.Conn()
 	x.rc.SetBodyStreamWriter(func(w *bufio.Writer) {
 		err := copyStream(x.ctx, w, s)
 		e.finished(choice.Upstream.ID, err, s)
-		if s.end != nil {
-			x.tokens = s.end.InputTokens + s.end.OutputTokens
+		if s.End != nil {
+			x.tokens = s.End.InputTokens + s.End.OutputTokens
 		}
-		s.close()
+		s.Close()
 		if err == nil {
 			e.acquit(x)
 		}
@@ -201,9 +207,9 @@
 	})
 }
 
-func copyStream(ctx context.Context, w *bufio.Writer, s *attemptStream) error {
-	for s.more() {
-		data, err := s.next()
+func copyStream(ctx context.Context, w *bufio.Writer, s *attempt.Stream) error {
+	for s.More() {
+		data, err := s.Next()
 		if err != nil {
 			if cause := context.Cause(ctx); cause != nil {
 				return cause
@@ -220,9 +226,9 @@
 	return nil
 }
 
-func writeHead(rc *fasthttp.RequestCtx, s *attemptStream) {
-	rc.Response.SetStatusCode(int(s.head.Status))
-	for _, h := range s.head.Headers {
+func writeHead(rc *fasthttp.RequestCtx, s *attempt.Stream) {
+	rc.Response.SetStatusCode(int(s.Head.Status))
+	for _, h := range s.Head.Headers {
 		if !isHopHeader(h.Name) {
 			rc.Response.Header.Add(h.Name, h.Value)
 		}
--- a/internal/entry/steps.go
+++ b/internal/entry/steps.go
@@ -11,6 +11,8 @@
 
 	"go.uber.org/zap"
 
+	"github.com/coltsfootspoke/coltsfootspoke/internal/payload"
+	"github.com/coltsfootspoke/coltsfootspoke/internal/scorer"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/wire"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/catalog"
@@ -245,14 +247,14 @@
 	req.Keep = true
 	sr.tokens.Store(0)
 	sr.beganMS.Store(int64(e.clock.Now()))
-	payload, end, err := e.collect(x, choice, req, sr.noteData)
+	answer, end, err := e.collect(x, choice, req, sr.noteData)
 	if err != nil {
 		x.full = rollout.AsError(err).Kind == rollout.KindOverloaded
 		return false, choice.Upstream.ID, err
 	}
 	x.tokens = end.InputTokens + end.OutputTokens
 	e.acquit(x)
-	done, err = s.commit(run, sr, index, choice, req.Attempt, payload, end)
+	done, err = s.commit(run, sr, index, choice, req.Attempt, answer, end)
 	return done, choice.Upstream.ID, err
 }
 
@@ -265,50 +267,50 @@
 
 // noteData counts the tokens of an answer as they come.
 func (sr *sampleRun) noteData(data []byte) {
-	sr.tokens.Add(int64(bytes.Count(data, []byte(eventPrefix))))
+	sr.tokens.Add(int64(bytes.Count(data, []byte(payload.EventPrefix))))
 }
 
 // collect takes the whole answer of an attempt. Note sees it as it comes.
 func (e *entry) collect(x *exchange, choice routing.Choice, req *wire.RunRequest, note func([]byte)) ([]byte, *wire.End, error) {
-	s, err := e.openAttempt(x.ctx, choice.Upstream.Address, req)
+	s, err := e.open(x.ctx, choice.Upstream.Address, req)
 	if err != nil {
 		e.finished(choice.Upstream.ID, err, s)
 		return nil, nil, err
 	}
-	defer s.close()
-	payload, err := s.readAll(note)
-	if err == nil && s.head.Status != statusOK {
-		err = rollout.NewError(rollout.KindUpstreamFailed, "engine answered %d", s.head.Status)
+	defer s.Close()
+	answer, err := s.ReadAll(note)
+	if err == nil && s.Head.Status != statusOK {
+		err = rollout.NewError(rollout.KindUpstreamFailed, "engine answered %d", s.Head.Status)
 	}
 	e.finished(choice.Upstream.ID, err, s)
-	return payload, s.end, err
+	return answer, s.End, err
 }
 
 // commit scores a finished sample and commits it. The payload is held before
 // the log names this entry as a holder.
-func (s *steps) commit(run *stepRun, sr *sampleRun, index int, choice routing.Choice, attempt string, payload []byte, end *wire.End) (bool, error) {
+func (s *steps) commit(run *stepRun, sr *sampleRun, index int, choice routing.Choice, attempt string, answer []byte, end *wire.End) (bool, error) {
 	e := s.entry
-	score, err := e.scorer.score(sr.ctx, scoreRequest{Group: run.group, Step: run.req.Step, Index: index, Text: textOf(payload)})
+	score, err := e.scorer.Score(sr.ctx, scorer.Request{Group: run.group, Step: run.req.Step, Index: index, Text: payload.Text(answer)})
 	if err != nil {
 		return false, err
 	}
-	e.payloads.put(run.group, attempt, payload, 0)
+	e.payloads.Put(run.group, attempt, answer, 0)
 	committed, err := propose[stream.Committed](sr.ctx, e, ledger.Command{CommitSample: &stream.Commit{
 		Group: run.group, Step: run.req.Step, Index: index, Attempt: attempt, Versions: end.Versions,
-		Digest: digestOf(payload), Score: score, Holders: []string{e.cfg.Address, agentHolder + choice.Upstream.Address},
+		Digest: payload.Digest(answer), Score: score, Holders: []string{e.cfg.Address, agentHolder + choice.Upstream.Address},
 	}})
 	switch {
 	case err != nil:
 		return false, err
 	case committed.Stale:
-		e.payloads.drop(run.group, attempt)
+		e.payloads.Drop(run.group, attempt)
 		e.log.Info("SampleStale", zap.String("Group", run.group), zap.String("Step", run.req.Step), zap.Int("Index", index), zap.Uint64s("Versions", end.Versions))
 		return false, nil
 	case committed.Duplicate:
-		e.payloads.drop(run.group, attempt)
+		e.payloads.Drop(run.group, attempt)
 		return true, nil
 	default:
-		e.payloads.put(run.group, attempt, payload, committed.Position)
+		e.payloads.Put(run.group, attempt, answer, committed.Position)
 		e.log.Info("SampleCommitted", zap.String("Group", run.group), zap.String("Step", run.req.Step), zap.Int("Index", index),
 			zap.Uint64("Position", committed.Position), zap.Uint64s("Versions", end.Versions), zap.String("Upstream", choice.Upstream.ID))
 		return true, nil
@@ -349,7 +351,7 @@
 	x.ctx, x.cancel = context.WithCancelCause(sr.ctx)
 	x.withDeadline(e)
 	keyID := s.keyOf(run)
-	x.forget = e.sampling.add(keyID, x.cancel)
+	x.forget = e.sampling.Add(keyID, x.cancel)
 	if k, ok := e.renewer.View().Keys[keyID]; !ok || k.Withdrawn {
 		x.end(e)
 		return nil, rollout.NewError(rollout.KindWithdrawn, "key %s was withdrawn", keyID).WithNotRun()
--- a/internal/entry/trainer.go
+++ b/internal/entry/trainer.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"github.com/coltsfootspoke/coltsfootspoke/internal/payload"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/catalog"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/ledger"
@@ -189,15 +190,15 @@
 	for _, s := range handed.Samples {
 		out := handedSample{Position: s.Position, Step: s.Step, Index: s.Index, Versions: s.Versions, Score: s.Score, Void: s.Void}
 		if s.Void == "" {
-			payload, err := e.payload(ctx, g.Name, s)
+			data, err := e.payload(ctx, g.Name, s)
 			if err != nil {
 				return e.cutShort(answer, err)
 			}
-			out.Text = textOf(payload)
+			out.Text = payload.Text(data)
 		}
 		answer.Samples = append(answer.Samples, out)
 	}
-	e.payloads.forget(g.Name, handed.Acknowledged)
+	e.payloads.Forget(g.Name, handed.Acknowledged)
 	return answer, nil
 }
 
--- a/internal/control/peers.go
+++ b/internal/peer/peer.go
@@ -1,4 +1,5 @@
-package control
+// Package peer sends the quorum's messages to other control hosts.
+package peer
 
 import (
 	"context"
@@ -18,9 +19,9 @@
 	deliverTimeout = 2 * time.Second
 )
 
-// peerSender sends messages to the other members, each from a thread of its
+// Sender sends messages to the other members, each from a thread of its
 // own.
-type peerSender struct {
+type Sender struct {
 	ctx     context.Context
 	dialer  *link.Dialer
 	address string
@@ -32,16 +33,17 @@
 	outboxes  map[quorum.MemberID]chan quorum.Message
 }
 
-func newPeerSender(ctx context.Context, dialer *link.Dialer, address string) *peerSender {
-	return &peerSender{
+// New returns a sender that tells its own address with each message.
+func New(ctx context.Context, dialer *link.Dialer, address string) *Sender {
+	return &Sender{
 		ctx: ctx, dialer: dialer, address: address,
 		addresses: make(map[quorum.MemberID]string),
 		outboxes:  make(map[quorum.MemberID]chan quorum.Message),
 	}
 }
 
-// learn notes the address of a member.
-func (p *peerSender) learn(id quorum.MemberID, address string) {
+// Learn notes the address of a member.
+func (p *Sender) Learn(id quorum.MemberID, address string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if id != "" && address != "" {
@@ -49,18 +51,18 @@
 	}
 }
 
-// learnAll notes the addresses of all members.
-func (p *peerSender) learnAll(m quorum.Members) {
+// LearnAll notes the addresses of all members.
+func (p *Sender) LearnAll(m quorum.Members) {
 	for _, v := range m.Voters {
-		p.learn(v.ID, v.Address)
+		p.Learn(v.ID, v.Address)
 	}
 	for _, l := range m.Learners {
-		p.learn(l.ID, l.Address)
+		p.Learn(l.ID, l.Address)
 	}
 }
 
-// send queues messages. It never blocks.
-func (p *peerSender) send(ms []quorum.Message) {
+// Send queues messages. It never blocks.
+func (p *Sender) Send(ms []quorum.Message) {
 	for _, m := range ms {
 		select {
 		case p.outbox(m.To) <- m:
@@ -69,13 +71,13 @@
 	}
 }
 
-func (p *peerSender) addressOf(id quorum.MemberID) string {
+func (p *Sender) addressOf(id quorum.MemberID) string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.addresses[id]
 }
 
-func (p *peerSender) outbox(id quorum.MemberID) chan quorum.Message {
+func (p *Sender) outbox(id quorum.MemberID) chan quorum.Message {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	box := p.outboxes[id]
@@ -88,7 +90,7 @@
 }
 
 // pump delivers the messages of one outbox until the context ends.
-func (p *peerSender) pump(id quorum.MemberID, box chan quorum.Message) {
+func (p *Sender) pump(id quorum.MemberID, box chan quorum.Message) {
 	for {
 		select {
 		case <-p.ctx.Done():
@@ -99,7 +101,7 @@
 	}
 }
 
-func (p *peerSender) deliver(id quorum.MemberID, ms []quorum.Message) {
+func (p *Sender) deliver(id quorum.MemberID, ms []quorum.Message) {
 	address := p.addressOf(id)
 	if address == "" {
 		return
@@ -144,7 +146,8 @@
 	return w
 }
 
-func fromWire(w *wire.PeerMessage) (quorum.Message, error) {
+// FromWire reads a message.
+func FromWire(w *wire.PeerMessage) (quorum.Message, error) {
 	m := quorum.Message{
 		Type: quorum.MessageType(w.Type), From: quorum.MemberID(w.From), To: quorum.MemberID(w.To), Term: w.Term,
 		PrevIndex: w.PrevIndex, PrevTerm: w.PrevTerm, Commit: w.Commit,
--- a/internal/control/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -1,4 +1,4 @@
-package control
+package platform
 
 import (
 	"context"
@@ -38,13 +38,13 @@
 		sent bool
 	}{
 		{"lease is over", -1, false},
-		{"lease ends before the call must", platformTimeoutMS - 1, false},
-		{"lease outlasts the call", platformTimeoutMS, true},
+		{"lease ends before the call must", TimeoutMS - 1, false},
+		{"lease outlasts the call", TimeoutMS, true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			clk := clock.NewManual(10_000)
 			next := &fakePlatform{}
-			p := &leasedPlatform{next: next, clock: clk, leaseUntil: func() rollout.Millis { return 10_000 + tc.left }}
+			p := NewLeased(next, clk, func() rollout.Millis { return 10_000 + tc.left })
 			orderErr := p.SendOrder(t.Context(), rollout.Order{})
 			usageErr := p.SendUsage(t.Context(), rollout.UsageReport{})
 			assertSent(t, next, errors.Join(orderErr, usageErr), tc.sent)
@@ -61,7 +61,7 @@
 	if p.calls != want || (err == nil) != sent {
 		t.Fatalf("%d calls and error %v, want %d calls", p.calls, err, want)
 	}
-	if sent && p.longest > platformTimeoutMS*time.Millisecond {
+	if sent && p.longest > TimeoutMS*time.Millisecond {
 		t.Fatalf("a call may take %v", p.longest)
 	}
 }
--- a/internal/entry/scorer.go
+++ b/internal/scorer/scorer.go
@@ -1,4 +1,5 @@
-package entry
+// Package scorer asks the service that scores samples.
+package scorer
 
 import (
 	"bytes"
@@ -8,8 +9,6 @@
 	"net/http"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus"
-
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 )
 
@@ -18,27 +17,29 @@
 	maxScoreAnswer = 1 << 16
 )
 
-// scorer asks a service for the score of a sample.
-type scorer struct {
+// Scorer asks a service for the score of a sample.
+type Scorer struct {
 	url    string
 	client *http.Client
 }
 
-// scoreRequest and scoreAnswer are what the scorer service speaks.
-type scoreRequest struct {
+// Request names a sample and holds its text.
+type Request struct {
 	Group, Step string
 	Index       int
 	Text        string
 }
 
-type scoreAnswer struct{ Score float64 }
+// answer is what the service answers.
+type answer struct{ Score float64 }
 
-func newScorer(url string) *scorer {
-	return &scorer{url: url, client: &http.Client{Timeout: scorerTimeout}}
+// New returns a scorer behind a URL. An empty one scores each sample zero.
+func New(url string) *Scorer {
+	return &Scorer{url: url, client: &http.Client{Timeout: scorerTimeout}}
 }
 
-// score returns the score of a sample. Without a service it is zero.
-func (s *scorer) score(ctx context.Context, r scoreRequest) (float64, error) {
+// Score returns the score of a sample.
+func (s *Scorer) Score(ctx context.Context, r Request) (float64, error) {
 	if s.url == "" {
 		return 0, nil
 	}
@@ -59,29 +60,9 @@
 	if err != nil || resp.StatusCode != http.StatusOK {
 		return 0, rollout.NewError(rollout.KindUnavailable, "scorer answered %d", resp.StatusCode).WithCause(err)
 	}
-	var a scoreAnswer
+	var a answer
 	if err := json.Unmarshal(text, &a); err != nil {
 		return 0, rollout.NewError(rollout.KindUpstreamFailed, "scorer").WithCause(err)
 	}
 	return a.Score, nil
 }
-
-type metrics struct {
-	registry *prometheus.Registry
-	requests *prometheus.CounterVec
-	samples  *prometheus.CounterVec
-}
-
-func newMetrics() *metrics {
-	m := &metrics{
-		registry: prometheus.NewRegistry(),
-		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "coltsfootspoke_requests_total", Help: "Requests of callers and trainers, by outcome.",
-		}, []string{"outcome"}),
-		samples: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "coltsfootspoke_samples_total", Help: "Attempts for samples, by outcome.",
-		}, []string{"outcome"}),
-	}
-	m.registry.MustRegister(m.requests, m.samples)
-	return m
-}
--- /dev/null
+++ b/internal/session/session.go
@@ -0,0 +1,69 @@
+// Package session holds the running requests of each key, so that a withdrawal
+// cuts them.
+package session
+
+import (
+	"context"
+	"sync"
+
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/catalog"
+)
+
+// Table holds the running requests of each key.
+type Table struct {
+	mu sync.Mutex
+	// byKey holds the cancel functions of the running requests by key ID.
+	byKey map[string]map[uint64]context.CancelCauseFunc
+	next  uint64
+}
+
+// New returns an empty table.
+func New() *Table {
+	return &Table{byKey: make(map[string]map[uint64]context.CancelCauseFunc)}
+}
+
+// Add notes a running request. The returned function forgets it.
+func (t *Table) Add(keyID string, cancel context.CancelCauseFunc) func() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.next++
+	id := t.next
+	if t.byKey[keyID] == nil {
+		t.byKey[keyID] = make(map[uint64]context.CancelCauseFunc)
+	}
+	t.byKey[keyID][id] = cancel
+	return func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		delete(t.byKey[keyID], id)
+		if len(t.byKey[keyID]) == 0 {
+			delete(t.byKey, keyID)
+		}
+	}
+}
+
+// CutAll cuts the requests of all keys.
+func (t *Table) CutAll(cause error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, running := range t.byKey {
+		for _, cancel := range running {
+			cancel(cause)
+		}
+	}
+}
+
+// CutWithdrawn cuts the requests whose key is no longer valid.
+func (t *Table) CutWithdrawn(c *catalog.Catalog) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for keyID, running := range t.byKey {
+		if k, ok := c.Keys[keyID]; ok && !k.Withdrawn {
+			continue
+		}
+		for _, cancel := range running {
+			cancel(rollout.NewError(rollout.KindWithdrawn, "key %s was withdrawn", keyID))
+		}
+	}
+}
--- a/internal/agent/call.go
+++ b/internal/upstream/call.go
@@ -1,4 +1,5 @@
-package agent
+// Package upstream is the HTTP client towards engines and plain services.
+package upstream
 
 import (
 	"bytes"
@@ -22,10 +23,10 @@
 	maxAnswerBytes = 64 << 20
 )
 
-// newClient returns the HTTP client towards upstreams. Connections that may
+// NewClient returns the HTTP client towards upstreams. Connections that may
 // not be reused serve requests that may not be repeated, because the client
 // would send such a request again over a new connection by itself.
-func newClient(reuse bool) *http.Client {
+func NewClient(reuse bool) *http.Client {
 	dialer := &net.Dialer{Timeout: upstreamDialTimeout}
 	return &http.Client{
 		Transport: &http.Transport{
@@ -38,22 +39,27 @@
 	}
 }
 
-// outcome is how a call of an upstream ended.
-type outcome struct {
-	err *rollout.Error
-	// broken is true when the connection failed, as after a crash.
-	broken bool
-	bytes  uint64
-	// whole holds the head and the data of an answer that is no stream. It goes
+// Sink takes the chunks of an answer in order.
+type Sink func(c *wire.RunChunk) error
+
+// Outcome is how a call of an upstream ended.
+type Outcome struct {
+	// Err is nil when the answer is whole.
+	Err *rollout.Error
+	// Broken is true when the connection failed, as after a crash.
+	Broken bool
+	// Bytes is the length of the body.
+	Bytes uint64
+	// Whole holds the head and the data of an answer that is no stream. It goes
 	// out together with the end.
-	whole *wire.RunChunk
+	Whole *wire.RunChunk
 }
 
-// call sends a request to an upstream and passes a stream on as it comes.
-func call(ctx context.Context, client *http.Client, base string, req *wire.RunRequest, out sink, obs *observer) outcome {
+// Call sends a request to an upstream and passes a stream on as it comes.
+func Call(ctx context.Context, client *http.Client, base string, req *wire.RunRequest, out Sink, obs *Observer) Outcome {
 	hreq, err := http.NewRequestWithContext(ctx, req.Method, base+req.Path, bytes.NewReader(req.Body))
 	if err != nil {
-		return outcome{err: rollout.NewError(rollout.KindInvalidInput, "request").WithCause(err).WithNotRun()}
+		return Outcome{Err: rollout.NewError(rollout.KindInvalidInput, "request").WithCause(err).WithNotRun()}
 	}
 	hreq.GetBody = nil
 	for _, h := range req.Headers {
@@ -64,8 +70,8 @@
 		return failedCall(ctx, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	obs.streamed = strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
-	if obs.streamed {
+	obs.Streamed = strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
+	if obs.Streamed {
 		return passStream(ctx, req.Attempt, resp, out, obs)
 	}
 	whole := &wire.RunChunk{Attempt: req.Attempt, Head: headOf(resp)}
@@ -73,13 +79,13 @@
 		whole.Data = append(whole.Data, data...)
 		return nil
 	})
-	result.whole = whole
+	result.Whole = whole
 	return result
 }
 
-func passStream(ctx context.Context, attempt string, resp *http.Response, out sink, obs *observer) outcome {
+func passStream(ctx context.Context, attempt string, resp *http.Response, out Sink, obs *Observer) Outcome {
 	if err := out(&wire.RunChunk{Attempt: attempt, Head: headOf(resp)}); err != nil {
-		return outcome{err: callerGone(err)}
+		return Outcome{Err: callerGone(err)}
 	}
 	return copyBody(ctx, resp, obs, func(data []byte) error {
 		return out(&wire.RunChunk{Attempt: attempt, Data: data})
@@ -91,57 +97,57 @@
 }
 
 // copyBody passes a body on as it is read.
-func copyBody(ctx context.Context, resp *http.Response, obs *observer, pass func(data []byte) error) outcome {
-	var out outcome
+func copyBody(ctx context.Context, resp *http.Response, obs *Observer, pass func(data []byte) error) Outcome {
+	var out Outcome
 	buf := make([]byte, readBufferBytes)
 	for {
 		n, err := resp.Body.Read(buf)
 		if n > 0 {
 			data := bytes.Clone(buf[:n])
-			obs.add(data)
-			out.bytes += uint64(n)
+			obs.Add(data)
+			out.Bytes += uint64(n)
 			if err := pass(data); err != nil {
-				out.err = callerGone(err)
+				out.Err = callerGone(err)
 				return out
 			}
 		}
-		if out.bytes > maxAnswerBytes {
-			out.err = rollout.NewError(rollout.KindUpstreamFailed, "answer exceeds %d bytes", maxAnswerBytes)
+		if out.Bytes > maxAnswerBytes {
+			out.Err = rollout.NewError(rollout.KindUpstreamFailed, "answer exceeds %d bytes", maxAnswerBytes)
 			return out
 		}
 		if errors.Is(err, io.EOF) {
 			obs.finish()
 			if !obs.done {
-				out.err = rollout.NewError(rollout.KindTruncated, "the stream of the upstream has no end marker")
+				out.Err = rollout.NewError(rollout.KindTruncated, "the stream of the upstream has no end marker")
 			}
 			return out
 		}
 		if err != nil {
 			failed := failedCall(ctx, err)
-			failed.bytes = out.bytes
-			if failed.err.Kind == rollout.KindUpstreamFailed {
-				failed.err.Kind = rollout.KindTruncated
+			failed.Bytes = out.Bytes
+			if failed.Err.Kind == rollout.KindUpstreamFailed {
+				failed.Err.Kind = rollout.KindTruncated
 			}
 			return failed
 		}
 	}
 }
 
-// failedCall turns a transport error into an outcome. Only a connection that
+// failedCall turns a transport error into an Outcome. Only a connection that
 // was never made is known not to have run the request.
-func failedCall(ctx context.Context, err error) outcome {
+func failedCall(ctx context.Context, err error) Outcome {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return outcome{err: rollout.NewError(rollout.KindDeadlineExceeded, "the deadline passed at the upstream")}
+		return Outcome{Err: rollout.NewError(rollout.KindDeadlineExceeded, "the deadline passed at the upstream")}
 	}
 	if ctx.Err() != nil {
-		return outcome{err: rollout.NewError(rollout.KindUnavailable, "the caller went away")}
+		return Outcome{Err: rollout.NewError(rollout.KindUnavailable, "the caller went away")}
 	}
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
 		e := rollout.NewError(rollout.KindUnavailable, "the upstream takes no connection").WithCause(err).WithNotRun()
-		return outcome{err: e, broken: true}
+		return Outcome{Err: e, Broken: true}
 	}
-	return outcome{err: rollout.NewError(rollout.KindUpstreamFailed, "the upstream failed").WithCause(err), broken: true}
+	return Outcome{Err: rollout.NewError(rollout.KindUpstreamFailed, "the upstream failed").WithCause(err), Broken: true}
 }
 
 func headOf(resp *http.Response) *wire.Head {
--- a/internal/agent/observe.go
+++ b/internal/upstream/observer.go
@@ -1,4 +1,4 @@
-package agent
+package upstream
 
 import (
 	"bytes"
@@ -23,24 +23,24 @@
 	} `json:"usage"`
 }
 
-// observer reads weight versions and token counts out of an engine's answer
+// Observer reads weight versions and token counts out of an engine's answer
 // as it passes.
-type observer struct {
-	// streamed answers are server-sent events, others one JSON document.
-	streamed bool
+type Observer struct {
+	// Streamed answers are server-sent events, others one JSON document.
+	Streamed bool
 	held     []byte
-	// versions in the order of their first use.
-	versions []uint64
-	input    uint64
-	output   uint64
+	// Versions in the order of their first use.
+	Versions []uint64
+	// Input and Output count tokens.
+	Input, Output uint64
 	// done is true once the end marker of a stream was seen.
 	done bool
 }
 
-// add takes the next bytes of the answer.
-func (o *observer) add(data []byte) {
+// Add takes the next bytes of the answer.
+func (o *Observer) Add(data []byte) {
 	o.held = append(o.held, data...)
-	if !o.streamed {
+	if !o.Streamed {
 		return
 	}
 	for {
@@ -57,15 +57,15 @@
 }
 
 // finish reads a document that is now whole.
-func (o *observer) finish() {
-	if !o.streamed {
+func (o *Observer) finish() {
+	if !o.Streamed {
 		o.event(o.held)
 		o.done = true
 	}
 	o.held = nil
 }
 
-func (o *observer) line(line []byte) {
+func (o *Observer) line(line []byte) {
 	rest, ok := bytes.CutPrefix(line, []byte(eventPrefix))
 	if !ok {
 		return
@@ -78,16 +78,16 @@
 	o.event(rest)
 }
 
-func (o *observer) event(data []byte) {
+func (o *Observer) event(data []byte) {
 	var e engineEvent
 	if err := json.Unmarshal(data, &e); err != nil {
 		return
 	}
-	if e.WeightVersion != nil && !slices.Contains(o.versions, *e.WeightVersion) {
-		o.versions = append(o.versions, *e.WeightVersion)
+	if e.WeightVersion != nil && !slices.Contains(o.Versions, *e.WeightVersion) {
+		o.Versions = append(o.Versions, *e.WeightVersion)
 	}
 	if e.Usage != nil {
-		o.input = e.Usage.PromptTokens
-		o.output = e.Usage.CompletionTokens
+		o.Input = e.Usage.PromptTokens
+		o.Output = e.Usage.CompletionTokens
 	}
 }
