Prefer engines with fresher weights for trainer groups

Any version within the bound was as good as the newest. Change: each version of lag counts like 0.6 of an engine's slots, three at the most; a measure of the lag under swaps.

--- a/internal/cmds/measure/main.go
+++ b/internal/cmds/measure/main.go
@@ -24,7 +24,7 @@
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
 	_, _ = fmt.Fprintln(w, "Measure\tBaseline\tOurs\tRatio\tWorstOurs\tAim\tSeedsMet")
 	for _, scenario := range []func(uint64) []measure.Figure{
-		measure.Fairness, measure.Prefixes, measure.Steps, measure.Retries, measure.Capacity,
+		measure.Fairness, measure.Prefixes, measure.Steps, measure.Staleness, measure.Retries, measure.Capacity,
 	} {
 		var runs [][]measure.Figure
 		for i := range c.Seeds {
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -29,6 +29,8 @@
 	pool       string
 	group      string
 	minVersion uint64
+	// newest is the newest published weight version of the group.
+	newest uint64
 	// repeatable exchanges may be sent again after a failure.
 	repeatable bool
 	// requestID is the caller's own ID of a request that may run once.
--- a/internal/entry/filters.go
+++ b/internal/entry/filters.go
@@ -99,7 +99,7 @@
 	}
 	x.cost = float64(len(prompt)/bytesPerToken + c.MaxTokens)
 	if g, ok := x.view.Groups[c.Model]; ok {
-		x.pool, x.group, x.minVersion = g.Pool, g.Name, g.OldestUsable()
+		x.pool, x.group, x.minVersion, x.newest = g.Pool, g.Name, g.OldestUsable(), g.Version
 		return nil
 	}
 	r, ok := x.view.Routes[c.Model]
--- a/internal/entry/steps.go
+++ b/internal/entry/steps.go
@@ -343,7 +343,7 @@
 		return nil, rollout.NewError(rollout.KindInternal, "encode sample request").WithCause(err)
 	}
 	x := &exchange{
-		view: view, id: newID(), account: run.account, pool: g.Pool, group: g.Name, minVersion: g.OldestUsable(),
+		view: view, id: newID(), account: run.account, pool: g.Pool, group: g.Name, minVersion: g.OldestUsable(), newest: g.Version,
 		repeatable: true, cost: math.Max(1, float64(len(prompt)/bytesPerToken+maxTokens)),
 		deadline: e.clock.Now() + sampleTimeoutMS, method: "POST", path: pathCompletions, body: body,
 		headers: []*wire.Header{{Name: "Content-Type", Value: "application/json"}},
--- a/internal/measure/engine.go
+++ b/internal/measure/engine.go
@@ -70,6 +70,8 @@
 	startMS, tookMS rollout.Millis
 	running         bool
 	engine          *engine
+	// version is the weight version that it began with.
+	version uint64
 }
 
 // progress returns how long a job has run and the tokens it has made.
@@ -93,6 +95,8 @@
 	queue   []*job
 	cache   []int
 	down    bool
+	// version is the weight version that it serves.
+	version uint64
 
 	hits, misses, tokens int
 }
@@ -135,6 +139,7 @@
 	}
 	e.active[j] = true
 	j.startMS, j.tookMS, j.running, j.engine = e.t.now, rollout.Millis(took), true, e
+	j.version = e.version
 	e.t.after(rollout.Millis(took), func() {
 		if !e.active[j] {
 			return
--- a/internal/measure/scenarios.go
+++ b/internal/measure/scenarios.go
@@ -146,6 +146,8 @@
 	size      int
 	computeMS rollout.Millis
 	whole     func(waited rollout.Millis)
+	// finished, which may be nil, sees the job of each sample.
+	finished func(j *job)
 }
 
 func (t *trainer) begin() {
@@ -205,6 +207,9 @@
 // win ends the sample and cancels its other attempt.
 func (s *sample) win(r *request) {
 	s.done = true
+	if s.t.finished != nil {
+		s.t.finished(r.job)
+	}
 	if s.t.ours {
 		elapsed, _ := r.job.progress(s.t.f.t.now)
 		s.group.Finished(hedge.Attempt{ElapsedMS: elapsed, Tokens: s.tokens})
@@ -236,6 +241,39 @@
 	})
 }
 
+// Staleness measures how many weight versions samples lag behind when they are
+// finished, with new weights every 30 s and swaps that take 2 s each.
+func Staleness(seed uint64) []Figure {
+	const publishMS, fetchMS, swapMS = 30_000, 3_000, 2_000
+	type result struct{ lag, idle float64 }
+	run := func(ours bool) result {
+		f := newFarm(seed, 9, 16, 2, ours)
+		var publish func()
+		publish = func() {
+			f.publish(fetchMS, swapMS)
+			f.t.after(publishMS, publish)
+		}
+		f.t.after(0, publish)
+		lag, count, idle, steps := 0.0, 0.0, 0.0, 0.0
+		for g := range 3 {
+			t := &trainer{f: f, ours: ours, name: fmt.Sprintf("trainer-%d", g), size: 24, computeMS: 4_000}
+			t.whole = func(waited rollout.Millis) { idle, steps = idle+float64(waited), steps+1 }
+			t.finished = func(j *job) {
+				lag += float64(f.published - j.version)
+				count++
+			}
+			f.t.after(rollout.Millis(g*1_500), t.begin)
+		}
+		f.t.runUntil(20 * minute)
+		return result{lag / count, idle / steps}
+	}
+	b, o := run(false), run(true)
+	return []Figure{
+		{"SampleLagVersions", b.lag, o.lag, "<=0.9x", o.lag <= 0.9*b.lag},
+		{"TrainerIdleMSWithSwaps", b.idle, o.idle, "<=0.7x", o.idle <= 0.7*b.idle},
+	}
+}
+
 // Retries measures the attempts per request at a pool that fails half of all
 // calls.
 func Retries(seed uint64) []Figure {
--- a/internal/measure/serve.go
+++ b/internal/measure/serve.go
@@ -11,7 +11,12 @@
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/routing"
 )
 
-const poolName = "pool"
+const (
+	poolName  = "pool"
+	groupName = "g"
+	// knownAfterMS is how long entries take to learn of a swap.
+	knownAfterMS = 50
+)
 
 var domains = []string{"one", "two", "three"}
 
@@ -21,6 +26,32 @@
 	rand    *rand.Rand
 	engines []*engine
 	entries []*frontend
+	cat     *catalog.Catalog
+	// published is the newest weight version.
+	published uint64
+}
+
+// publish announces a weight version. Engines swap two at a time.
+func (f *farm) publish(fetchMS, swapMS rollout.Millis) {
+	f.published++
+	v := f.published
+	for i, e := range f.engines {
+		wave := rollout.Millis(i/2 + 1)
+		f.t.after(fetchMS+wave*swapMS, func() {
+			e.version = max(e.version, v)
+			f.t.after(knownAfterMS, f.tellVersions)
+		})
+	}
+}
+
+// tellVersions lets the entries know which version each engine serves.
+func (f *farm) tellVersions() {
+	for _, e := range f.engines {
+		f.cat.Upstreams[e.id] = f.cat.Upstreams[e.id].WithVersions(map[string]uint64{groupName: e.version})
+	}
+	for _, fe := range f.entries {
+		fe.router.Sync(f.cat)
+	}
 }
 
 // request is one request of an account.
@@ -53,8 +84,8 @@
 }
 
 func newFarm(seed uint64, engines, slots, entries int, ours bool) *farm {
-	f := &farm{t: &timeline{}, rand: newRand(seed)}
-	cat := catalog.New()
+	f := &farm{t: &timeline{}, rand: newRand(seed), cat: catalog.New()}
+	cat := f.cat
 	for i := range engines {
 		e := &engine{t: f.t, id: fmt.Sprintf("engine-%d", i), slots: slots, speed: 1}
 		f.engines = append(f.engines, e)
@@ -135,7 +166,11 @@
 }
 
 func (fe *frontend) choose(r *request) *engine {
-	c, ok := fe.router.Pick(fe.f.t.now, routing.Query{Pool: poolName, Prefix: uint64(r.prefix+1) * 0x9e3779b97f4a7c15})
+	q := routing.Query{Pool: poolName, Prefix: uint64(r.prefix+1) * 0x9e3779b97f4a7c15}
+	if fe.f.published > 0 {
+		q.Group, q.Newest = groupName, fe.f.published
+	}
+	c, ok := fe.router.Pick(fe.f.t.now, q)
 	if !ok {
 		return fe.f.engines[fe.f.rand.IntN(len(fe.f.engines))]
 	}
@@ -155,10 +190,11 @@
 		fe.running++
 		e := fe.f.engines[fe.next%len(fe.f.engines)]
 		fe.next++
-		e.submit(&job{prefix: r.prefix, prompt: r.prompt, tokens: r.tokens, slow: r.slow, done: func(ok bool) {
+		r.job = &job{engine: e, prefix: r.prefix, prompt: r.prompt, tokens: r.tokens, slow: r.slow, done: func(ok bool) {
 			fe.running--
 			r.done(ok, e)
 			fe.drainFIFO()
-		}})
+		}}
+		e.submit(r.job)
 	}
 }
--- a/pkg/rollout/routing/routing.go
+++ b/pkg/rollout/routing/routing.go
@@ -57,6 +57,9 @@
 	// version of a trainer group. No group asks for none.
 	Group      string
 	MinVersion uint64
+	// Newest is the newest published version. Engines that lag behind it count
+	// as busier. Zero asks for no preference.
+	Newest uint64
 	// Prefix is the hash of the prompt's prefix. Zero asks for no affinity.
 	Prefix uint64
 	// Exclude names upstreams that were tried.
@@ -87,6 +90,10 @@
 	paceWeight = 0.1
 	// maxSlowness bounds how slow an upstream may count.
 	maxSlowness = 4.0
+	// costPerVersion is the load that one version of lag counts for, and
+	// maxVersionsBehind bounds the versions counted.
+	costPerVersion    = 0.6
+	maxVersionsBehind = 3
 	// pointsPerUpstream is the number of points of an upstream on the ring.
 	pointsPerUpstream = 40
 	// ringTries bounds the upstreams tried along the ring.
@@ -254,7 +261,7 @@
 		}
 		last = n
 		tries++
-		if r.usable(now, n, q) && r.withinBound(now, n, mean) {
+		if r.usable(now, n, q) && r.withinBound(now, n, mean, q) {
 			return n
 		}
 	}
@@ -269,7 +276,7 @@
 	for range pairTries {
 		a := set[r.rand.Int64N(int64(len(set)))]
 		b := set[r.rand.Int64N(int64(len(set)))]
-		if r.usable(now, b, q) && (!r.usable(now, a, q) || r.cost(now, b) < r.cost(now, a)) {
+		if r.usable(now, b, q) && (!r.usable(now, a, q) || r.cost(now, b, q) < r.cost(now, a, q)) {
 			a = b
 		}
 		if r.usable(now, a, q) {
@@ -280,9 +287,14 @@
 }
 
 // cost returns the load with one more request, weighted by how slow the
-// upstream is beside its pool.
-func (r *Router) cost(now rollout.Millis, n *node) float64 {
-	return (r.load(now, n) + 1/float64(max(n.upstream.Slots, 1))) * r.slowness(n)
+// upstream is beside its pool, plus what its lag in weight versions costs.
+func (r *Router) cost(now rollout.Millis, n *node, q Query) float64 {
+	load := (r.load(now, n) + 1/float64(max(n.upstream.Slots, 1))) * r.slowness(n)
+	if q.Newest == 0 {
+		return load
+	}
+	behind := q.Newest - min(q.Newest, n.upstream.Versions[q.Group])
+	return load + costPerVersion*float64(min(behind, maxVersionsBehind))
 }
 
 // slowness returns the pace of an upstream over that of its pool.
@@ -342,8 +354,8 @@
 
 // withinBound tells whether one more request keeps an upstream within the
 // bound over the mean load of its pool.
-func (r *Router) withinBound(now rollout.Millis, n *node, mean float64) bool {
-	return r.cost(now, n) <= math.Max(r.cfg.LoadBound*mean, 1/float64(max(n.upstream.Slots, 1)))
+func (r *Router) withinBound(now rollout.Millis, n *node, mean float64, q Query) bool {
+	return r.cost(now, n, q) <= math.Max(r.cfg.LoadBound*mean, 1/float64(max(n.upstream.Slots, 1)))
 }
 
 // smooth moves a mean towards a new value.
--- a/pkg/rollout/routing/routing_test.go
+++ b/pkg/rollout/routing/routing_test.go
@@ -141,3 +141,15 @@
 		})
 	}
 }
+
+func TestFresherVersionsArePreferredWithinReason(t *testing.T) {
+	r := newRouter(2, func(i int, u *catalog.Upstream) { u.FailureDomain, u.Versions = "d0", map[string]uint64{"g": uint64(9 + i)} })
+	q := Query{Group: "g", MinVersion: 8, Newest: 10}
+	counts := make(map[string]int)
+	for range 14 {
+		counts[pick(t, r, 0, q).Upstream.ID]++
+	}
+	if counts["u1"] <= counts["u0"]+3 || counts["u0"] == 0 {
+		t.Fatalf("counts %v: want the fresh one first, and the old one once it is busy", counts)
+	}
+}
