Close the connection of a call that was cancelled

Cause: after a silent cut of the leader had healed, the host never caught up: a call that timed out was cancelled softly and its connection went back to the pool, though it was dead; each later call waited on it. Ruled out: the log (the seeded cluster heals); the relay of the test alone (a firewall that forgets its state does the same).

--- a/internal/cmd/controlcmd.go
+++ b/internal/cmd/controlcmd.go
@@ -20,7 +20,7 @@
 		return err
 	}
 	ls, log, err := c.open(streams, cfg.Common,
-		port{"Address", cfg.Address},
+		port{"Address", cfg.Peers()},
 		port{"AdminAddress", cfg.AdminAddress})
 	if err != nil || log == nil {
 		return err
--- a/internal/cmd/entrycmd.go
+++ b/internal/cmd/entrycmd.go
@@ -21,7 +21,7 @@
 	}
 	ls, log, err := c.open(streams, cfg.Common,
 		port{"ListenAddress", cfg.ListenAddress},
-		port{"Address", cfg.Address},
+		port{"Address", cfg.Peers()},
 		port{"AdminAddress", cfg.AdminAddress})
 	if err != nil || log == nil {
 		return err
--- a/internal/demo/layout.go
+++ b/internal/demo/layout.go
@@ -118,7 +118,7 @@
 	o, l := b.options, b.layout
 	const perControl, perEntry, perAgent, others = 2, 3, 3, 3
 	count := perControl*o.Controls + perEntry*o.Entries + perAgent*o.Agents + len(o.Upstreams) + others
-	ports, err := freePorts(count)
+	ports, err := FreePorts(count)
 	if err != nil {
 		return err
 	}
@@ -244,9 +244,9 @@
 // portCursor counts the ports that this process has given out.
 var portCursor atomic.Int64
 
-// freePorts returns ports of the loopback address that were free just now and
+// FreePorts returns ports of the loopback address that were free just now and
 // that this process has not given out before.
-func freePorts(count int) ([]int, error) {
+func FreePorts(count int) ([]int, error) {
 	ports := make([]int, 0, count)
 	for tries := 0; len(ports) < count; tries++ {
 		if tries > lastPort-firstPort {
--- a/internal/e2e/relay_test.go
+++ b/internal/e2e/relay_test.go
@@ -1,10 +1,13 @@
 package e2e
 
 import (
+	"fmt"
 	"net"
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/coltsfootspoke/coltsfootspoke/internal/demo"
 )
 
 // relay forwards connections until it is cut. A cut relay keeps connections
@@ -16,7 +19,13 @@
 
 func newRelay(t *testing.T, to string) *relay {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	return newRelayAt(t, "127.0.0.1:0", to)
+}
+
+// newRelayAt returns a relay that listens at an address.
+func newRelayAt(t *testing.T, at, to string) *relay {
+	t.Helper()
+	l, err := net.Listen("tcp", at)
 	must(t, err)
 	r := &relay{listener: l}
 	t.Cleanup(func() { _ = l.Close() })
@@ -32,6 +41,14 @@
 	return r
 }
 
+// freeAddress returns a loopback address that was free just now.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	ports, err := demo.FreePorts(1)
+	must(t, err)
+	return fmt.Sprintf("127.0.0.1:%d", ports[0])
+}
+
 func (r *relay) address() string { return r.listener.Addr().String() }
 
 func (r *relay) forward(conn net.Conn, to string) {
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -23,9 +23,11 @@
 	// maxMessageBytes bounds one message, a snapshot included.
 	maxMessageBytes = 256 << 20
 	// idleExpiration closes connections that have not been used.
-	idleExpiration   = time.Minute
-	idlePerAddress   = 64
-	softCancelWindow = 5 * time.Millisecond
+	idleExpiration = time.Minute
+	idlePerAddress = 64
+	// unackedTimeout closes a connection whose data the other side does not
+	// acknowledge, as after a silent cut.
+	unackedTimeout = 5 * time.Second
 )
 
 // Dialer opens and pools connections to the system's own processes.
@@ -85,7 +87,7 @@
 }
 
 func (d *Dialer) dial(ctx context.Context, address string) (drpcpool.Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout}
+	dialer := net.Dialer{Timeout: dialTimeout, Control: limitUnacked}
 	raw, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, rollout.NewError(rollout.KindUnavailable, "dial %s", address).WithCause(err).WithNotRun()
@@ -152,10 +154,11 @@
 	return err
 }
 
+// managerOptions returns the settings of both sides. A call that is cancelled
+// closes its connection: after a silent cut it may be dead, and the next call
+// must not wait on it.
 func managerOptions() drpcmanager.Options {
 	return drpcmanager.Options{
-		Reader:          drpcwire.ReaderOptions{MaximumBufferSize: maxMessageBytes},
-		SoftCancel:      true,
-		SoftCancelGrace: softCancelWindow,
+		Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxMessageBytes},
 	}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -25,6 +25,9 @@
 	Secret string
 	// Address is where the daemon serves the system's own processes.
 	Address string
+	// BindAddress is where it listens when that is not Address, as behind a
+	// forwarded port. Address when empty.
+	BindAddress string
 	// AdminAddress serves /metrics, /healthz and /readyz.
 	AdminAddress string
 	// Control lists the addresses of the control hosts.
@@ -89,6 +92,14 @@
 	defaultKeptBytes       = 48 << 20
 )
 
+// Peers returns the address to listen on for the system's own processes.
+func (c Common) Peers() string {
+	if c.BindAddress != "" {
+		return c.BindAddress
+	}
+	return c.Address
+}
+
 // LoadAgent reads the settings of an agent.
 func LoadAgent(path string) (Agent, error) {
 	s := Agent{KeptBytes: defaultKeptBytes}
@@ -209,6 +220,9 @@
 	c.required("FailureDomain", s.FailureDomain)
 	c.required("Secret", s.Secret)
 	c.address("Address", s.Address)
+	if s.BindAddress != "" {
+		c.address("BindAddress", s.BindAddress)
+	}
 	c.address("AdminAddress", s.AdminAddress)
 	if len(s.Control) == 0 {
 		c.fail("Control", "no control host")
