Show positions without a sample, and split the tables from control

Cause: found while reading: show samples took the least of no versions for a poisoned position, which would have ended the leading control host. Ruled out: a recover around statements (it would hide the next fault). Before: a panic in the control thread.

--- a/internal/control/execute.go
+++ b/internal/control/execute.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/coltsfootspoke/coltsfootspoke/internal/language"
+	"github.com/coltsfootspoke/coltsfootspoke/internal/show"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/wire"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/catalog"
@@ -36,7 +37,7 @@
 func (t *thread) query(now rollout.Millis, st *language.Statement, req *wire.ExecuteRequest) (language.Answer, error) {
 	switch {
 	case st.Show != nil:
-		table, err := t.show(now, st.Show)
+		table, err := show.Table(show.Source{State: t.state, Fleet: t.fleet, Node: t.node}, now, st.Show)
 		return language.Answer{Table: table}, err
 	case st.Wait != nil:
 		behind, complete := t.fleet.Behind(now, st.Wait.Version)
--- a/internal/language/build.go
+++ b/internal/language/build.go
@@ -48,50 +48,19 @@
 }
 
 func build(form string, ch *Change, keyDigest string, s *ledger.State, p *properties) (ledger.Command, error) {
-	cat := s.Catalog
 	switch form {
 	case "create account", "set account":
-		a, ok := cat.Accounts[ch.Name]
-		if err := checkExists(ch, ok); err != nil {
-			return ledger.Command{}, err
-		}
-		a.Name = ch.Name
-		a.Weight = p.number("weight", max(a.Weight, 1))
-		a.Priority = p.number("priority", a.Priority)
-		a.MaxQueued = p.number("queue", a.MaxQueued)
-		return ledger.Command{PutAccount: &a}, nil
-	case "grant key":
-		k := catalog.Key{ID: ch.Name, Account: p.text("account", ""), Digest: keyDigest}
-		if len(keyDigest) != len(catalog.Digest("")) {
-			return ledger.Command{}, errorAt(ch.Pos, "a grant needs the digest of a secret")
-		}
-		return ledger.Command{GrantKey: &k}, p.require("account")
-	case "withdraw key":
-		return ledger.Command{WithdrawKey: &ledger.WithdrawKey{ID: ch.Name}}, nil
+		return buildAccount(ch, s, p)
 	case "create group", "set group":
-		g, ok := cat.Groups[ch.Name]
-		if err := checkExists(ch, ok); err != nil {
-			return ledger.Command{}, err
-		}
-		put := ledger.PutGroup{
-			Name:           ch.Name,
-			Account:        p.text("account", g.Account),
-			Pool:           p.text("pool", g.Pool),
-			StalenessBound: uint64(p.number("staleness", int(g.StalenessBound))),
-		}
-		return ledger.Command{PutGroup: &put}, p.requireNew(ok, "account", "pool", "staleness")
+		return buildGroup(ch, s, p)
 	case "create route", "set route":
-		r, ok := cat.Routes[ch.Name]
-		if err := checkExists(ch, ok); err != nil {
-			return ledger.Command{}, err
-		}
-		r.Name = ch.Name
-		r.Pool = p.text("pool", r.Pool)
-		r.Open = p.yes("open", r.Open)
-		r.Repeatable = p.yes("repeatable", r.Repeatable)
-		return ledger.Command{PutRoute: &r}, p.requireNew(ok, "pool")
+		return buildRoute(ch, s, p)
 	case "set target":
 		return buildTarget(ch, s, p)
+	case "grant key":
+		return buildGrant(ch, keyDigest, p)
+	case "withdraw key":
+		return ledger.Command{WithdrawKey: &ledger.WithdrawKey{ID: ch.Name}}, nil
 	case "drain upstream":
 		return ledger.Command{DrainRequest: &ledger.Drain{Upstream: ch.Name}}, nil
 	default:
@@ -99,6 +68,52 @@
 	}
 }
 
+func buildAccount(ch *Change, s *ledger.State, p *properties) (ledger.Command, error) {
+	a, ok := s.Catalog.Accounts[ch.Name]
+	if err := checkExists(ch, ok); err != nil {
+		return ledger.Command{}, err
+	}
+	a.Name = ch.Name
+	a.Weight = p.number("weight", max(a.Weight, 1))
+	a.Priority = p.number("priority", a.Priority)
+	a.MaxQueued = p.number("queue", a.MaxQueued)
+	return ledger.Command{PutAccount: &a}, nil
+}
+
+func buildGrant(ch *Change, keyDigest string, p *properties) (ledger.Command, error) {
+	if len(keyDigest) != len(catalog.Digest("")) {
+		return ledger.Command{}, errorAt(ch.Pos, "a grant needs the digest of a secret")
+	}
+	k := catalog.Key{ID: ch.Name, Account: p.text("account", ""), Digest: keyDigest}
+	return ledger.Command{GrantKey: &k}, p.require("account")
+}
+
+func buildGroup(ch *Change, s *ledger.State, p *properties) (ledger.Command, error) {
+	g, ok := s.Catalog.Groups[ch.Name]
+	if err := checkExists(ch, ok); err != nil {
+		return ledger.Command{}, err
+	}
+	put := ledger.PutGroup{
+		Name:           ch.Name,
+		Account:        p.text("account", g.Account),
+		Pool:           p.text("pool", g.Pool),
+		StalenessBound: uint64(p.number("staleness", int(g.StalenessBound))),
+	}
+	return ledger.Command{PutGroup: &put}, p.requireNew(ok, "account", "pool", "staleness")
+}
+
+func buildRoute(ch *Change, s *ledger.State, p *properties) (ledger.Command, error) {
+	r, ok := s.Catalog.Routes[ch.Name]
+	if err := checkExists(ch, ok); err != nil {
+		return ledger.Command{}, err
+	}
+	r.Name = ch.Name
+	r.Pool = p.text("pool", r.Pool)
+	r.Open = p.yes("open", r.Open)
+	r.Repeatable = p.yes("repeatable", r.Repeatable)
+	return ledger.Command{PutRoute: &r}, p.requireNew(ok, "pool")
+}
+
 func buildTarget(ch *Change, s *ledger.State, p *properties) (ledger.Command, error) {
 	domain, pool, found := strings.Cut(ch.Name, "/")
 	if !found {
--- a/internal/control/tables.go
+++ b/internal/show/show.go
@@ -1,4 +1,5 @@
-package control
+// Package show builds the tables that operators ask for.
+package show
 
 import (
 	"maps"
@@ -8,6 +9,8 @@
 	"github.com/coltsfootspoke/coltsfootspoke/internal/language"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/catalog"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/fleet"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/ledger"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/quorum"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/stream"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/usage"
@@ -16,7 +19,7 @@
 const msPerMinute = 60_000.0
 
 // tables lists what can be shown.
-var tables = map[string]func(t *thread, now rollout.Millis) *language.Table{
+var tables = map[string]func(s Source, now rollout.Millis) *language.Table{
 	"accounts":  showAccounts,
 	"daemons":   showDaemons,
 	"domains":   showDomains,
@@ -34,13 +37,21 @@
 	"windows":   showWindows,
 }
 
-func (t *thread) show(now rollout.Millis, s *language.Show) (*language.Table, error) {
-	build, ok := tables[s.Table]
+// Source is what the tables are built from.
+type Source struct {
+	State *ledger.State
+	Fleet *fleet.Table
+	Node  *quorum.Node
+}
+
+// Table returns the rows that a statement asks for.
+func Table(s Source, now rollout.Millis, st *language.Show) (*language.Table, error) {
+	build, ok := tables[st.Table]
 	if !ok {
 		names := strings.Join(slices.Sorted(maps.Keys(tables)), ", ")
-		return nil, rollout.NewError(rollout.KindInvalidInput, "column %d: no table %q; want one of: %s", s.Pos.Column, s.Table, names)
+		return nil, rollout.NewError(rollout.KindInvalidInput, "column %d: no table %q; want one of: %s", st.Pos.Column, st.Table, names)
 	}
-	return build(t, now).Select(s)
+	return build(s, now).Select(st)
 }
 
 func newTable(columns ...string) *language.Table { return &language.Table{Columns: columns} }
@@ -56,11 +67,11 @@
 	return values
 }
 
-func showAccounts(t *thread, _ rollout.Millis) *language.Table {
+func showAccounts(s Source, _ rollout.Millis) *language.Table {
 	out := newTable("Name", "Weight", "Priority", "MaxQueued", "Keys")
-	for _, a := range sortedValues(t.state.Catalog.Accounts) {
+	for _, a := range sortedValues(s.State.Catalog.Accounts) {
 		keys := 0
-		for _, k := range t.state.Catalog.Keys {
+		for _, k := range s.State.Catalog.Keys {
 			if k.Account == a.Name && !k.Withdrawn {
 				keys++
 			}
@@ -70,44 +81,44 @@
 	return out
 }
 
-func showDaemons(t *thread, now rollout.Millis) *language.Table {
+func showDaemons(s Source, now rollout.Millis) *language.Table {
 	out := newTable("Name", "Kind", "FailureDomain", "Address", "Version", "SilentMS")
-	for _, d := range t.fleet.Sorted() {
+	for _, d := range s.Fleet.Sorted() {
 		addRow(out, language.Text(d.Name), language.Text(d.Kind), language.Text(d.FailureDomain),
 			language.Text(d.Address), language.Int(d.Version), language.Int(now-d.AnsweredMS))
 	}
 	return out
 }
 
-func showDomains(t *thread, _ rollout.Millis) *language.Table {
+func showDomains(s Source, _ rollout.Millis) *language.Table {
 	out := newTable("FailureDomain", "Pool", "Upstreams", "Leaving", "Slots", "Running")
 	type sum struct{ upstreams, leaving, slots, running int }
 	sums := make(map[string]sum)
-	for _, u := range t.state.Catalog.Upstreams {
+	for _, u := range s.State.Catalog.Upstreams {
 		key := u.FailureDomain + "/" + u.Pool
-		s := sums[key]
-		s.upstreams++
-		s.slots += u.Slots
+		total := sums[key]
+		total.upstreams++
+		total.slots += u.Slots
 		if u.Leaving {
-			s.leaving++
+			total.leaving++
 		}
-		load, _ := t.fleet.Load(u)
-		s.running += load.Running
-		sums[key] = s
+		load, _ := s.Fleet.Load(u)
+		total.running += load.Running
+		sums[key] = total
 	}
 	for _, key := range slices.Sorted(maps.Keys(sums)) {
 		domain, pool, _ := strings.Cut(key, "/")
-		s := sums[key]
-		addRow(out, language.Text(domain), language.Text(pool), language.Int(s.upstreams),
-			language.Int(s.leaving), language.Int(s.slots), language.Int(s.running))
+		total := sums[key]
+		addRow(out, language.Text(domain), language.Text(pool), language.Int(total.upstreams),
+			language.Int(total.leaving), language.Int(total.slots), language.Int(total.running))
 	}
 	return out
 }
 
-func showGroups(t *thread, _ rollout.Millis) *language.Table {
+func showGroups(s Source, _ rollout.Millis) *language.Table {
 	out := newTable("Name", "Account", "Pool", "Staleness", "Version", "OldestUsable", "Acknowledged", "Waiting", "Stale", "Lost")
-	for _, g := range sortedValues(t.state.Catalog.Groups) {
-		gs := t.state.Streams.Groups[g.Name]
+	for _, g := range sortedValues(s.State.Catalog.Groups) {
+		gs := s.State.Streams.Groups[g.Name]
 		if gs == nil {
 			gs = &stream.GroupStream{}
 		}
@@ -118,75 +129,75 @@
 	return out
 }
 
-func showKeys(t *thread, _ rollout.Millis) *language.Table {
+func showKeys(s Source, _ rollout.Millis) *language.Table {
 	out := newTable("ID", "Account", "Withdrawn")
-	for _, k := range sortedValues(t.state.Catalog.Keys) {
+	for _, k := range sortedValues(s.State.Catalog.Keys) {
 		addRow(out, language.Text(k.ID), language.Text(k.Account), language.YesNo(k.Withdrawn))
 	}
 	return out
 }
 
-func showMembers(t *thread, _ rollout.Millis) *language.Table {
+func showMembers(s Source, _ rollout.Millis) *language.Table {
 	out := newTable("ID", "Address", "Role", "CaughtUp")
 	add := func(ms []quorum.Member, role string) {
 		for _, m := range ms {
 			r := role
-			if m.ID == t.node.ID() {
+			if m.ID == s.Node.ID() {
 				r = "leader"
 			}
 			addRow(out, language.Text(m.ID), language.Text(m.Address), language.Text(r),
-				language.YesNo(m.ID == t.node.ID() || t.node.CaughtUp(m.ID)))
+				language.YesNo(m.ID == s.Node.ID() || s.Node.CaughtUp(m.ID)))
 		}
 	}
-	add(t.node.Members().Voters, "voter")
-	add(t.node.Members().Learners, "learner")
+	add(s.Node.Members().Voters, "voter")
+	add(s.Node.Members().Learners, "learner")
 	return out
 }
 
-func showOrders(t *thread, now rollout.Millis) *language.Table {
+func showOrders(s Source, now rollout.Millis) *language.Table {
 	out := newTable("ID", "Action", "FailureDomain", "Pool", "Upstream", "State", "AgeMS")
-	for _, id := range t.state.OrderIDs {
-		o := t.state.Orders[id]
+	for _, id := range s.State.OrderIDs {
+		o := s.State.Orders[id]
 		addRow(out, language.Text(o.ID), language.Text(o.Action), language.Text(o.FailureDomain), language.Text(o.Pool),
 			language.Text(o.Upstream), language.Text(o.State), language.Int(now-o.AtMS))
 	}
 	return out
 }
 
-func showPoisons(t *thread, now rollout.Millis) *language.Table {
+func showPoisons(s Source, now rollout.Millis) *language.Table {
 	out := newTable("Fingerprint", "Crashes", "ForgottenInMS")
-	for _, p := range sortedValues(t.state.Catalog.Poisons) {
+	for _, p := range sortedValues(s.State.Catalog.Poisons) {
 		addRow(out, language.Text(p.Fingerprint), language.Int(len(p.Crashes)), language.Int(p.UntilMS-now))
 	}
 	return out
 }
 
-func showRoutes(t *thread, _ rollout.Millis) *language.Table {
+func showRoutes(s Source, _ rollout.Millis) *language.Table {
 	out := newTable("Name", "Pool", "Open", "Repeatable")
-	for _, r := range sortedValues(t.state.Catalog.Routes) {
+	for _, r := range sortedValues(s.State.Catalog.Routes) {
 		addRow(out, language.Text(r.Name), language.Text(r.Pool), language.YesNo(r.Open), language.YesNo(r.Repeatable))
 	}
 	return out
 }
 
-func showSamples(t *thread, _ rollout.Millis) *language.Table {
+func showSamples(s Source, _ rollout.Millis) *language.Table {
 	out := newTable("Group", "Position", "Step", "Index", "OldestVersion", "NewestVersion", "Lag", "Score", "Void")
-	for _, name := range slices.Sorted(maps.Keys(t.state.Streams.Groups)) {
-		g := t.state.Catalog.Groups[name]
-		for _, s := range t.state.Streams.Groups[name].Samples {
-			oldest := slices.Min(s.Versions)
-			addRow(out, language.Text(name), language.Int(s.Position), language.Text(s.Step), language.Int(s.Index),
-				language.Int(oldest), language.Int(slices.Max(s.Versions)), language.Int(g.Version-min(oldest, g.Version)),
-				language.Float(s.Score), language.Text(s.Void))
+	for _, name := range slices.Sorted(maps.Keys(s.State.Streams.Groups)) {
+		g := s.State.Catalog.Groups[name]
+		for _, sample := range s.State.Streams.Groups[name].Samples {
+			oldest, newest := sample.VersionRange()
+			addRow(out, language.Text(name), language.Int(sample.Position), language.Text(sample.Step), language.Int(sample.Index),
+				language.Int(oldest), language.Int(newest), language.Int(g.Version-min(oldest, g.Version)),
+				language.Float(sample.Score), language.Text(sample.Void))
 		}
 	}
 	return out
 }
 
-func showSteps(t *thread, _ rollout.Millis) *language.Table {
+func showSteps(s Source, _ rollout.Millis) *language.Table {
 	out := newTable("Group", "Step", "Size", "Missing", "Entry")
-	for _, name := range slices.Sorted(maps.Keys(t.state.Streams.Groups)) {
-		for _, st := range t.state.Streams.Groups[name].Steps {
+	for _, name := range slices.Sorted(maps.Keys(s.State.Streams.Groups)) {
+		for _, st := range s.State.Streams.Groups[name].Steps {
 			addRow(out, language.Text(name), language.Text(st.ID), language.Int(st.Size),
 				language.Int(len(st.Missing())), language.Text(st.Entry))
 		}
@@ -194,11 +205,11 @@
 	return out
 }
 
-func showTargets(t *thread, _ rollout.Millis) *language.Table {
+func showTargets(s Source, _ rollout.Millis) *language.Table {
 	out := newTable("FailureDomain", "Pool", "Min", "Max", "Running")
-	for _, target := range sortedValues(t.state.Catalog.Targets) {
+	for _, target := range sortedValues(s.State.Catalog.Targets) {
 		running := 0
-		for _, u := range t.state.Catalog.Upstreams {
+		for _, u := range s.State.Catalog.Upstreams {
 			if u.Pool == target.Pool && u.FailureDomain == target.FailureDomain && !u.Leaving {
 				running++
 			}
@@ -209,10 +220,10 @@
 	return out
 }
 
-func showUpstreams(t *thread, now rollout.Millis) *language.Table {
+func showUpstreams(s Source, now rollout.Millis) *language.Table {
 	out := newTable("ID", "Kind", "Pool", "FailureDomain", "Host", "Agent", "Leaving", "Slots", "Running", "Waiting", "Versions", "PaidMinutes")
-	for _, u := range t.state.Catalog.SortedUpstreams() {
-		load, _ := t.fleet.Load(u)
+	for _, u := range s.State.Catalog.SortedUpstreams() {
+		load, _ := s.Fleet.Load(u)
 		addRow(out, language.Text(u.ID), language.Text(u.Kind), language.Text(u.Pool), language.Text(u.FailureDomain),
 			language.Text(u.Host), language.Text(u.Agent), language.YesNo(u.Leaving), language.Int(u.Slots),
 			language.Int(load.Running), language.Int(load.Waiting), language.Text(versionsText(u)),
@@ -221,7 +232,7 @@
 	return out
 }
 
-func showUsage(t *thread, _ rollout.Millis) *language.Table {
+func showUsage(s Source, _ rollout.Millis) *language.Table {
 	out := newTable("Window", "Account", "Pool", "Requests", "InputTokens", "OutputTokens", "UpstreamMS", "Closed", "Reported")
 	add := func(window uint64, lines []usage.Line, closed, reported bool) {
 		for _, l := range lines {
@@ -230,16 +241,16 @@
 				language.YesNo(closed), language.YesNo(reported))
 		}
 	}
-	for _, w := range t.state.Usage.Windows {
+	for _, w := range s.State.Usage.Windows {
 		add(w.Number, w.Lines, true, w.Reported)
 	}
-	add(t.state.Usage.NextWindow, t.state.Usage.Open, false, false)
+	add(s.State.Usage.NextWindow, s.State.Usage.Open, false, false)
 	return out
 }
 
-func showWindows(t *thread, _ rollout.Millis) *language.Table {
+func showWindows(s Source, _ rollout.Millis) *language.Table {
 	out := newTable("Window", "FromMS", "ToMS", "Lines", "Reported")
-	for _, w := range t.state.Usage.Windows {
+	for _, w := range s.State.Usage.Windows {
 		addRow(out, language.Int(w.Number), language.Int(w.FromMS), language.Int(w.ToMS), language.Int(len(w.Lines)), language.YesNo(w.Reported))
 	}
 	return out
--- a/pkg/rollout/stream/stream.go
+++ b/pkg/rollout/stream/stream.go
@@ -5,7 +5,6 @@
 package stream
 
 import (
-	"fmt"
 	"slices"
 
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
@@ -322,9 +321,13 @@
 	return missing
 }
 
-// SampleID returns the ID of the sample at a position.
-func (sm Sample) SampleID(group string) string {
-	return fmt.Sprintf("%s/%s/%d@%d", group, sm.Step, sm.Index, sm.Position)
+// VersionRange returns the oldest and the newest weight version of the sample.
+// Both are zero for a position without a sample.
+func (sm Sample) VersionRange() (oldest, newest uint64) {
+	if len(sm.Versions) == 0 {
+		return 0, 0
+	}
+	return slices.Min(sm.Versions), slices.Max(sm.Versions)
 }
 
 // Whole tells whether each index has a live sample.
