Keep paths as they were, and honour request IDs on completions

Cause, found while reading: a path was forwarded decoded, so that a%3Fb became a query; a completion with a request ID was sent again after a failure; on a slow disk the planner could order the same starts twice, since it planned anew before its orders were applied. Ruled out: forwarding the path as it came (dots could leave the route). Change: the normalised path is encoded again; a request ID makes any request run once; no plan is made while one is being committed. Before: TestPathsReachTheServiceAsTheyWere and TestACompletionWithARequestIDRunsOnce did not exist; the code at fault is shown above. After: both pass.

--- a/internal/control/duties.go
+++ b/internal/control/duties.go
@@ -69,7 +69,7 @@
 	for _, id := range capacity.Answered(in) {
 		t.propose(nil, ledger.Command{OrderState: &ledger.OrderState{ID: id, State: capacity.OrderDone}})
 	}
-	if len(in.Targets) == 0 || now-t.leadSinceMS < fleet.LostAfterMS {
+	if len(in.Targets) == 0 || now-t.leadSinceMS < fleet.LostAfterMS || t.planned > 0 {
 		return
 	}
 	plan := t.planner.Plan(now, fmt.Sprintf("order-%d", t.node.Term()), in)
@@ -78,14 +78,21 @@
 		t.log.Info("OrderPlanned", zap.String("Order", o.ID), zap.String("Action", o.Action),
 			zap.String("FailureDomain", o.FailureDomain), zap.String("Pool", o.Pool),
 			zap.String("Upstream", o.Upstream), zap.String("Reason", plan.Reasons[i]))
-		t.propose(nil, ledger.Command{PlanOrder: &o})
+		t.proposePlan(ledger.Command{PlanOrder: &o})
 	}
 	for i, id := range plan.Drain {
 		t.log.Info("DrainPlanned", zap.String("Upstream", id), zap.String("Reason", plan.Reasons[len(plan.Orders)+i]))
-		t.propose(nil, ledger.Command{DrainRequest: &ledger.Drain{Upstream: id}})
+		t.proposePlan(ledger.Command{DrainRequest: &ledger.Drain{Upstream: id}})
 	}
 }
 
+// proposePlan commits a part of a plan. No new plan is made before it is
+// applied, since that would order the same again.
+func (t *thread) proposePlan(c ledger.Command) {
+	t.planned++
+	t.propose(func([]ledger.Result, error) { t.planned-- }, c)
+}
+
 // sendOrders sends the orders that are committed but not yet accepted. After
 // a change of leader the same order goes out under its old ID and the new
 // term.
--- a/internal/control/thread.go
+++ b/internal/control/thread.go
@@ -61,7 +61,9 @@
 	fleet       *fleet.Table
 	weights     *weights.Planner
 	planner     *capacity.Planner
-	joiners     map[quorum.MemberID]joiner
+	// planned counts the parts of a plan that are not yet applied.
+	planned int
+	joiners map[quorum.MemberID]joiner
 	// sizes counts the engines of each pool at sizesVersion.
 	sizes        map[string]int
 	sizesVersion uint64
--- a/internal/e2e/caller_test.go
+++ b/internal/e2e/caller_test.go
@@ -213,6 +213,44 @@
 	}
 }
 
+func TestPathsReachTheServiceAsTheyWere(t *testing.T) {
+	d := deploy(t, demo.DefaultOptions())
+	for path, want := range map[string]string{
+		"/r/stock/a%20b":         `"Path":"/a b"`,
+		"/r/stock/what%3Fnow":    `"Path":"/what?now"`,
+		"/r/stock/x/../y":        `"Path":"/y"`,
+		"/r/stock/":              `"Path":"/"`,
+		"/r/stock/%E2%82%AC":     `"Path":"/€"`,
+		"/r/stock/a+b;c=d?e=f+g": `"Path":"/a+b;c=d"`,
+	} {
+		r, err := d.post(0, path, "", "", "{}")
+		must(t, err)
+		if r.status != http.StatusOK || !strings.Contains(r.body, want) {
+			t.Errorf("%s: answer %+v, want %s", path, r, want)
+		}
+	}
+}
+
+func TestACompletionWithARequestIDRunsOnce(t *testing.T) {
+	d := deploy(t, demo.DefaultOptions())
+	body := `{"model":"draft","prompt":"hello","max_tokens":3,"stream":true}`
+	var answers []string
+	for entry := range d.layout.EntryURLs {
+		r, err := d.post(entry, "/v1/completions", key, "once", body)
+		must(t, err)
+		answers = append(answers, r.body)
+	}
+	if answers[0] != answers[1] || !strings.Contains(answers[0], "[DONE]") {
+		t.Fatalf("answers %q", answers)
+	}
+	eventually(t, "the usage is known", patience, func() bool {
+		return len(d.do("show usage where Account = farm").Table.Rows) > 0
+	})
+	if rows := d.do("show usage where Account = farm and Requests > 1").Table.Rows; len(rows) > 0 {
+		t.Fatalf("usage %v, want one request", rows)
+	}
+}
+
 func TestOrdersSentTwiceByRacingCallers(t *testing.T) {
 	d := deploy(t, demo.DefaultOptions())
 	var wait sync.WaitGroup
--- a/internal/entry/filters.go
+++ b/internal/entry/filters.go
@@ -6,6 +6,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -88,7 +89,7 @@
 	if c.Model == "" {
 		return rollout.NewError(rollout.KindInvalidInput, "body: model: missing").WithNotRun()
 	}
-	x.path, x.streamed, x.repeatable = path, c.Stream, true
+	x.path, x.streamed, x.repeatable = path, c.Stream, x.requestID == ""
 	prompt := c.Prompt
 	if len(prompt) == 0 {
 		prompt = c.Messages
@@ -117,7 +118,7 @@
 		return rollout.NewError(rollout.KindNotFound, "no route %q", name).WithNotRun()
 	}
 	x.pool, x.open = r.Pool, r.Open
-	x.path = "/" + rest
+	x.path = (&url.URL{Path: "/" + rest}).EscapedPath()
 	x.repeatable = x.requestID == "" && (r.Repeatable || x.rc.IsGet() || x.rc.IsHead())
 	x.cost = 1
 	return nil
