--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -38,6 +38,7 @@
 	Entry   entryCmd   `cmd:"" help:"Run an entry."`
 	Agent   agentCmd   `cmd:"" help:"Run the agent of an upstream host."`
 	Ctl     ctlCmd     `cmd:"" help:"Ask and change the configuration."`
+	Host    hostCmd    `cmd:"" help:"Run a process on a platform that supplies its settings."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 }
 
--- /dev/null
+++ b/internal/director/duties.go
@@ -0,0 +1,165 @@
+package director
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/coltsfootspoke/coltsfootspoke/internal/view"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/quorum"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/registry"
+)
+
+const (
+	dutyInterval = 250 * time.Millisecond
+	// closeDelayMS is the time from the end of a usage window to its close:
+	// entries report once a second, and a lost leader is replaced within two.
+	closeDelayMS rollout.Millis = 4_000
+	// sendTimeout ends a report that gets no answer.
+	sendTimeout = time.Second
+	// sendSpareMS must be left of the lease when a report is sent.
+	sendSpareMS rollout.Millis = 150
+	// windowsLate bounds how many windows a new leader closes behind time.
+	windowsLate = 6
+)
+
+// doDuties does what only the leader may do, until its lead ends.
+func (d *Director) doDuties(ctx context.Context, term uint64) {
+	ticker := time.NewTicker(dutyInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		d.mu.Lock()
+		if d.table.Tick(d.clock.Now()) {
+			d.notify()
+		}
+		d.mu.Unlock()
+		d.foundStore(ctx)
+		d.closeWindows(ctx)
+		d.sendWindow(ctx, term)
+	}
+}
+
+// foundStore names the first members of the job store once enough hosts have
+// come, spread over the failure domains.
+func (d *Director) foundStore(ctx context.Context) {
+	d.mu.Lock()
+	founded := len(d.state.Founders) > 0
+	hosts := d.alive(view.RoleStore)
+	d.mu.Unlock()
+	want := 2*d.opts.Losses + 1
+	if founded {
+		return
+	}
+	hosts = slices.DeleteFunc(hosts, func(r view.Request) bool { return r.Store == nil || !r.Store.Founding })
+	if len(hosts) < want {
+		return
+	}
+	members := spread(hosts, want)
+	d.opts.Log.Info("StoreFounded", zap.Int("Members", len(members)))
+	if err := d.propose(ctx, registry.Command{Found: &registry.Found{Members: members}}); err != nil {
+		d.opts.Log.Warn("StoreNotFounded", zap.Error(err))
+	}
+}
+
+// spread takes hosts from the failure domains in turn.
+func spread(hosts []view.Request, want int) []quorum.Member {
+	byDomain := make(map[string][]view.Request)
+	var domains []string
+	for _, h := range hosts {
+		if len(byDomain[h.FailureDomain]) == 0 {
+			domains = append(domains, h.FailureDomain)
+		}
+		byDomain[h.FailureDomain] = append(byDomain[h.FailureDomain], h)
+	}
+	slices.Sort(domains)
+	var members []quorum.Member
+	for round := 0; len(members) < want; round++ {
+		for _, domain := range domains {
+			if round < len(byDomain[domain]) && len(members) < want {
+				h := byDomain[domain][round]
+				members = append(members, quorum.Member{ID: h.Store.Member, Address: h.Address})
+			}
+		}
+	}
+	return members
+}
+
+// closeWindows freezes the figures of windows that have ended.
+func (d *Director) closeWindows(ctx context.Context) {
+	if d.opts.WindowMS <= 0 {
+		return
+	}
+	wall := rollout.Millis(time.Now().UnixMilli())
+	newest := uint64((wall-closeDelayMS)/d.opts.WindowMS) - 1
+	d.mu.Lock()
+	from := d.state.ClosedTo + 1
+	if d.state.Document.Version == 0 {
+		d.mu.Unlock()
+		return
+	}
+	if from+windowsLate < newest {
+		from = newest
+	}
+	var commands []registry.Command
+	for w := from; w <= newest; w++ {
+		total := make(map[string]uint64)
+		for _, counts := range d.usage[w] {
+			for account, n := range counts {
+				total[account] += n
+			}
+		}
+		commands = append(commands, registry.Command{Close: &registry.Close{Window: w, Requests: total}})
+		delete(d.usage, w)
+	}
+	d.mu.Unlock()
+	for _, c := range commands {
+		if err := d.propose(ctx, c); err != nil {
+			d.opts.Log.Warn("WindowNotClosed", zap.Uint64("Window", c.Close.Window), zap.Error(err))
+			return
+		}
+		d.opts.Log.Info("WindowClosed", zap.Uint64("Window", c.Close.Window), zap.Any("Requests", c.Close.Requests))
+	}
+}
+
+// sendWindow reports the oldest closed window that has not been accepted. An
+// unanswered report is repeated with the same figures.
+func (d *Director) sendWindow(ctx context.Context, term uint64) {
+	d.mu.Lock()
+	window, ok := uint64(0), false
+	for w, closed := range d.state.Windows {
+		if !closed.Sent && (!ok || w < window) {
+			window, ok = w, true
+		}
+	}
+	requests := d.state.Windows[window].Requests
+	// A holder that comes back lets HolderGapMS pass since its last call.
+	wait := d.since > d.lastDuty && d.lastDuty > 0 && d.clock.Now()-d.lastDuty < d.opts.HolderGapMS
+	d.mu.Unlock()
+	if !ok || wait || d.opts.Usage == nil {
+		return
+	}
+	sendCtx, cancel := context.WithTimeout(ctx, sendTimeout)
+	defer cancel()
+	if now, leads := d.replica.Leading(sendSpareMS); !leads || now != term {
+		return
+	}
+	d.mu.Lock()
+	d.lastDuty = d.clock.Now()
+	d.mu.Unlock()
+	err := d.opts.Usage.SendWindow(sendCtx, rollout.WindowReport{Window: window, Requests: requests, Holder: d.opts.Host, Fencing: term})
+	d.opts.Log.Info("WindowSent", zap.Uint64("Window", window), zap.Uint64("Term", term), zap.Error(err))
+	if err != nil {
+		return
+	}
+	if err := d.propose(ctx, registry.Command{Sent: &registry.Sent{Window: window}}); err != nil {
+		d.opts.Log.Warn("WindowSentNotKept", zap.Uint64("Window", window), zap.Error(err))
+	}
+}
--- /dev/null
+++ b/internal/jobstore/calls.go
@@ -0,0 +1,154 @@
+package jobstore
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/coltsfootspoke/coltsfootspoke/internal/fabric"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/job"
+)
+
+// The methods of the leader of the job store.
+const (
+	MethodSubmit = "Jobs.Submit"
+	MethodRead   = "Jobs.Read"
+	MethodBody   = "Jobs.Body"
+	MethodEnd    = "Jobs.End"
+)
+
+// ReadRequest asks for the results from a position on.
+type ReadRequest struct {
+	JobID, Account string
+	After          int
+	// WaitMS is how long to wait for a result when there is none.
+	WaitMS rollout.Millis
+}
+
+// Page is a part of the results of a job.
+type Page struct {
+	// Total is the number of items.
+	Total   int
+	Results []job.Result
+}
+
+// BodyRequest asks for the body of an item.
+type BodyRequest struct {
+	JobID, Account, ItemID string
+}
+
+// Body is the body of an item.
+type Body struct {
+	Bytes []byte
+}
+
+// EndRequest ends a job.
+type EndRequest struct {
+	JobID, Account string
+}
+
+// Done is an empty answer.
+type Done struct{}
+
+func (s *Store) register(mux *fabric.Mux) {
+	fabric.Handle(mux, MethodSubmit, s.submit)
+	fabric.Handle(mux, MethodRead, s.read)
+	fabric.Handle(mux, MethodBody, s.body)
+	fabric.Handle(mux, MethodEnd, s.end)
+}
+
+// lead returns the runner when this host leads with a lease.
+func (s *Store) lead() (*runner, error) {
+	if _, leads := s.replica.Leading(0); !leads {
+		return nil, s.replica.NotLeader()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.runner == nil {
+		return nil, rollout.NewError(rollout.KindUnavailable, "the leader has just begun").WithNotRun()
+	}
+	return s.runner, nil
+}
+
+func (s *Store) submit(ctx context.Context, spec job.Spec) (Done, error) {
+	r, err := s.lead()
+	if err != nil {
+		return Done{}, err
+	}
+	err = s.propose(ctx, job.Command{Submit: &spec})
+	s.opts.Log.Info("JobSubmitted", zap.String("Job", spec.ID), zap.String("Account", spec.Account), zap.String("Model", spec.Model),
+		zap.Int("Step", spec.Step), zap.Uint64("MinVersion", spec.MinVersion), zap.Int("Items", len(spec.Items)), zap.Error(err))
+	if err == nil {
+		r.open(spec.ID)
+	}
+	return Done{}, err
+}
+
+func (s *Store) read(ctx context.Context, req ReadRequest) (Page, error) {
+	timeout := time.NewTimer(time.Duration(req.WaitMS) * time.Millisecond)
+	defer timeout.Stop()
+	for {
+		if _, err := s.lead(); err != nil {
+			return Page{}, err
+		}
+		s.mu.Lock()
+		j, changed := s.book.Jobs[req.JobID], s.changed
+		known := j != nil && j.Spec.Account == req.Account
+		var p Page
+		if known {
+			p = Page{Total: len(j.Spec.Items), Results: j.Page(req.After)}
+		}
+		s.mu.Unlock()
+		if _, err := s.lead(); err != nil {
+			return Page{}, err
+		}
+		if !known {
+			return Page{}, rollout.NewError(rollout.KindNotFound, "job %s", req.JobID)
+		}
+		if len(p.Results) > 0 || req.After >= p.Total {
+			return p, nil
+		}
+		select {
+		case <-changed:
+		case <-timeout.C:
+			return p, nil
+		case <-ctx.Done():
+			return Page{}, ctx.Err()
+		}
+	}
+}
+
+func (s *Store) body(_ context.Context, req BodyRequest) (Body, error) {
+	s.mu.Lock()
+	j := s.book.Jobs[req.JobID]
+	var found *job.Item
+	if j != nil && j.Spec.Account == req.Account {
+		if i := slices.IndexFunc(j.Spec.Items, func(it job.Item) bool { return it.ID == req.ItemID }); i >= 0 {
+			found = &j.Spec.Items[i]
+		}
+	}
+	s.mu.Unlock()
+	if _, err := s.lead(); err != nil {
+		return Body{}, err
+	}
+	if found == nil {
+		return Body{}, rollout.NewError(rollout.KindNotFound, "job %s, item %s", req.JobID, req.ItemID)
+	}
+	return Body{Bytes: found.Body}, nil
+}
+
+func (s *Store) end(ctx context.Context, req EndRequest) (Done, error) {
+	r, err := s.lead()
+	if err != nil {
+		return Done{}, err
+	}
+	err = s.propose(ctx, job.Command{End: &job.End{JobID: req.JobID, Account: req.Account}})
+	s.opts.Log.Info("JobEnded", zap.String("Job", req.JobID), zap.Error(err))
+	if err == nil {
+		r.close(req.JobID)
+	}
+	return Done{}, err
+}
--- /dev/null
+++ b/internal/jobstore/item.go
@@ -0,0 +1,274 @@
+package jobstore
+
+import (
+	"context"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/coltsfootspoke/coltsfootspoke/internal/balance"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/dispatch"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/job"
+)
+
+const (
+	statusUnprocessable = 422
+	statusServerError   = 500
+	// scoreRetryPause is the pause after a scorer could not be reached.
+	scoreRetryPause = 150 * time.Millisecond
+	// scoreBudget is the time that one call to a scorer may take.
+	scoreBudget = 3 * time.Second
+	// proposeRetryPause is the pause after a result could not be listed.
+	proposeRetryPause = 100 * time.Millisecond
+)
+
+// text is what engines have generated for an item.
+type text struct {
+	events   []string
+	lastID   uint64
+	versions []uint64
+	// complete is true once the last event is there.
+	complete bool
+	usedMS   rollout.Millis
+}
+
+// add takes an event made under a version. Events that are there already are
+// dropped.
+func (t *text) add(e rollout.StreamEvent, version uint64) {
+	if e.ID <= t.lastID && t.lastID > 0 {
+		return
+	}
+	t.events = append(t.events, string(e.Data))
+	t.lastID = e.ID
+	if !slices.Contains(t.versions, version) {
+		t.versions = append(t.versions, version)
+		slices.Sort(t.versions)
+	}
+}
+
+// fit drops text that the bounds of a job do not allow.
+func (t *text) fit(minVersion uint64, single bool) {
+	if len(t.versions) == 0 || (t.versions[0] >= minVersion && (!single || len(t.versions) == 1)) {
+		return
+	}
+	*t = text{usedMS: t.usedMS}
+}
+
+// runItem runs an item on an engine, or only scores it when its text is
+// complete.
+func (r *runner) runItem(ctx context.Context, w *work, a dispatch.Assignment) {
+	outcome := dispatch.OutcomeDone
+	if a.Engine != "" {
+		outcome = r.generate(ctx, w, a)
+	}
+	r.mu.Lock()
+	if a.Engine != "" {
+		r.sched.Ended(r.s.clock.Now(), a.Engine, outcome)
+		r.nudge()
+	}
+	abandon := w.failures >= max(1, w.route.MaxAttempts)
+	complete := w.text.complete
+	r.mu.Unlock()
+	switch {
+	case ctx.Err() != nil:
+		return
+	case abandon:
+		r.finish(ctx, w, job.Result{ItemID: w.item.ID, State: job.StateAbandoned})
+	case complete:
+		r.score(ctx, w)
+	default:
+		r.mu.Lock()
+		r.queue(w)
+		r.mu.Unlock()
+	}
+}
+
+// generate reads the stream of an engine into the text of an item.
+func (r *runner) generate(ctx context.Context, w *work, a dispatch.Assignment) dispatch.Outcome {
+	x := r.exchange(w, a)
+	started := time.Now()
+	head, err := r.s.opts.Upstreams.Open(ctx, x)
+	if err != nil {
+		r.logRun(w, a, started, 0, err)
+		if ctx.Err() != nil {
+			return dispatch.OutcomeCancelled
+		}
+		return dispatch.OutcomeBroken
+	}
+	defer func() { _ = head.Body.Close() }()
+	switch {
+	case head.Misdirected:
+		r.logRun(w, a, started, head.Status, nil)
+		return dispatch.OutcomeOtherVersion
+	case head.NotRun:
+		r.logRun(w, a, started, head.Status, nil)
+		return dispatch.OutcomeTurnedAway
+	case head.Status >= 300 || !head.Streaming:
+		r.logRun(w, a, started, head.Status, nil)
+		return r.failed(w, head.Status)
+	}
+	version := head.WeightVersion
+	err = r.s.opts.Upstreams.Events(head.Body, func(e rollout.StreamEvent) {
+		if e.WeightVersion != 0 {
+			version = e.WeightVersion
+		}
+		r.mu.Lock()
+		w.text.add(e, version)
+		r.mu.Unlock()
+	})
+	r.logRun(w, a, started, head.Status, err)
+	if err != nil {
+		if ctx.Err() != nil {
+			return dispatch.OutcomeCancelled
+		}
+		return dispatch.OutcomeBroken
+	}
+	r.mu.Lock()
+	w.text.complete = true
+	r.mu.Unlock()
+	return dispatch.OutcomeDone
+}
+
+// failed counts a failure that the engine itself answered.
+func (r *runner) failed(w *work, status int) dispatch.Outcome {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch status {
+	case statusUnprocessable:
+		w.failures = max(1, w.route.MaxAttempts)
+		return dispatch.OutcomeDone
+	case statusServerError:
+		w.failures++
+		return dispatch.OutcomeDone
+	}
+	return dispatch.OutcomeBroken
+}
+
+func (r *runner) exchange(w *work, a dispatch.Assignment) rollout.Exchange {
+	x := rollout.Exchange{
+		Address: a.Address, Instance: a.Engine, Method: "POST", URI: w.item.Path, Host: w.spec.Host,
+		AttemptID: w.item.ID, Account: w.spec.Account, Body: w.item.Body, WeightVersion: a.Version,
+		BudgetMS: max(1_000, w.spec.SubmittedMS+w.route.MaxQueueMS-rollout.Millis(time.Now().UnixMilli())),
+	}
+	for _, h := range w.item.Headers {
+		x.Header = append(x.Header, rollout.HeaderField{Name: h.Name, Value: h.Value})
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if w.text.lastID > 0 {
+		x.ResumeAfter = strconv.FormatUint(w.text.lastID, 10)
+	}
+	return x
+}
+
+// score has the text of an item scored and lists the result.
+func (r *runner) score(ctx context.Context, w *work) {
+	r.mu.Lock()
+	result := job.Result{
+		ItemID: w.item.ID, State: job.StateCompleted,
+		Output: strings.Join(w.text.events, "\n"), Versions: slices.Clone(w.text.versions),
+	}
+	r.mu.Unlock()
+	if w.item.Scorer == nil {
+		r.finish(ctx, w, result)
+		return
+	}
+	for scoreFailures := 0; ; {
+		score, failures := r.callScorer(ctx, w.item.Scorer)
+		switch {
+		case ctx.Err() != nil:
+			return
+		case score != "":
+			result.Score = score
+			r.finish(ctx, w, result)
+			return
+		}
+		scoreFailures += failures
+		if scoreFailures >= r.scorerAttempts(w.item.Scorer) {
+			r.finish(ctx, w, job.Result{ItemID: w.item.ID, State: job.StateAbandoned})
+			return
+		}
+		if !pause(ctx, scoreRetryPause) {
+			return
+		}
+	}
+}
+
+// scorerAttempts returns how many failures of a scorer's call end an item.
+func (r *runner) scorerAttempts(sc *job.Scorer) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	route, _ := r.index.Route(sc.Host, sc.Path)
+	return max(1, route.MaxAttempts)
+}
+
+// callScorer returns the signature of the scorer's answer, or how often the
+// scorer itself has failed.
+func (r *runner) callScorer(ctx context.Context, sc *job.Scorer) (score string, failures int) {
+	r.mu.Lock()
+	index := r.index
+	r.mu.Unlock()
+	route, ok := index.Route(sc.Host, sc.Path)
+	if !ok {
+		r.s.opts.Log.Warn("ScorerUnknown", zap.String("Request", sc.ID), zap.String("Host", sc.Host))
+		return "", 0
+	}
+	answer, err := r.s.balancer.Do(ctx, balance.Request{
+		Exchange: rollout.Exchange{Method: "POST", URI: sc.Path, Host: sc.Host, AttemptID: sc.ID, Body: sc.Body},
+		Pool:     route.Pick(0), Repeatable: true, MaxAttempts: 1,
+		Deadline: time.Now().Add(scoreBudget),
+	})
+	if err != nil {
+		r.s.opts.Log.Info("ScorerFailed", zap.String("Request", sc.ID), zap.Error(err))
+		return "", 0
+	}
+	if answer.Head.Status >= 300 {
+		r.s.opts.Log.Info("ScorerFailed", zap.String("Request", sc.ID), zap.Int("Status", answer.Head.Status))
+		if answer.Head.Status == statusServerError {
+			return "", 1
+		}
+		return "", 0
+	}
+	return answer.Head.Stamp, 0
+}
+
+// finish lists a result. It tries until the lead or the job ends.
+func (r *runner) finish(ctx context.Context, w *work, result job.Result) {
+	for {
+		err := r.s.propose(ctx, job.Command{Finish: &job.Finish{JobID: w.spec.ID, Result: result}})
+		r.s.opts.Log.Info("ItemListed", zap.String("Request", w.item.ID), zap.String("Job", w.spec.ID),
+			zap.String("State", string(result.State)), zap.Uint64s("Versions", result.Versions), zap.Error(err))
+		if err == nil {
+			break
+		}
+		if !pause(ctx, proposeRetryPause) {
+			return
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	w.done = true
+}
+
+func (r *runner) logRun(w *work, a dispatch.Assignment, started time.Time, status int, err error) {
+	r.mu.Lock()
+	events := len(w.text.events)
+	r.mu.Unlock()
+	r.s.opts.Log.Info("ItemRun", zap.String("Request", w.item.ID), zap.String("Job", w.spec.ID), zap.String("Upstream", a.Engine),
+		zap.Uint64("Version", a.Version), zap.Int("Status", status), zap.Int("Events", events),
+		zap.Duration("Took", time.Since(started)), zap.Error(err))
+}
+
+// pause waits and tells whether the context goes on.
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
--- /dev/null
+++ b/internal/jobstore/load.go
@@ -0,0 +1,61 @@
+package jobstore
+
+import (
+	"context"
+
+	"go.uber.org/zap"
+
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/dispatch"
+)
+
+// mayOrder tells whether this host may give orders: a host that leads again
+// lets HolderGapMS pass since its last order under an earlier lead, as the
+// host between may have given some. It is called with mu held.
+func (r *runner) mayOrder(now rollout.Millis) bool {
+	r.s.mu.Lock()
+	defer r.s.mu.Unlock()
+	return r.s.lastOrderTerm == r.term || r.s.lastOrder == 0 || now-r.s.lastOrder > r.s.opts.HolderGapMS
+}
+
+// load orders an engine to change its weights.
+func (r *runner) load(ctx context.Context, l dispatch.Load) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	if l.Survey {
+		report, err := r.s.opts.Upstreams.Report(ctx, l.Address)
+		if err != nil {
+			r.ordered(l, rollout.OrderUnknown, err)
+			return
+		}
+		r.mu.Lock()
+		next, wanted := r.sched.Surveyed(r.s.clock.Now(), l, report)
+		r.mu.Unlock()
+		if !wanted {
+			return
+		}
+		l = next
+	}
+	if term, leads := r.s.replica.Leading(orderSpareMS); !leads || term != r.term {
+		r.ordered(l, rollout.OrderUnknown, r.s.replica.NotLeader())
+		return
+	}
+	r.s.mu.Lock()
+	r.s.lastOrder, r.s.lastOrderTerm = r.s.clock.Now(), r.term
+	r.s.mu.Unlock()
+	outcome, err := r.s.opts.Upstreams.Order(ctx, rollout.WeightOrder{
+		Address: l.Address, Instance: l.Engine, Model: l.Model, Version: l.Version,
+		Holder: r.s.opts.Host, Fencing: r.term, Accepted: l.Accepted,
+	})
+	r.ordered(l, outcome, err)
+}
+
+func (r *runner) ordered(l dispatch.Load, o rollout.OrderOutcome, err error) {
+	r.s.opts.Log.Info("WeightsOrdered", zap.String("Upstream", l.Engine), zap.String("Model", l.Model),
+		zap.Uint64("Version", l.Version), zap.Uint64("Accepted", l.Accepted), zap.Uint64("Term", r.term),
+		zap.Uint8("Outcome", uint8(o)), zap.Error(err))
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sched.Ordered(r.s.clock.Now(), l, o)
+	r.nudge()
+}
--- /dev/null
+++ b/internal/jobstore/runner.go
@@ -0,0 +1,289 @@
+package jobstore
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/coltsfootspoke/coltsfootspoke/internal/view"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/dispatch"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/document"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/job"
+)
+
+const (
+	// pollInterval is the longest time between two looks at the queue; pauses
+	// of engines end between events.
+	pollInterval = 60 * time.Millisecond
+	// orderTimeout ends an order that gets no answer.
+	orderTimeout = time.Second
+	// orderSpareMS must be left of the lease when an order is sent.
+	orderSpareMS rollout.Millis = 100
+	// forgetInterval is the time between two removals of old jobs.
+	forgetInterval = 10 * time.Second
+	// textKeepMS is how long the text of an item is kept for a later job.
+	textKeepMS rollout.Millis = 60_000
+)
+
+// work is the state of one item while its job is open.
+type work struct {
+	spec  *job.Spec
+	item  *job.Item
+	route document.Route
+	order uint64
+	text  *text
+	// failures counts answers of 500.
+	failures int
+	cancel   context.CancelFunc
+	done     bool
+}
+
+// runner runs the items of all open jobs while the host leads.
+type runner struct {
+	s    *Store
+	term uint64
+	ctx  context.Context
+	wake chan struct{}
+	wait sync.WaitGroup
+
+	mu sync.Mutex
+	// The fields below are guarded by mu.
+	sched *dispatch.Scheduler
+	jobs  map[string][]*work
+	texts map[string]*text
+	index *document.Index
+	order uint64
+}
+
+func newRunner(s *Store, term uint64) *runner {
+	return &runner{
+		s: s, term: term, wake: make(chan struct{}, 1),
+		sched: dispatch.New(dispatch.DefaultConfig(s.opts.FailureDomain)),
+		jobs:  make(map[string][]*work), texts: make(map[string]*text),
+	}
+}
+
+// run starts items and orders until the lead ends.
+func (r *runner) run(ctx context.Context) {
+	r.mu.Lock()
+	r.ctx = ctx
+	r.mu.Unlock()
+	r.sync(r.s.watcher.Copy())
+	for _, id := range r.s.openJobs() {
+		r.open(id)
+	}
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	forget := time.NewTicker(forgetInterval)
+	defer forget.Stop()
+	for ctx.Err() == nil {
+		r.turn(ctx)
+		select {
+		case <-ctx.Done():
+		case <-r.wake:
+		case <-ticker.C:
+		case <-forget.C:
+			r.forget(ctx)
+		}
+	}
+	r.wait.Wait()
+}
+
+// close stops the items of a job that has ended.
+func (r *runner) close(jobID string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sched.Drop(jobID)
+	for _, w := range r.jobs[jobID] {
+		w.done = true
+		if w.cancel != nil {
+			w.cancel()
+		}
+	}
+	delete(r.jobs, jobID)
+}
+
+// open queues the items of a job that have no result.
+func (r *runner) open(jobID string) {
+	r.s.mu.Lock()
+	j := r.s.book.Jobs[jobID]
+	var items []*job.Item
+	if j != nil && !j.Ended {
+		for i := range j.Spec.Items {
+			if !j.Listed(j.Spec.Items[i].ID) {
+				items = append(items, &j.Spec.Items[i])
+			}
+		}
+	}
+	r.s.mu.Unlock()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, known := r.jobs[jobID]; known || len(items) == 0 || r.ctx == nil {
+		return
+	}
+	r.jobs[jobID] = nil
+	route := r.routeOf(&j.Spec)
+	for _, it := range items {
+		r.order++
+		w := &work{spec: &j.Spec, item: it, route: route, order: r.order, text: r.textOf(it.ID)}
+		r.jobs[jobID] = append(r.jobs[jobID], w)
+		r.queue(w)
+	}
+	r.nudge()
+}
+
+// queue is called with mu held.
+func (r *runner) queue(w *work) {
+	if w.done {
+		return
+	}
+	t := dispatch.Task{
+		JobID: w.spec.ID, ItemID: w.item.ID, Pool: w.route.Pick(0), Model: w.spec.Model, Group: w.item.Group,
+		MinVersion: w.spec.MinVersion, DueMS: w.spec.SubmittedMS + w.route.ResultDeadlineMS, Order: w.order,
+	}
+	w.text.fit(w.spec.MinVersion, w.route.SingleVersion)
+	if w.route.SingleVersion && len(w.text.versions) > 0 {
+		t.OnlyVersion = w.text.versions[0]
+	}
+	if w.route.MaxQueueMS > 0 && rollout.Millis(time.Now().UnixMilli()) > w.spec.SubmittedMS+w.route.MaxQueueMS {
+		r.wait.Go(func() {
+			r.finish(r.ctx, w, job.Result{ItemID: w.item.ID, State: job.StateAbandoned})
+		})
+		return
+	}
+	if w.text.complete {
+		r.start(w, dispatch.Assignment{Task: t})
+		return
+	}
+	r.sched.Add(t)
+}
+
+// routeOf is called with mu held.
+func (r *runner) routeOf(spec *job.Spec) document.Route {
+	if r.index != nil {
+		if route, ok := r.index.RouteByName(spec.Route); ok {
+			return route
+		}
+	}
+	return document.Route{MaxAttempts: 1, Split: []document.Share{{Weight: 1}}}
+}
+
+// sync takes what control has decided.
+func (r *runner) sync(c view.Copy) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if c.Index == nil {
+		return
+	}
+	r.index = c.Index
+	models := make(map[string][]string)
+	for _, p := range c.Index.Document.Pools {
+		models[p.Name] = p.Models
+	}
+	r.sched.SetTargets(c.Facts.Versions)
+	r.sched.Sync(c.Upstreams, models)
+	r.nudge()
+}
+
+// textOf is called with mu held.
+func (r *runner) textOf(itemID string) *text {
+	t := r.texts[itemID]
+	if t == nil {
+		t = &text{}
+		r.texts[itemID] = t
+	}
+	t.usedMS = r.s.clock.Now()
+	return t
+}
+
+func (r *runner) nudge() {
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// turn starts what may start now.
+func (r *runner) turn(ctx context.Context) {
+	now := r.s.clock.Now()
+	if _, leads := r.s.replica.Leading(orderSpareMS); !leads {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.mayOrder(now) {
+		for _, l := range r.sched.Loads(now) {
+			r.wait.Go(func() { r.load(ctx, l) })
+		}
+	}
+	for _, a := range r.sched.Next(now) {
+		if w := r.workOf(a.Task); w != nil {
+			r.start(w, a)
+		}
+	}
+}
+
+// start is called with mu held.
+func (r *runner) start(w *work, a dispatch.Assignment) {
+	ctx, cancel := context.WithCancel(r.ctx)
+	w.cancel = cancel
+	r.wait.Go(func() {
+		defer cancel()
+		r.runItem(ctx, w, a)
+	})
+}
+
+// workOf is called with mu held.
+func (r *runner) workOf(t dispatch.Task) *work {
+	for _, w := range r.jobs[t.JobID] {
+		if w.item.ID == t.ItemID && !w.done {
+			return w
+		}
+	}
+	return nil
+}
+
+// forget drops old jobs and texts.
+func (r *runner) forget(ctx context.Context) {
+	now := r.s.clock.Now()
+	r.mu.Lock()
+	for id, t := range r.texts {
+		if now-t.usedMS > textKeepMS {
+			delete(r.texts, id)
+		}
+	}
+	r.mu.Unlock()
+	before := rollout.Millis(time.Now().UnixMilli()) - r.s.opts.KeepMS
+	r.s.mu.Lock()
+	old := false
+	for _, j := range r.s.book.Jobs {
+		old = old || (j.Ended && j.Spec.SubmittedMS < before)
+	}
+	r.s.mu.Unlock()
+	if !old {
+		return
+	}
+	if err := r.s.propose(ctx, job.Command{Forget: &job.Forget{BeforeMS: before}}); err != nil {
+		r.s.opts.Log.Warn("JobsNotForgotten", zap.Error(err))
+	}
+}
+
+// openJobs returns the jobs that have not ended, the oldest first.
+func (s *Store) openJobs() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var ids []string
+	for id, j := range s.book.Jobs {
+		if !j.Ended {
+			ids = append(ids, id)
+		}
+	}
+	slices.SortFunc(ids, func(a, b string) int {
+		return int(s.book.Jobs[a].Spec.SubmittedMS - s.book.Jobs[b].Spec.SubmittedMS)
+	})
+	return ids
+}
--- /dev/null
+++ b/internal/jobstore/store.go
@@ -0,0 +1,247 @@
+// Package jobstore runs a host that stores batch jobs. The leader of its
+// quorum also runs their items on the engines.
+package jobstore
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/coltsfootspoke/coltsfootspoke/internal/balance"
+	"github.com/coltsfootspoke/coltsfootspoke/internal/fabric"
+	"github.com/coltsfootspoke/coltsfootspoke/internal/link"
+	"github.com/coltsfootspoke/coltsfootspoke/internal/replica"
+	"github.com/coltsfootspoke/coltsfootspoke/internal/view"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/clock"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/job"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/quorum"
+)
+
+const (
+	// compactBytes bounds the log well below the smallest disk of a store
+	// host, which holds 340 MB.
+	compactBytes = 48 << 20
+	// transferWait is how long a leaving host serves on after it has given
+	// the lead away.
+	transferWait = 1_500 * time.Millisecond
+)
+
+// Options set a store host up.
+type Options struct {
+	Host          string
+	Dir           string
+	Address       string
+	FailureDomain string
+	// Controls are the addresses of control hosts.
+	Controls []string
+	// Founding is true when the whole system starts for the first time.
+	Founding bool
+	// Losses is the number of hosts that may be lost at once.
+	Losses int
+	// KeepMS is how long a job is kept after its submission.
+	KeepMS rollout.Millis
+	// HolderGapMS is the least time between two orders of one leader with
+	// another leader between them.
+	HolderGapMS rollout.Millis
+	Upstreams   rollout.Upstreams
+	Secret      string
+	Log         *zap.Logger
+}
+
+// Store is a store host.
+type Store struct {
+	opts     Options
+	clock    rollout.Clock
+	dialer   *link.Dialer
+	client   *fabric.Client
+	replica  *replica.Replica
+	watcher  *view.Watcher
+	balancer *balance.Balancer
+
+	mu sync.Mutex
+	// book is guarded by mu.
+	book *job.Book
+	// changed is closed and replaced at each change of the book.
+	changed chan struct{}
+	// settled are the members that were last known to be committed.
+	settled quorum.Members
+	// runner is not nil while the host leads.
+	runner *runner
+	// lastOrder is when this host last gave an order to an engine.
+	lastOrder     rollout.Millis
+	lastOrderTerm uint64
+}
+
+// New opens a store host.
+func New(ctx context.Context, opts Options) (*Store, error) {
+	s := &Store{
+		opts: opts, clock: clock.Boottime{}, dialer: link.NewDialer(opts.Secret),
+		book: job.NewBook(), changed: make(chan struct{}),
+	}
+	s.client = fabric.NewClient(s.dialer)
+	s.balancer = balance.New(opts.Upstreams, s.clock, opts.FailureDomain, opts.Log)
+	var err error
+	s.replica, err = replica.Open(ctx, replica.Options{
+		Dir: opts.Dir, Address: opts.Address, FailureDomain: opts.FailureDomain,
+		Want: 2*opts.Losses + 1, CompactBytes: compactBytes, Clock: s.clock,
+		Dialer: s.dialer, Log: opts.Log, OnLead: s.onLead,
+	}, machine{s})
+	if err != nil {
+		return nil, err
+	}
+	s.watcher = view.NewWatcher(view.Options{
+		Host: opts.Host, Role: view.RoleStore, Address: opts.Address, FailureDomain: opts.FailureDomain,
+		Seeds: opts.Controls, Client: s.client, Log: opts.Log, Store: s.status, OnChange: s.follow,
+	})
+	return s, nil
+}
+
+// Serve answers other daemons and runs items while this host leads, until the
+// context ends. Then it gives the lead away.
+func (s *Store) Serve(ctx context.Context, listener net.Listener) error {
+	inner, err := s.replica.Handler()
+	if err != nil {
+		return err
+	}
+	mux := fabric.NewMux(inner)
+	s.replica.Register(mux)
+	s.register(mux)
+	run, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	group, run := errgroup.WithContext(run)
+	group.Go(func() error { return s.replica.Run(run) })
+	group.Go(func() error { return link.NewServer(listener, s.opts.Secret, mux, s.opts.Log).Serve(run) })
+	group.Go(func() error { return s.replica.Introduce(run, s.client, nil, s.peers) })
+	group.Go(func() error { return s.watcher.Run(run) })
+	group.Go(func() error {
+		defer cancel()
+		select {
+		case <-run.Done():
+			return nil
+		case <-ctx.Done():
+		}
+		s.opts.Log.Info("Leaving")
+		s.replica.Transfer()
+		time.Sleep(transferWait)
+		return nil
+	})
+	return group.Wait()
+}
+
+// follow takes what control has decided.
+func (s *Store) follow(c view.Copy) {
+	self := s.replica.Status()
+	if s.opts.Founding && self.Blank() {
+		for _, m := range c.Facts.Founders {
+			if m.ID == self.Member {
+				s.replica.Found(quorum.Members{Voters: c.Facts.Founders})
+			}
+		}
+	}
+	retiring := make(map[string]bool)
+	for _, address := range c.Facts.Retiring {
+		retiring[address] = true
+	}
+	s.replica.SetRetiring(retiring)
+	s.balancer.Sync(c.Upstreams)
+	s.mu.Lock()
+	r := s.runner
+	s.mu.Unlock()
+	if r != nil {
+		r.sync(c)
+	}
+}
+
+// peers returns the addresses of hosts that may know the leader.
+func (s *Store) peers() []string {
+	f := s.watcher.Copy().Facts
+	if f.StoreLeader != "" {
+		return []string{f.StoreLeader}
+	}
+	return f.Stores
+}
+
+// status is what control is told.
+func (s *Store) status() *view.StoreStatus {
+	st := s.replica.Status()
+	_, leads := s.replica.Leading(0)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if st.Settled {
+		s.settled = st.Members
+	}
+	return &view.StoreStatus{
+		Member: st.Member, Founding: s.opts.Founding && st.Blank(), Leading: leads, Term: st.Term,
+		Members: s.settled, Settled: st.Settled, FactsRevision: s.watcher.Copy().FactsRevision,
+	}
+}
+
+// onLead runs items until the lead ends.
+func (s *Store) onLead(ctx context.Context, term uint64) {
+	r := newRunner(s, term)
+	s.mu.Lock()
+	s.runner = r
+	s.mu.Unlock()
+	r.run(ctx)
+	s.mu.Lock()
+	if s.runner == r {
+		s.runner = nil
+	}
+	s.mu.Unlock()
+}
+
+// propose commits a command. The result is an error of the command itself.
+func (s *Store) propose(ctx context.Context, c job.Command) error {
+	data, err := json.Marshal(c)
+	if err != nil {
+		return rollout.NewError(rollout.KindInternal, "encode command").WithCause(err)
+	}
+	result, err := s.replica.Propose(ctx, data)
+	if err != nil {
+		return err
+	}
+	if refused, ok := result.(error); ok {
+		return refused
+	}
+	return nil
+}
+
+// machine applies the log to the book.
+type machine struct{ s *Store }
+
+// Apply implements replica.Machine.
+func (m machine) Apply(_ uint64, command []byte) any {
+	var c job.Command
+	if err := json.Unmarshal(command, &c); err != nil {
+		m.s.opts.Log.Error("CommandUnreadable", zap.Error(err))
+		return nil
+	}
+	m.s.mu.Lock()
+	defer m.s.mu.Unlock()
+	err := m.s.book.Apply(c)
+	close(m.s.changed)
+	m.s.changed = make(chan struct{})
+	if err != nil {
+		return err
+	}
+	return nil
+}
+
+// Restore implements replica.Machine.
+func (m machine) Restore(data []byte) error {
+	m.s.mu.Lock()
+	defer m.s.mu.Unlock()
+	return m.s.book.Restore(data)
+}
+
+// Snapshot implements replica.Machine.
+func (m machine) Snapshot() ([]byte, error) {
+	m.s.mu.Lock()
+	defer m.s.mu.Unlock()
+	return m.s.book.Snapshot()
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -16,7 +16,7 @@
 	// outboxLength bounds the messages that wait for one peer. More are
 	// dropped; the log is robust against loss.
 	outboxLength   = 256
-	deliverTimeout = 2 * time.Second
+	deliverTimeout = time.Second
 )
 
 // Sender sends messages to the other members, each from a thread of its
--- /dev/null
+++ b/internal/replica/apply.go
@@ -0,0 +1,217 @@
+package replica
+
+import (
+	"encoding/binary"
+
+	"go.uber.org/zap"
+
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/quorum"
+)
+
+// encodeBatch frames commands into the data of one entry: for each its length
+// as an unsigned varint, then its bytes.
+func encodeBatch(batch []proposal) []byte {
+	size := 0
+	for _, p := range batch {
+		size += binary.MaxVarintLen32 + len(p.command)
+	}
+	data := make([]byte, 0, size)
+	for _, p := range batch {
+		data = binary.AppendUvarint(data, uint64(len(p.command)))
+		data = append(data, p.command...)
+	}
+	return data
+}
+
+// decodeBatch calls take for each command of an entry.
+func decodeBatch(data []byte, take func(command []byte)) error {
+	for len(data) > 0 {
+		size, n := binary.Uvarint(data)
+		if n <= 0 || size > uint64(len(data)-n) {
+			return rollout.NewError(rollout.KindStorage, "entry with a broken frame")
+		}
+		take(data[n : n+int(size)])
+		data = data[n+int(size):]
+	}
+	return nil
+}
+
+func (r *Replica) propose(p proposal) {
+	switch {
+	case r.unsaved != nil:
+		p.done(nil, rollout.NewError(rollout.KindStorage, "the disk refuses to store").WithNotRun())
+	case !r.node.IsLeader():
+		p.done(nil, r.NotLeader())
+	default:
+		r.pending = append(r.pending, p)
+	}
+}
+
+// flush appends all waiting commands as one entry.
+func (r *Replica) flush(now rollout.Millis) {
+	if len(r.pending) == 0 {
+		return
+	}
+	batch := r.pending
+	r.pending = nil
+	index, term, err := r.node.Propose(now, encodeBatch(batch))
+	w := waiter{term: term, since: now}
+	for _, p := range batch {
+		if err != nil {
+			p.done(nil, r.NotLeader())
+			continue
+		}
+		w.done = append(w.done, p.done)
+	}
+	if err == nil {
+		r.waiters[index] = w
+	}
+}
+
+// carryOut persists, sends and applies until the node asks for nothing more.
+// A write that fails is tried again at the next turn, and nothing that
+// depends on it is sent before.
+func (r *Replica) carryOut() error {
+	for {
+		var out quorum.Output
+		if r.unsaved != nil {
+			out = *r.unsaved
+		} else {
+			out = r.node.Take()
+		}
+		if out.Empty() {
+			return nil
+		}
+		if err := r.persist(out); err != nil {
+			r.refuseStorage(out, err)
+			return nil
+		}
+		r.unsaved = nil
+		if n := len(out.Entries); n > 0 {
+			r.node.Persisted(r.opts.Clock.Now(), out.Entries[n-1].Index)
+		}
+		r.peers.Send(out.Messages)
+		if err := r.applyOutput(out); err != nil {
+			return err
+		}
+	}
+}
+
+func (r *Replica) persist(out quorum.Output) error {
+	if out.Snapshot != nil {
+		hard := r.store.HardState()
+		if out.HardState != nil {
+			hard = *out.HardState
+		}
+		r.logBytes = 0
+		return r.store.Save(*out.Snapshot, hard, out.Entries)
+	}
+	if out.HardState == nil && len(out.Entries) == 0 {
+		return nil
+	}
+	for _, e := range out.Entries {
+		r.logBytes += len(e.Data)
+	}
+	return r.store.Append(out.HardState, out.Entries)
+}
+
+// refuseStorage gives up the lead while the disk refuses to store.
+func (r *Replica) refuseStorage(out quorum.Output, err error) {
+	if r.unsaved == nil {
+		r.opts.Log.Error("StorageRefused", zap.Error(err))
+	}
+	r.unsaved = &out
+	r.node.StepDown(r.opts.Clock.Now())
+	r.leaseUntil.Store(0)
+	for _, p := range r.pending {
+		p.done(nil, rollout.NewError(rollout.KindStorage, "the disk refuses to store").WithCause(err))
+	}
+	r.pending = nil
+}
+
+func (r *Replica) applyOutput(out quorum.Output) error {
+	if out.Snapshot != nil {
+		if err := r.machine.Restore(out.Snapshot.Data); err != nil {
+			return err
+		}
+		r.peers.LearnAll(out.Snapshot.Members)
+		r.opts.Log.Info("SnapshotInstalled", zap.Uint64("Index", out.Snapshot.Index))
+	}
+	for _, e := range out.Committed {
+		if err := r.applyEntry(e); err != nil {
+			return err
+		}
+	}
+	if len(out.Committed) > 0 {
+		r.compact(out.Committed[len(out.Committed)-1].Index)
+	}
+	return nil
+}
+
+func (r *Replica) applyEntry(e quorum.Entry) error {
+	var results []any
+	switch e.Kind {
+	case quorum.EntryCommand:
+		err := decodeBatch(e.Data, func(command []byte) {
+			results = append(results, r.machine.Apply(e.Index, command))
+		})
+		if err != nil {
+			return err
+		}
+	case quorum.EntryMembers:
+		r.peers.LearnAll(r.node.Members())
+	case quorum.EntryEmpty:
+	}
+	w, ok := r.waiters[e.Index]
+	if !ok {
+		return nil
+	}
+	delete(r.waiters, e.Index)
+	for i, done := range w.done {
+		if w.term != e.Term || i >= len(results) {
+			done(nil, rollout.NewError(rollout.KindOutcomeUnknown, "the leader changed"))
+			continue
+		}
+		done(results[i], nil)
+	}
+	return nil
+}
+
+// compact replaces a long log by a snapshot.
+func (r *Replica) compact(applied uint64) {
+	if r.logBytes < r.opts.CompactBytes {
+		return
+	}
+	data, err := r.machine.Snapshot()
+	if err != nil {
+		r.opts.Log.Error("SnapshotRefused", zap.Error(err))
+		return
+	}
+	snap := r.node.Compact(applied, data)
+	if snap == nil {
+		return
+	}
+	entries := r.node.Entries()
+	if err := r.store.Save(*snap, r.store.HardState(), entries); err != nil {
+		r.opts.Log.Error("SnapshotRefused", zap.Error(err))
+		return
+	}
+	r.logBytes = 0
+	for _, e := range entries {
+		r.logBytes += len(e.Data)
+	}
+	r.opts.Log.Info("SnapshotTaken", zap.Uint64("Index", snap.Index), zap.Int("Bytes", len(data)))
+}
+
+func (r *Replica) expireWaiters(now rollout.Millis) {
+	for index, w := range r.waiters {
+		if now-w.since < waiterTimeoutMS {
+			continue
+		}
+		delete(r.waiters, index)
+		for _, done := range w.done {
+			done(nil, rollout.NewError(rollout.KindOutcomeUnknown, "no quorum answered in time"))
+		}
+	}
+}
--- /dev/null
+++ b/internal/replica/replica.go
@@ -0,0 +1,366 @@
+// Package replica runs one member of a quorum over a state machine: it
+// persists, sends and applies what the quorum core asks for, and keeps the
+// members whole.
+package replica
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/coltsfootspoke/coltsfootspoke/internal/disk"
+	"github.com/coltsfootspoke/coltsfootspoke/internal/link"
+	"github.com/coltsfootspoke/coltsfootspoke/internal/peer"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/quorum"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/roster"
+)
+
+const (
+	// heartbeatMS, electionMS and leaseMS suit failure domains a few
+	// milliseconds apart; a lost leader is replaced within two seconds.
+	heartbeatMS = 150
+	electionMS  = 900
+	leaseMS     = 750
+	// tickInterval is half a heartbeat.
+	tickInterval = 75 * time.Millisecond
+	// rosterIntervalMS is the time between looks at the members.
+	rosterIntervalMS = 150
+	// waiterTimeoutMS is how long a proposal may stay without a result.
+	waiterTimeoutMS = 3_000
+	inboxLength     = 4_096
+	inputsPerBatch  = 512
+	maxAppendBytes  = 1 << 20
+)
+
+// Machine is the replicated state. Its methods are called by one thread.
+type Machine interface {
+	// Apply carries a command out and returns its result.
+	Apply(index uint64, command []byte) any
+	// Snapshot returns the whole state.
+	Snapshot() ([]byte, error)
+	// Restore replaces the state by a snapshot.
+	Restore(data []byte) error
+}
+
+// Options set a replica up.
+type Options struct {
+	Dir     string
+	Address string
+	// FailureDomain is where the host stands.
+	FailureDomain string
+	// Want is the number of voters to reach.
+	Want int
+	// CompactBytes is the size of the log at which it is replaced by a
+	// snapshot.
+	CompactBytes int
+	Clock        rollout.Clock
+	Dialer       *link.Dialer
+	Log          *zap.Logger
+	// OnLead runs while the replica leads. Its context ends with the lease.
+	OnLead func(ctx context.Context, term uint64)
+}
+
+// Status is what other threads may know. It is immutable.
+type Status struct {
+	Member  quorum.MemberID
+	Members quorum.Members
+	// Settled is true when Members is committed.
+	Settled bool
+	// Leader is the known leader. Its Address is empty when there is none.
+	Leader quorum.Member
+	Term   uint64
+}
+
+// Blank tells whether the member knows of no quorum.
+func (s Status) Blank() bool { return len(s.Members.Voters) == 0 }
+
+type waiter struct {
+	term  uint64
+	since rollout.Millis
+	done  []func(any, error)
+}
+
+type proposal struct {
+	command []byte
+	done    func(any, error)
+}
+
+// Replica is one member.
+type Replica struct {
+	opts    Options
+	machine Machine
+	store   *disk.Store
+	node    *quorum.Node
+	peers   *peer.Sender
+	inbox   chan func(now rollout.Millis)
+
+	pending  []proposal
+	waiters  map[uint64]waiter
+	unsaved  *quorum.Output
+	logBytes int
+
+	candidates map[quorum.MemberID]roster.Candidate
+	retiring   map[string]bool
+	rosterAt   rollout.Millis
+
+	group      *errgroup.Group
+	leadTerm   uint64
+	leadCancel context.CancelFunc
+
+	status     atomic.Pointer[Status]
+	leaseUntil atomic.Int64
+}
+
+// Open opens the data folder of a replica.
+func Open(ctx context.Context, opts Options, machine Machine) (*Replica, error) {
+	store, saved, err := disk.Open(opts.Dir)
+	if err != nil {
+		return nil, err
+	}
+	r := &Replica{
+		opts: opts, machine: machine, store: store,
+		inbox:      make(chan func(rollout.Millis), inboxLength),
+		waiters:    make(map[uint64]waiter),
+		candidates: make(map[quorum.MemberID]roster.Candidate),
+		retiring:   make(map[string]bool),
+		peers:      peer.New(ctx, opts.Dialer, opts.Address),
+	}
+	if saved.Snapshot != nil {
+		if err := machine.Restore(saved.Snapshot.Data); err != nil {
+			return nil, err
+		}
+	}
+	for _, e := range saved.Entries {
+		r.logBytes += len(e.Data)
+	}
+	r.start(saved)
+	return r, nil
+}
+
+// Deliver takes messages of another member that is reached at an address.
+func (r *Replica) Deliver(address string, ms []quorum.Message) {
+	r.do(func(now rollout.Millis) {
+		for _, m := range ms {
+			r.peers.Learn(m.From, address)
+			r.node.Step(now, m)
+		}
+	})
+}
+
+// Found makes a blank replica the member of a new quorum.
+func (r *Replica) Found(members quorum.Members) {
+	r.do(func(rollout.Millis) {
+		if len(r.node.Members().Voters) > 0 || r.node.LastIndex() > 0 {
+			return
+		}
+		saved := quorum.Bootstrap(members)
+		if err := r.store.Append(&saved.HardState, saved.Entries); err != nil {
+			r.opts.Log.Error("FoundingRefused", zap.Error(err))
+			return
+		}
+		r.opts.Log.Info("QuorumFounded", zap.Int("Voters", len(members.Voters)))
+		r.start(saved)
+	})
+}
+
+// Join notes a host that wants to be a member.
+func (r *Replica) Join(m quorum.Member, failureDomain string) {
+	r.do(func(now rollout.Millis) {
+		r.candidates[m.ID] = roster.Candidate{Member: m, FailureDomain: failureDomain, SeenMS: now}
+		r.peers.Learn(m.ID, m.Address)
+	})
+}
+
+// Leading returns the term and whether the lease holds for some time more.
+func (r *Replica) Leading(spare rollout.Millis) (uint64, bool) {
+	until := rollout.Millis(r.leaseUntil.Load())
+	return r.Status().Term, until > 0 && r.opts.Clock.Now()+spare < until
+}
+
+// NotLeader returns the error that names the leader.
+func (r *Replica) NotLeader() error {
+	return rollout.NewError(rollout.KindNotLeader, "leader is %s", r.Status().Leader.Address)
+}
+
+// Propose commits a command and returns its result. KindNotLeader and
+// KindStorage tell that the command was not taken; after other errors it may
+// or may not come into force.
+func (r *Replica) Propose(ctx context.Context, command []byte) (any, error) {
+	type outcome struct {
+		result any
+		err    error
+	}
+	c := make(chan outcome, 1)
+	done := func(result any, err error) { c <- outcome{result, err} }
+	if !r.do(func(rollout.Millis) { r.propose(proposal{command, done}) }) {
+		return nil, rollout.NewError(rollout.KindOverloaded, "too many commands wait").WithNotRun()
+	}
+	select {
+	case o := <-c:
+		return o.result, o.err
+	case <-ctx.Done():
+		return nil, rollout.NewError(rollout.KindOutcomeUnknown, "the command is not yet committed").WithCause(ctx.Err())
+	}
+}
+
+// Run owns the replica until the context ends.
+func (r *Replica) Run(ctx context.Context) error {
+	var leadCtx context.Context
+	r.group, leadCtx = errgroup.WithContext(ctx)
+	r.group.Go(func() error { return r.loop(leadCtx) })
+	return r.group.Wait()
+}
+
+// SetRetiring sets the addresses of hosts that are to hold nothing.
+func (r *Replica) SetRetiring(addresses map[string]bool) {
+	r.do(func(rollout.Millis) { r.retiring = addresses })
+}
+
+// Status returns what is known of the quorum.
+func (r *Replica) Status() Status { return *r.status.Load() }
+
+// Transfer gives the lead away, if this replica has it.
+func (r *Replica) Transfer() {
+	r.do(func(now rollout.Millis) {
+		r.leaseUntil.Store(0)
+		r.node.Transfer(now)
+	})
+}
+
+func (r *Replica) do(input func(now rollout.Millis)) bool {
+	select {
+	case r.inbox <- input:
+		return true
+	default:
+		return false
+	}
+}
+
+func (r *Replica) start(saved quorum.Saved) {
+	cfg := quorum.Config{
+		ID: r.store.Member(), HeartbeatMS: heartbeatMS, ElectionMS: electionMS,
+		LeaseMS: leaseMS, MaxAppendBytes: maxAppendBytes,
+	}
+	r.node = quorum.New(cfg, saved, r.opts.Clock.Now(), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	r.peers.LearnAll(r.node.Members())
+	r.publish()
+}
+
+func (r *Replica) loop(ctx context.Context) error {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	defer r.endLead()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case input := <-r.inbox:
+			r.take(input)
+		case <-ticker.C:
+		}
+		if err := r.turn(ctx); err != nil {
+			return err
+		}
+	}
+}
+
+// take runs an input and those that wait behind it, up to one batch.
+func (r *Replica) take(input func(now rollout.Millis)) {
+	input(r.opts.Clock.Now())
+	for range inputsPerBatch {
+		select {
+		case next := <-r.inbox:
+			next(r.opts.Clock.Now())
+		default:
+			return
+		}
+	}
+}
+
+func (r *Replica) turn(ctx context.Context) error {
+	now := r.opts.Clock.Now()
+	if r.unsaved == nil {
+		r.node.Tick(now)
+		r.flush(now)
+	}
+	if err := r.carryOut(); err != nil {
+		return err
+	}
+	r.observeLead(ctx, now)
+	if r.leadCancel != nil && now >= r.rosterAt {
+		r.rosterAt = now + rosterIntervalMS
+		r.tendRoster(now)
+	}
+	r.expireWaiters(now)
+	return nil
+}
+
+// tendRoster makes the next change of members.
+func (r *Replica) tendRoster(now rollout.Millis) {
+	change, ok := roster.Next(now, roster.View{
+		Self: r.node.ID(), Members: r.node.Members(), Want: r.opts.Want,
+		Candidates: r.candidates, Retiring: r.retiring,
+		CaughtUp: r.node.CaughtUp, Heard: r.node.Heard,
+	})
+	if !ok {
+		return
+	}
+	if err := r.node.ProposeMembers(now, change.Members); err != nil {
+		r.opts.Log.Debug("MemberChangeWaits", zap.Error(err))
+		return
+	}
+	r.peers.LearnAll(change.Members)
+	r.opts.Log.Info(change.Reason, zap.String("Member", string(change.Member.ID)),
+		zap.String("Address", change.Member.Address),
+		zap.Int("Voters", len(change.Members.Voters)), zap.Int("Learners", len(change.Members.Learners)))
+}
+
+// observeLead starts and ends what runs only at the leader.
+func (r *Replica) observeLead(ctx context.Context, now rollout.Millis) {
+	until := r.node.LeaseUntil()
+	if r.unsaved != nil {
+		until = 0
+	}
+	r.leaseUntil.Store(int64(until))
+	r.publish()
+	leads := until > now
+	if r.leadCancel != nil && (!leads || r.leadTerm != r.node.Term()) {
+		r.endLead()
+	}
+	if !leads || r.leadCancel != nil {
+		return
+	}
+	r.leadTerm = r.node.Term()
+	r.opts.Log.Info("LeadTaken", zap.Uint64("Term", r.leadTerm), zap.Uint64("Commit", r.node.Commit()))
+	leadCtx, cancel := context.WithCancel(ctx)
+	r.leadCancel = cancel
+	term := r.leadTerm
+	r.group.Go(func() error {
+		r.opts.OnLead(leadCtx, term)
+		return nil
+	})
+}
+
+func (r *Replica) endLead() {
+	if r.leadCancel == nil {
+		return
+	}
+	r.opts.Log.Info("LeadLost", zap.Uint64("Term", r.leadTerm), zap.String("Leader", string(r.node.Leader())))
+	r.leadCancel()
+	r.leadCancel = nil
+}
+
+// publish shows other threads the state of the quorum.
+func (r *Replica) publish() {
+	s := Status{Member: r.node.ID(), Members: r.node.Members(), Settled: r.node.MembersCommitted(), Term: r.node.Term()}
+	s.Leader, _ = s.Members.Find(r.node.Leader())
+	if r.node.IsLeader() && s.Leader.Address == "" {
+		s.Leader = quorum.Member{ID: r.node.ID(), Address: r.opts.Address}
+	}
+	r.status.Store(&s)
+}
--- /dev/null
+++ b/pkg/rollout/dispatch/dispatch.go
@@ -0,0 +1,259 @@
+// Package dispatch decides which item of a job runs on which engine, and
+// which engine changes to which weight version.
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/discovery"
+)
+
+// Task is an item that waits for an engine. It is immutable.
+type Task struct {
+	JobID, ItemID string
+	Pool          string
+	Model         string
+	// Group names the items that share a prompt.
+	Group string
+	// MinVersion is the oldest weight version that may run the task.
+	MinVersion uint64
+	// OnlyVersion is the one version that may run it, or 0.
+	OnlyVersion uint64
+	// DueMS orders tasks; Order breaks ties.
+	DueMS rollout.Millis
+	Order uint64
+}
+
+// Assignment gives a task to an engine.
+type Assignment struct {
+	Task    Task
+	Engine  string
+	Address string
+	Version uint64
+}
+
+// Load tells an engine to change to a weight version.
+type Load struct {
+	Engine, Address string
+	Model           string
+	Version         uint64
+	// Accepted is the number of orders that the engine has accepted.
+	Accepted uint64
+	// Survey is true when the engine must be asked for its state first.
+	Survey bool
+}
+
+// Config sets a Scheduler up.
+type Config struct {
+	// FailureDomain is the own one; its engines are preferred.
+	FailureDomain string
+	// LoadMS is how long an engine takes to change its weights.
+	LoadMS rollout.Millis
+	// EnginesPerLoad is how many engines stand behind each one that may load
+	// at a time.
+	EnginesPerLoad int
+}
+
+// DefaultConfig returns the settings for engines whose change of weights
+// takes 0.9 s, and longer while more than about a fifth of them load.
+func DefaultConfig(domain string) Config {
+	return Config{FailureDomain: domain, LoadMS: 900, EnginesPerLoad: 5}
+}
+
+const (
+	// The costs that the choice of an engine weighs, in running requests.
+	costOtherDomain = 1
+	costSilent      = 6
+	gainSameGroup   = 3
+	// backoffMS is the pause after an engine has turned a task away, and
+	// maxBackoffMS the longest after repeated failures.
+	backoffMS    rollout.Millis = 120
+	maxBackoffMS rollout.Millis = 3_000
+	// orderRetryMS is the pause after an order that was not accepted.
+	orderRetryMS rollout.Millis = 300
+)
+
+type engine struct {
+	discovery.Upstream
+	// versions are the newest known ones by model.
+	versions map[string]uint64
+	running  int
+	failures int
+	// notBefore is when the engine may be tried again.
+	notBefore rollout.Millis
+	// loading is the model that is being changed, until loadedAt.
+	loading  string
+	loadedAt rollout.Millis
+	// orderAt is when the next order may be given.
+	orderAt rollout.Millis
+	// accepted is the number of orders accepted, when surveyed is true.
+	accepted uint64
+	surveyed bool
+	ordering bool
+	// groups holds the groups that have run here.
+	groups map[string]bool
+}
+
+// Scheduler is used by one thread at a time.
+type Scheduler struct {
+	cfg     Config
+	engines map[string]*engine
+	// models holds the models of each pool.
+	models map[string][]string
+	// targets holds the newest named version of each model.
+	targets map[string]uint64
+	// homes gives each engine the model that it is kept current for.
+	homes   map[string]string
+	waiting []Task
+}
+
+// New returns a scheduler without engines.
+func New(cfg Config) *Scheduler {
+	return &Scheduler{
+		cfg: cfg, engines: make(map[string]*engine), models: make(map[string][]string),
+		targets: make(map[string]uint64), homes: make(map[string]string),
+	}
+}
+
+// Add queues a task.
+func (s *Scheduler) Add(t Task) {
+	i, _ := slices.BinarySearchFunc(s.waiting, t, compareTasks)
+	s.waiting = slices.Insert(s.waiting, i, t)
+}
+
+// Drop removes the waiting tasks of a job.
+func (s *Scheduler) Drop(jobID string) {
+	s.waiting = slices.DeleteFunc(s.waiting, func(t Task) bool { return t.JobID == jobID })
+}
+
+// Ended notes that a task no longer runs on an engine.
+func (s *Scheduler) Ended(now rollout.Millis, engineID string, o Outcome) {
+	e := s.engines[engineID]
+	if e == nil {
+		return
+	}
+	e.running = max(0, e.running-1)
+	switch o {
+	case OutcomeDone:
+		e.failures = 0
+	case OutcomeTurnedAway:
+		e.notBefore = now + backoffMS
+	case OutcomeOtherVersion:
+		e.notBefore = now + backoffMS
+		e.surveyed = false
+		e.orderAt = max(e.orderAt, now)
+		s.forgetVersions(e)
+	case OutcomeBroken:
+		e.failures++
+		e.notBefore = now + min(backoffMS<<min(e.failures, 5), maxBackoffMS)
+	}
+}
+
+// Outcome is how a run on an engine ended.
+type Outcome uint8
+
+// The outcomes.
+const (
+	// OutcomeDone runs ended with an answer of the engine.
+	OutcomeDone Outcome = iota
+	// OutcomeTurnedAway runs did not begin.
+	OutcomeTurnedAway
+	// OutcomeOtherVersion runs did not begin, for the engine is another one or
+	// holds another version.
+	OutcomeOtherVersion
+	// OutcomeBroken runs broke off.
+	OutcomeBroken
+	// OutcomeCancelled runs were cancelled by the system.
+	OutcomeCancelled
+)
+
+// SetTargets sets the newest named version of each model.
+func (s *Scheduler) SetTargets(targets map[string]uint64) { s.targets = targets }
+
+// Sync takes the engines that are known and the models of their pools.
+func (s *Scheduler) Sync(us map[string]discovery.Upstream, models map[string][]string) {
+	s.models = models
+	for id, e := range s.engines {
+		if u, ok := us[id]; !ok || u.Born != e.Born {
+			delete(s.engines, id)
+		}
+	}
+	for id, u := range us {
+		if len(models[u.Pool]) == 0 {
+			continue
+		}
+		e := s.engines[id]
+		if e == nil {
+			e = &engine{versions: make(map[string]uint64), groups: make(map[string]bool)}
+			s.engines[id] = e
+		}
+		e.Upstream = u
+		for _, m := range u.Models {
+			e.versions[m.Name] = max(e.versions[m.Name], m.Version)
+		}
+	}
+	s.assignHomes()
+}
+
+// Next returns the tasks that may start now, the most urgent first.
+func (s *Scheduler) Next(now rollout.Millis) []Assignment {
+	var as []Assignment
+	kept := s.waiting[:0]
+	for _, t := range s.waiting {
+		e := s.choose(now, t)
+		if e == nil {
+			kept = append(kept, t)
+			continue
+		}
+		e.running++
+		e.groups[t.Group] = true
+		as = append(as, Assignment{Task: t, Engine: e.ID, Address: e.Address, Version: e.versions[t.Model]})
+	}
+	s.waiting = kept
+	return as
+}
+
+// Waiting returns how many tasks wait.
+func (s *Scheduler) Waiting() int { return len(s.waiting) }
+
+// choose returns the engine that costs least, or nil when none is free.
+func (s *Scheduler) choose(now rollout.Millis, t Task) *engine {
+	var best *engine
+	bestCost := 0
+	for _, e := range s.engines {
+		if !s.usable(now, e, t) {
+			continue
+		}
+		cost := e.running
+		if e.FailureDomain != s.cfg.FailureDomain {
+			cost += costOtherDomain
+		}
+		if e.Silent {
+			cost += costSilent
+		}
+		if e.groups[t.Group] {
+			cost -= gainSameGroup
+		}
+		if best == nil || cost < bestCost || (cost == bestCost && e.ID < best.ID) {
+			best, bestCost = e, cost
+		}
+	}
+	return best
+}
+
+func (s *Scheduler) usable(now rollout.Millis, e *engine, t Task) bool {
+	if e.Pool != t.Pool || e.State != discovery.StateReady || now < e.notBefore || e.running >= e.Slots {
+		return false
+	}
+	if e.loading == t.Model && now < e.loadedAt {
+		return false
+	}
+	v := e.versions[t.Model]
+	return v >= t.MinVersion && (t.OnlyVersion == 0 || v == t.OnlyVersion)
+}
+
+func compareTasks(a, b Task) int {
+	return cmp.Or(cmp.Compare(a.DueMS, b.DueMS), cmp.Compare(a.Order, b.Order))
+}
--- /dev/null
+++ b/pkg/rollout/job/job.go
@@ -0,0 +1,202 @@
+// Package job is the replicated state of batch jobs: items, results at fixed
+// positions, and ends.
+package job
+
+import (
+	"encoding/json"
+	"slices"
+
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
+)
+
+// maxPageBytes bounds the text of the results that one read returns.
+const maxPageBytes = 900 << 10
+
+// Header is one header line of an item.
+type Header struct {
+	Name, Value string
+}
+
+// Scorer is the call that scores the text of an item.
+type Scorer struct {
+	ID, Host, Path string
+	Body           []byte
+}
+
+// Item is one request of a job.
+type Item struct {
+	ID      string
+	Path    string
+	Headers []Header `json:",omitempty"`
+	Body    []byte
+	Tokens  int
+	// Group names the items that share a prompt.
+	Group  string  `json:",omitempty"`
+	Scorer *Scorer `json:",omitempty"`
+}
+
+// Spec is a job as submitted. It is immutable.
+type Spec struct {
+	ID      string
+	Account string
+	Route   string
+	Host    string
+	Step    int
+	Model   string
+	// MinVersion is the oldest weight version that may generate tokens.
+	MinVersion uint64
+	// Desired is the number of whole groups that the trainer waits for.
+	Desired int
+	Items   []Item
+	// SubmittedMS is the wall-clock time of the submission.
+	SubmittedMS rollout.Millis
+}
+
+// State tells how an item ended.
+type State string
+
+// The states of a result.
+const (
+	StateCompleted State = "Completed"
+	StateAbandoned State = "Abandoned"
+)
+
+// Result is the end of an item.
+type Result struct {
+	ItemID   string
+	State    State
+	Output   string
+	Versions []uint64 `json:",omitempty"`
+	Score    string   `json:",omitempty"`
+}
+
+// Command changes the state. One field is set.
+type Command struct {
+	Submit *Spec   `json:",omitempty"`
+	Finish *Finish `json:",omitempty"`
+	End    *End    `json:",omitempty"`
+	// Forget drops the jobs submitted before a time.
+	Forget *Forget `json:",omitempty"`
+}
+
+// Finish lists a result at the next position of a job.
+type Finish struct {
+	JobID  string
+	Result Result
+}
+
+// End ends a job.
+type End struct {
+	JobID   string
+	Account string
+}
+
+// Forget drops ended jobs that were submitted before a time.
+type Forget struct {
+	BeforeMS rollout.Millis
+}
+
+// Job is a job with its results.
+type Job struct {
+	Spec    Spec
+	Results []Result
+	Ended   bool
+	listed  map[string]bool
+}
+
+// Listed tells whether an item has a result.
+func (j *Job) Listed(itemID string) bool { return j.listed[itemID] }
+
+// Page returns the results from a position on.
+func (j *Job) Page(after int) []Result {
+	if after < 0 || after >= len(j.Results) {
+		return nil
+	}
+	size := 0
+	for i, r := range j.Results[after:] {
+		size += len(r.Output)
+		if size > maxPageBytes && i > 0 {
+			return slices.Clone(j.Results[after : after+i])
+		}
+	}
+	return slices.Clone(j.Results[after:])
+}
+
+// Book holds all jobs. It is used by one thread at a time.
+type Book struct {
+	Jobs map[string]*Job
+}
+
+// NewBook returns an empty book.
+func NewBook() *Book { return &Book{Jobs: make(map[string]*Job)} }
+
+// Apply carries a command out. It tells whether the command was in order.
+func (b *Book) Apply(c Command) error {
+	switch {
+	case c.Submit != nil:
+		return b.submit(*c.Submit)
+	case c.Finish != nil:
+		return b.finish(*c.Finish)
+	case c.End != nil:
+		return b.end(*c.End)
+	case c.Forget != nil:
+		for id, j := range b.Jobs {
+			if j.Ended && j.Spec.SubmittedMS < c.Forget.BeforeMS {
+				delete(b.Jobs, id)
+			}
+		}
+	}
+	return nil
+}
+
+// Snapshot returns the whole state.
+func (b *Book) Snapshot() ([]byte, error) { return json.Marshal(b.Jobs) }
+
+// Restore replaces the state.
+func (b *Book) Restore(data []byte) error {
+	jobs := make(map[string]*Job)
+	if err := json.Unmarshal(data, &jobs); err != nil {
+		return rollout.NewError(rollout.KindStorage, "snapshot of jobs").WithCause(err)
+	}
+	for _, j := range jobs {
+		j.listed = make(map[string]bool)
+		for _, r := range j.Results {
+			j.listed[r.ItemID] = true
+		}
+	}
+	b.Jobs = jobs
+	return nil
+}
+
+func (b *Book) submit(s Spec) error {
+	if old := b.Jobs[s.ID]; old != nil {
+		if old.Spec.Account != s.Account {
+			return rollout.NewError(rollout.KindConflict, "job %s belongs to another account", s.ID)
+		}
+		return nil
+	}
+	b.Jobs[s.ID] = &Job{Spec: s, listed: make(map[string]bool)}
+	return nil
+}
+
+func (b *Book) finish(f Finish) error {
+	j := b.Jobs[f.JobID]
+	if j == nil || j.listed[f.Result.ItemID] {
+		return nil
+	}
+	if !slices.ContainsFunc(j.Spec.Items, func(it Item) bool { return it.ID == f.Result.ItemID }) {
+		return rollout.NewError(rollout.KindInvalidInput, "job %s has no item %s", f.JobID, f.Result.ItemID)
+	}
+	j.listed[f.Result.ItemID] = true
+	j.Results = append(j.Results, f.Result)
+	return nil
+}
+
+func (b *Book) end(e End) error {
+	j := b.Jobs[e.JobID]
+	if j == nil || j.Spec.Account != e.Account {
+		return rollout.NewError(rollout.KindNotFound, "job %s", e.JobID)
+	}
+	j.Ended = true
+	return nil
+}
--- /dev/null
+++ b/pkg/rollout/registry/registry.go
@@ -0,0 +1,161 @@
+// Package registry is the replicated state of control: the configuration in
+// force, named weight versions, usage windows, and the hosts that store jobs.
+package registry
+
+import (
+	"encoding/json"
+	"maps"
+
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/document"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/quorum"
+)
+
+// windowsKept bounds the closed windows that are remembered.
+const windowsKept = 64
+
+// Command changes the state. One field is set.
+type Command struct {
+	Put    *Put         `json:",omitempty"`
+	Name   *Name        `json:",omitempty"`
+	Close  *Close       `json:",omitempty"`
+	Sent   *Sent        `json:",omitempty"`
+	Found  *Found       `json:",omitempty"`
+	Retire *RetiredHost `json:",omitempty"`
+}
+
+// Put brings a configuration into force.
+type Put struct {
+	// Raw holds the bytes that the operator sent.
+	Raw      []byte
+	Document document.Document
+}
+
+// Name names a weight version of a model.
+type Name struct {
+	Model   string
+	Version uint64
+}
+
+// Close freezes the figures of a usage window.
+type Close struct {
+	Window   uint64
+	Requests map[string]uint64
+}
+
+// Sent notes that a usage window has been accepted.
+type Sent struct {
+	Window uint64
+}
+
+// Found names the first members of the job store.
+type Found struct {
+	Members []quorum.Member
+}
+
+// RetiredHost is a host that is to store nothing.
+type RetiredHost struct {
+	Host    string
+	Address string
+}
+
+// Window is a closed usage window.
+type Window struct {
+	Requests map[string]uint64
+	Sent     bool
+}
+
+// State is the whole state. It is used by one thread at a time.
+type State struct {
+	// Raw and Document are of the highest version that was put.
+	Raw      []byte
+	Document document.Document
+	// Versions holds the newest named version of each model.
+	Versions map[string]uint64
+	// Windows holds closed windows. Their figures never change.
+	Windows map[uint64]Window
+	// ClosedTo is the newest closed window.
+	ClosedTo uint64
+	// Founders are the first members of the job store.
+	Founders []quorum.Member
+	// Retiring holds the addresses of hosts that are to store nothing, by
+	// host name.
+	Retiring map[string]string
+	// Revision rises with each change but of windows.
+	Revision uint64
+}
+
+// New returns an empty state.
+func New() *State {
+	return &State{
+		Versions: make(map[string]uint64), Windows: make(map[uint64]Window),
+		Retiring: make(map[string]string),
+	}
+}
+
+// Apply carries a command out.
+func (s *State) Apply(c Command) {
+	switch {
+	case c.Put != nil:
+		s.put(*c.Put)
+	case c.Name != nil:
+		if c.Name.Version > s.Versions[c.Name.Model] {
+			s.Versions = maps.Clone(s.Versions)
+			s.Versions[c.Name.Model] = c.Name.Version
+			s.Revision++
+		}
+	case c.Close != nil:
+		s.closeWindow(*c.Close)
+	case c.Sent != nil:
+		if w, ok := s.Windows[c.Sent.Window]; ok {
+			w.Sent = true
+			s.Windows[c.Sent.Window] = w
+		}
+	case c.Found != nil:
+		if len(s.Founders) == 0 {
+			s.Founders = c.Found.Members
+			s.Revision++
+		}
+	case c.Retire != nil:
+		s.Retiring = maps.Clone(s.Retiring)
+		s.Retiring[c.Retire.Host] = c.Retire.Address
+		s.Revision++
+	}
+}
+
+// Restore replaces the state by a snapshot.
+func (s *State) Restore(data []byte) error {
+	next := New()
+	if err := json.Unmarshal(data, next); err != nil {
+		return rollout.NewError(rollout.KindStorage, "snapshot of control").WithCause(err)
+	}
+	*s = *next
+	return nil
+}
+
+// Snapshot returns the whole state.
+func (s *State) Snapshot() ([]byte, error) { return json.Marshal(s) }
+
+// closeWindow keeps the first figures of a window.
+func (s *State) closeWindow(c Close) {
+	if _, closed := s.Windows[c.Window]; closed || (s.ClosedTo > windowsKept && c.Window <= s.ClosedTo-windowsKept) {
+		return
+	}
+	s.Windows[c.Window] = Window{Requests: c.Requests}
+	s.ClosedTo = max(s.ClosedTo, c.Window)
+	for w := range s.Windows {
+		if w+windowsKept < s.ClosedTo {
+			delete(s.Windows, w)
+		}
+	}
+}
+
+// put takes a configuration of a higher version. Of two of one version the
+// first stands.
+func (s *State) put(p Put) {
+	if p.Document.Version <= s.Document.Version {
+		return
+	}
+	s.Raw, s.Document = p.Raw, p.Document
+	s.Revision++
+}
