Move runs off slow and silent engines

Ruled out: recovery after the power loss (1.8 s from start to lead). Change: dispatch follows the time between events of each engine; an engine 1.6 times slower than the median gets less work, and its runs go on elsewhere from the last event. A run silent for 1.5 s moves too.

--- a/internal/jobstore/item.go
+++ b/internal/jobstore/item.go
@@ -63,11 +63,11 @@
 func (r *runner) runItem(ctx context.Context, w *work, a dispatch.Assignment) {
 	outcome := dispatch.OutcomeDone
 	if a.Engine != "" {
-		outcome = r.generate(ctx, w, a)
+		outcome = r.generateMovable(ctx, w, a)
 	}
 	r.mu.Lock()
 	if a.Engine != "" {
-		r.sched.Ended(r.s.clock.Now(), a.Engine, outcome)
+		r.sched.Ended(r.s.clock.Now(), a, outcome)
 		r.nudge()
 	}
 	abandon := w.failures >= max(1, w.route.MaxAttempts)
@@ -87,6 +87,27 @@
 	}
 }
 
+// generateMovable runs generate so that it can be broken off to go on at
+// another engine.
+func (r *runner) generateMovable(ctx context.Context, w *work, a dispatch.Assignment) dispatch.Outcome {
+	moveCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	r.mu.Lock()
+	w.move, w.stalled = cancel, false
+	r.mu.Unlock()
+	outcome := r.generate(moveCtx, w, a)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	w.move = nil
+	if outcome != dispatch.OutcomeCancelled || ctx.Err() != nil {
+		return outcome
+	}
+	if w.stalled {
+		return dispatch.OutcomeBroken
+	}
+	return dispatch.OutcomeMoved
+}
+
 // generate reads the stream of an engine into the text of an item.
 func (r *runner) generate(ctx context.Context, w *work, a dispatch.Assignment) dispatch.Outcome {
 	x := r.exchange(w, a)
@@ -118,6 +139,7 @@
 		}
 		r.mu.Lock()
 		w.text.add(e, version)
+		r.sched.Progress(r.s.clock.Now(), a.Task)
 		r.mu.Unlock()
 	})
 	r.logRun(w, a, started, head.Status, err)
--- a/internal/jobstore/runner.go
+++ b/internal/jobstore/runner.go
@@ -39,7 +39,12 @@
 	// failures counts answers of 500.
 	failures int
 	cancel   context.CancelFunc
-	done     bool
+	// move breaks the run on the present engine off. It is nil while none
+	// runs.
+	move context.CancelFunc
+	// stalled is true when the run was broken off for the engine's silence.
+	stalled bool
+	done    bool
 }
 
 // runner runs the items of all open jobs while the host leads.
@@ -220,6 +225,15 @@
 			r.wait.Go(func() { r.load(ctx, l) })
 		}
 	}
+	for _, m := range r.sched.Moves(now) {
+		w := r.workOf(dispatch.Task{JobID: m.JobID, ItemID: m.ItemID})
+		if w == nil || w.move == nil {
+			continue
+		}
+		r.s.opts.Log.Info("RunMoved", zap.String("Request", m.ItemID), zap.String("Upstream", m.Engine), zap.Bool("Stalled", m.Stalled))
+		w.stalled = m.Stalled
+		w.move()
+	}
 	for _, a := range r.sched.Next(now) {
 		if w := r.workOf(a.Task); w != nil {
 			r.start(w, a)
--- a/pkg/rollout/dispatch/dispatch.go
+++ b/pkg/rollout/dispatch/dispatch.go
@@ -26,6 +26,11 @@
 	Order uint64
 }
 
+// key names a task among those that run.
+type key struct{ jobID, itemID string }
+
+func (t Task) key() key { return key{t.JobID, t.ItemID} }
+
 // Assignment gives a task to an engine.
 type Assignment struct {
 	Task    Task
@@ -64,9 +69,9 @@
 
 const (
 	// The costs that the choice of an engine weighs, in running requests.
-	costOtherDomain = 1
-	costSilent      = 6
-	gainSameGroup   = 3
+	costOtherDomain = 1.0
+	costSilent      = 6.0
+	gainSameGroup   = 3.0
 	// backoffMS is the pause after an engine has turned a task away, and
 	// maxBackoffMS the longest after repeated failures.
 	backoffMS    rollout.Millis = 120
@@ -94,6 +99,7 @@
 	ordering bool
 	// groups holds the groups that have run here.
 	groups map[string]bool
+	pace   pace
 }
 
 // Scheduler is used by one thread at a time.
@@ -107,13 +113,17 @@
 	// homes gives each engine the model that it is kept current for.
 	homes   map[string]string
 	waiting []Task
+	running map[key]*run
+	// medians holds the median pace of each pool at mediansAt.
+	medians   map[string]float64
+	mediansAt rollout.Millis
 }
 
 // New returns a scheduler without engines.
 func New(cfg Config) *Scheduler {
 	return &Scheduler{
 		cfg: cfg, engines: make(map[string]*engine), models: make(map[string][]string),
-		targets: make(map[string]uint64), homes: make(map[string]string),
+		targets: make(map[string]uint64), homes: make(map[string]string), running: make(map[key]*run),
 	}
 }
 
@@ -129,8 +139,9 @@
 }
 
 // Ended notes that a task no longer runs on an engine.
-func (s *Scheduler) Ended(now rollout.Millis, engineID string, o Outcome) {
-	e := s.engines[engineID]
+func (s *Scheduler) Ended(now rollout.Millis, a Assignment, o Outcome) {
+	delete(s.running, a.Task.key())
+	e := s.engines[a.Engine]
 	if e == nil {
 		return
 	}
@@ -167,6 +178,8 @@
 	OutcomeBroken
 	// OutcomeCancelled runs were cancelled by the system.
 	OutcomeCancelled
+	// OutcomeMoved runs were broken off to go on at another engine.
+	OutcomeMoved
 )
 
 // SetTargets sets the newest named version of each model.
@@ -208,6 +221,7 @@
 			continue
 		}
 		e.running++
+		s.running[t.key()] = &run{task: t, engine: e.ID, startedMS: now, lastMS: now}
 		e.groups[t.Group] = true
 		as = append(as, Assignment{Task: t, Engine: e.ID, Address: e.Address, Version: e.versions[t.Model]})
 	}
@@ -221,19 +235,20 @@
 // choose returns the engine that costs least, or nil when none is free.
 func (s *Scheduler) choose(now rollout.Millis, t Task) *engine {
 	var best *engine
-	bestCost := 0
+	bestCost := 0.0
 	for _, e := range s.engines {
 		if !s.usable(now, e, t) {
 			continue
 		}
-		cost := e.running
+		slowness := s.slowness(now, e)
+		cost := float64(e.running+1) * slowness
 		if e.FailureDomain != s.cfg.FailureDomain {
 			cost += costOtherDomain
 		}
 		if e.Silent {
 			cost += costSilent
 		}
-		if e.groups[t.Group] {
+		if t.Group != "" && e.groups[t.Group] && slowness == 1 {
 			cost -= gainSameGroup
 		}
 		if best == nil || cost < bestCost || (cost == bestCost && e.ID < best.ID) {
@@ -244,7 +259,7 @@
 }
 
 func (s *Scheduler) usable(now rollout.Millis, e *engine, t Task) bool {
-	if e.Pool != t.Pool || e.State != discovery.StateReady || now < e.notBefore || e.running >= e.Slots {
+	if e.Pool != t.Pool || e.State != discovery.StateReady || now < e.notBefore || float64(e.running)*s.slowness(now, e) >= float64(e.Slots) {
 		return false
 	}
 	if e.loading == t.Model && now < e.loadedAt {
--- /dev/null
+++ b/pkg/rollout/dispatch/dispatch_test.go
@@ -0,0 +1,238 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/discovery"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/dispatch"
+)
+
+const (
+	pool      = "engines"
+	eventGap  = 40
+	slowGap   = 160
+	fewEvents = 6
+)
+
+// fixture is a scheduler with engines in three failure domains.
+type fixture struct {
+	*dispatch.Scheduler
+	upstreams map[string]discovery.Upstream
+	models    []string
+	now       rollout.Millis
+}
+
+func newFixture(engines, slots int, models ...string) *fixture {
+	f := &fixture{
+		Scheduler: dispatch.New(dispatch.DefaultConfig("d0")),
+		upstreams: make(map[string]discovery.Upstream), models: models, now: 1_000,
+	}
+	for i := range engines {
+		id := fmt.Sprintf("e%d", i)
+		u := discovery.Upstream{
+			ID: id, Pool: pool, Address: id, FailureDomain: fmt.Sprintf("d%d", i%3),
+			State: discovery.StateReady, Slots: slots, Born: 1,
+		}
+		for _, m := range models {
+			u.Models = append(u.Models, discovery.Model{Name: m, Version: 1})
+		}
+		f.upstreams[id] = u
+	}
+	f.sync()
+	return f
+}
+
+func (f *fixture) sync() { f.Sync(f.upstreams, map[string][]string{pool: f.models}) }
+
+func (f *fixture) add(n int, t dispatch.Task) {
+	for i := range n {
+		t.JobID, t.Pool, t.Order = "job", pool, uint64(i)
+		t.ItemID = fmt.Sprintf("i%d", i)
+		f.Add(t)
+	}
+}
+
+// generate lets each engine make events at its pace.
+func (f *fixture) generate(as []dispatch.Assignment, gap func(engine string) rollout.Millis) {
+	start := f.now
+	for at := start; at < start+fewEvents*slowGap; at += eventGap {
+		f.now = at
+		for _, a := range as {
+			if (at-start)%gap(a.Engine) == 0 {
+				f.Progress(at, a.Task)
+			}
+		}
+	}
+}
+
+func assertCounts(t *testing.T, as []dispatch.Assignment, most int) map[string]int {
+	t.Helper()
+	counts := make(map[string]int)
+	for _, a := range as {
+		counts[a.Engine]++
+		if counts[a.Engine] > most {
+			t.Fatalf("engine %s has more than %d runs", a.Engine, most)
+		}
+	}
+	return counts
+}
+
+func TestRunsSpreadOverEngines(t *testing.T) {
+	f := newFixture(9, 12, "m")
+	f.add(45, dispatch.Task{Model: "m", MinVersion: 1})
+	if got := len(assertCounts(t, f.Next(f.now), 7)); got != 9 {
+		t.Fatalf("%d engines run, want 9", got)
+	}
+}
+
+func TestSlotsBoundRuns(t *testing.T) {
+	f := newFixture(2, 3, "m")
+	f.add(10, dispatch.Task{Model: "m"})
+	assertCounts(t, f.Next(f.now), 3)
+	if f.Waiting() != 4 {
+		t.Fatalf("%d wait, want 4", f.Waiting())
+	}
+}
+
+func TestStaleEnginesGetNoTask(t *testing.T) {
+	f := newFixture(3, 3, "m")
+	f.add(1, dispatch.Task{Model: "m", MinVersion: 2})
+	if as := f.Next(f.now); len(as) != 0 {
+		t.Fatalf("started %v on an engine of version 1", as)
+	}
+}
+
+func TestDrainingEnginesGetNoTask(t *testing.T) {
+	f := newFixture(1, 3, "m")
+	u := f.upstreams["e0"]
+	u.State = discovery.StateDraining
+	f.upstreams["e0"] = u
+	f.sync()
+	f.add(1, dispatch.Task{Model: "m"})
+	if as := f.Next(f.now); len(as) != 0 {
+		t.Fatalf("started %v on an engine that leaves", as)
+	}
+}
+
+func TestUrgentTasksStartFirst(t *testing.T) {
+	f := newFixture(1, 1, "m")
+	f.Add(dispatch.Task{JobID: "late", ItemID: "a", Pool: pool, Model: "m", DueMS: 9})
+	f.Add(dispatch.Task{JobID: "early", ItemID: "b", Pool: pool, Model: "m", DueMS: 5})
+	if as := f.Next(f.now); len(as) != 1 || as[0].Task.JobID != "early" {
+		t.Fatalf("started %v, want the job that is due first", as)
+	}
+}
+
+func TestRunsLeaveEnginesThatTurnSlow(t *testing.T) {
+	f := newFixture(9, 12, "m")
+	f.add(27, dispatch.Task{Model: "m"})
+	as := f.Next(f.now)
+	f.generate(as, func(engine string) rollout.Millis {
+		if engine == "e4" {
+			return slowGap
+		}
+		return eventGap
+	})
+	moves := f.Moves(f.now)
+	if len(moves) == 0 {
+		t.Fatal("no run leaves the slow engine")
+	}
+	for _, m := range moves {
+		if m.Engine != "e4" || m.Stalled {
+			t.Fatalf("moved %+v, want only runs of e4", m)
+		}
+	}
+	for _, a := range as {
+		if a.Engine == "e4" {
+			f.Ended(f.now, a, dispatch.OutcomeMoved)
+			f.Add(a.Task)
+		}
+	}
+	if counts := assertCounts(t, f.Next(f.now), 12); counts["e4"] != 0 {
+		t.Fatalf("%d runs went back to the slow engine", counts["e4"])
+	}
+}
+
+func TestRunsStayWhenAllEnginesAreSlow(t *testing.T) {
+	f := newFixture(9, 12, "m")
+	f.add(27, dispatch.Task{Model: "m"})
+	f.generate(f.Next(f.now), func(string) rollout.Millis { return slowGap })
+	if moves := f.Moves(f.now); len(moves) != 0 {
+		t.Fatalf("moved %v though no engine is faster", moves)
+	}
+}
+
+func TestRunsLeaveEnginesThatFallSilent(t *testing.T) {
+	f := newFixture(3, 12, "m")
+	f.add(3, dispatch.Task{Model: "m"})
+	as := f.Next(f.now)
+	f.generate(as, func(string) rollout.Millis { return eventGap })
+	f.now += 2_000
+	f.Progress(f.now, as[0].Task)
+	moves := f.Moves(f.now)
+	if len(moves) != 2 || !moves[0].Stalled || !moves[1].Stalled {
+		t.Fatalf("moves %+v, want the two silent runs", moves)
+	}
+	if again := f.Moves(f.now); len(again) != 0 {
+		t.Fatalf("moved twice: %+v", again)
+	}
+}
+
+func TestLoadsAreStaggered(t *testing.T) {
+	f := newFixture(9, 12, "m")
+	f.SetTargets(map[string]uint64{"m": 2})
+	loads := f.Loads(f.now)
+	if len(loads) != 2 {
+		t.Fatalf("%d engines load at once, want 2", len(loads))
+	}
+	if again := f.Loads(f.now); len(again) != 0 {
+		t.Fatalf("ordered %v while two orders are open", again)
+	}
+	for _, l := range loads {
+		l, wanted := f.Surveyed(f.now, l, rollout.EngineReport{Accepted: 3, Versions: map[string]uint64{"m": 1}})
+		if !wanted || l.Accepted != 3 {
+			t.Fatalf("Surveyed() = %+v, %v", l, wanted)
+		}
+		f.Ordered(f.now, l, rollout.OrderStarted)
+	}
+	if again := f.Loads(f.now + 100); len(again) != 0 {
+		t.Fatalf("ordered %v while two engines load", again)
+	}
+	if next := f.Loads(f.now + 900); len(next) != 2 {
+		t.Fatalf("%d engines load after the first, want 2", len(next))
+	}
+}
+
+func TestLoadsAreSharedByModels(t *testing.T) {
+	f := newFixture(9, 12, "m0", "m1", "m2")
+	f.SetTargets(map[string]uint64{"m0": 2, "m1": 2, "m2": 2})
+	counts := make(map[string]int)
+	for range 9 {
+		for _, l := range f.Loads(f.now) {
+			l, _ = f.Surveyed(f.now, l, rollout.EngineReport{Versions: map[string]uint64{l.Model: 1}})
+			f.Ordered(f.now, l, rollout.OrderStarted)
+			counts[l.Model]++
+		}
+		f.now += 1_000
+	}
+	for _, m := range f.models {
+		if counts[m] != 3 {
+			t.Fatalf("loads by model %v, want 3 each", counts)
+		}
+	}
+}
+
+func TestEngineThatMissedAnOrderIsAskedAgain(t *testing.T) {
+	f := newFixture(1, 12, "m")
+	f.SetTargets(map[string]uint64{"m": 2})
+	l := f.Loads(f.now)[0]
+	l, _ = f.Surveyed(f.now, l, rollout.EngineReport{Versions: map[string]uint64{"m": 1}})
+	f.Ordered(f.now, l, rollout.OrderUnknown)
+	f.now += 1_000
+	loads := f.Loads(f.now)
+	if len(loads) != 1 || !loads[0].Survey {
+		t.Fatalf("loads %+v, want one that asks the engine first", loads)
+	}
+}
--- a/pkg/rollout/document/document.go
+++ b/pkg/rollout/document/document.go
@@ -131,7 +131,7 @@
 	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
 		return invalid("route %q: prefix %q does not begin and end with a slash", r.Name, r.Prefix)
 	}
-	if r.TimeoutMS <= 0 && r.Kind != RouteJob {
+	if r.TimeoutMS <= 0 {
 		return invalid("route %q: the timeout is 0", r.Name)
 	}
 	total := 0
