Answer reads at any store that holds the results

Ruled out: a stale position; listed results never change, and only the leader says that there is no such job. Change: entries read at the store of their own failure domain; a follower shows what is listed, and says that there is nothing yet only when it has heard the leader within 0.5 s. Elections begin after 0.65 s.

--- a/internal/director/watch.go
+++ b/internal/director/watch.go
@@ -67,7 +67,12 @@
 func (d *Director) facts() view.Facts {
 	f := view.Facts{
 		Versions: d.state.Versions, Founders: d.state.Founders,
-		StoreLeader: d.storeLeader, Stores: slices.Clone(d.stores),
+		StoreLeader: d.storeLeader, Stores: slices.Clone(d.stores), StoreDomains: make(map[string]string),
+	}
+	for _, h := range d.hosts {
+		if slices.Contains(d.stores, h.req.Address) {
+			f.StoreDomains[h.req.Address] = h.req.FailureDomain
+		}
 	}
 	for _, address := range d.state.Retiring {
 		f.Retiring = append(f.Retiring, address)
@@ -87,7 +92,12 @@
 func (d *Director) note(req view.Request) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.hosts[req.Host+"/"+string(req.Role)] = host{req: req, seen: d.clock.Now()}
+	name := req.Host + "/" + string(req.Role)
+	if _, known := d.hosts[name]; !known && req.Role == view.RoleStore {
+		d.storeRev++
+		d.notify()
+	}
+	d.hosts[name] = host{req: req, seen: d.clock.Now()}
 	if u := req.Usage; u != nil {
 		for window, counts := range u.Windows {
 			if d.usage[window] == nil {
--- a/internal/gateway/jobs.go
+++ b/internal/gateway/jobs.go
@@ -26,7 +26,7 @@
 // Submit hands a job to the job store. KindOutcomeUnknown means that it may
 // have been taken.
 func (g *Gateway) Submit(ctx context.Context, spec job.Spec) error {
-	err := callStore(ctx, g, jobstore.MethodSubmit, 0, spec, &jobstore.Done{})
+	err := callStore(ctx, g, "", jobstore.MethodSubmit, 0, spec, &jobstore.Done{})
 	g.opts.Log.Info("JobHandedOn", zap.String("Job", spec.ID), zap.String("Account", spec.Account), zap.Int("Items", len(spec.Items)), zap.Error(err))
 	return err
 }
@@ -34,20 +34,20 @@
 // Read returns results of a job.
 func (g *Gateway) Read(ctx context.Context, req jobstore.ReadRequest) (jobstore.Page, error) {
 	var page jobstore.Page
-	err := callStore(ctx, g, jobstore.MethodRead, req.WaitMS, req, &page)
+	err := callStore(ctx, g, g.nearStore(), jobstore.MethodRead, req.WaitMS, req, &page)
 	return page, err
 }
 
 // Body returns the body of an item.
 func (g *Gateway) Body(ctx context.Context, req jobstore.BodyRequest) ([]byte, error) {
 	var body jobstore.Body
-	err := callStore(ctx, g, jobstore.MethodBody, 0, req, &body)
+	err := callStore(ctx, g, g.nearStore(), jobstore.MethodBody, 0, req, &body)
 	return body.Bytes, err
 }
 
 // End ends a job.
 func (g *Gateway) End(ctx context.Context, req jobstore.EndRequest) error {
-	return callStore(ctx, g, jobstore.MethodEnd, 0, req, &jobstore.Done{})
+	return callStore(ctx, g, "", jobstore.MethodEnd, 0, req, &jobstore.Done{})
 }
 
 // Account returns the client account of a key.
@@ -69,11 +69,12 @@
 // callStore calls the leader of the job store, and follows it when it has
 // changed. All calls may be repeated; the error tells whether one of them may
 // have been carried out.
-func callStore(ctx context.Context, g *Gateway, method string, waitMS rollout.Millis, in, out any) error {
+// The first host to try may be named.
+func callStore(ctx context.Context, g *Gateway, first, method string, waitMS rollout.Millis, in, out any) error {
 	wait := time.Duration(waitMS) * time.Millisecond
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout+wait)
 	defer cancel()
-	hint, sent := "", false
+	hint, sent := first, false
 	var last *rollout.Error
 	for try := 0; ; try++ {
 		address := g.storeAddress(hint, try)
@@ -107,6 +108,18 @@
 	}
 }
 
+// nearStore returns a member of the job store in the own failure domain, or
+// an empty string.
+func (g *Gateway) nearStore() string {
+	f := g.watcher.Copy().Facts
+	for _, address := range f.Stores {
+		if f.StoreDomains[address] == g.opts.FailureDomain {
+			return address
+		}
+	}
+	return ""
+}
+
 // storeAddress returns the hinted leader, the one that control knows, or the
 // members in turn.
 func (g *Gateway) storeAddress(hint string, try int) string {
--- a/internal/jobstore/calls.go
+++ b/internal/jobstore/calls.go
@@ -50,6 +50,11 @@
 	JobID, Account string
 }
 
+// followMS is how lately a follower must have heard the leader to answer
+// reads: a few heartbeats, well within the second after which a result that
+// was read must be seen everywhere.
+const followMS rollout.Millis = 500
+
 // Done is an empty answer.
 type Done struct{}
 
@@ -87,13 +92,22 @@
 	return Done{}, err
 }
 
+// sure returns an error unless this host may answer for a job. Results that
+// are listed never change, so any host may show them. That there are none yet
+// is said by the leader, and by a follower that knows the job and has heard
+// the leader lately; that there is no such job only by the leader.
+func (s *Store) sure(known, results bool) error {
+	_, err := s.lead()
+	if err != nil && known && (results || s.replica.Following(followMS)) {
+		return nil
+	}
+	return err
+}
+
 func (s *Store) read(ctx context.Context, req ReadRequest) (Page, error) {
 	timeout := time.NewTimer(time.Duration(req.WaitMS) * time.Millisecond)
 	defer timeout.Stop()
 	for {
-		if _, err := s.lead(); err != nil {
-			return Page{}, err
-		}
 		s.mu.Lock()
 		j, changed := s.book.Jobs[req.JobID], s.changed
 		known := j != nil && j.Spec.Account == req.Account
@@ -102,7 +116,7 @@
 			p = Page{Total: len(j.Spec.Items), Results: j.Page(req.After)}
 		}
 		s.mu.Unlock()
-		if _, err := s.lead(); err != nil {
+		if err := s.sure(known, len(p.Results) > 0); err != nil {
 			return Page{}, err
 		}
 		if !known {
@@ -131,7 +145,7 @@
 		}
 	}
 	s.mu.Unlock()
-	if _, err := s.lead(); err != nil {
+	if err := s.sure(found != nil, false); err != nil {
 		return Body{}, err
 	}
 	if found == nil {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -23,11 +23,11 @@
 const (
 	// heartbeatMS, electionMS and leaseMS suit failure domains a few
 	// milliseconds apart; a lost leader is replaced within two seconds.
-	heartbeatMS = 150
-	electionMS  = 900
-	leaseMS     = 750
+	heartbeatMS = 120
+	electionMS  = 650
+	leaseMS     = 540
 	// tickInterval is half a heartbeat.
-	tickInterval = 75 * time.Millisecond
+	tickInterval = 60 * time.Millisecond
 	// rosterIntervalMS is the time between looks at the members.
 	rosterIntervalMS = 150
 	// waiterTimeoutMS is how long a proposal may stay without a result.
@@ -114,6 +114,8 @@
 
 	status     atomic.Pointer[Status]
 	leaseUntil atomic.Int64
+	// heardAt is when the leader was last heard, or 0.
+	heardAt atomic.Int64
 }
 
 // Open opens the data folder of a replica.
@@ -182,6 +184,16 @@
 	return r.Status().Term, until > 0 && r.opts.Clock.Now()+spare < until
 }
 
+// Following tells whether the replica has heard its leader within a time, or
+// leads. What it has applied is then at most so old.
+func (r *Replica) Following(within rollout.Millis) bool {
+	if _, leads := r.Leading(0); leads {
+		return true
+	}
+	heard := rollout.Millis(r.heardAt.Load())
+	return heard > 0 && r.opts.Clock.Now()-heard < within
+}
+
 // NotLeader returns the error that names the leader.
 func (r *Replica) NotLeader() error {
 	return rollout.NewError(rollout.KindNotLeader, "leader is %s", r.Status().Leader.Address)
@@ -327,6 +339,7 @@
 		until = 0
 	}
 	r.leaseUntil.Store(int64(until))
+	r.heardAt.Store(int64(r.node.HeardLeader()))
 	r.publish()
 	leads := until > now
 	if r.leadCancel != nil && (!leads || r.leadTerm != r.node.Term()) {
--- a/internal/view/protocol.go
+++ b/internal/view/protocol.go
@@ -74,6 +74,8 @@
 	StoreLeader string
 	// Stores are the addresses of the members of the job store.
 	Stores []string
+	// StoreDomains holds the failure domain of each address in Stores.
+	StoreDomains map[string]string
 	// Controls are the addresses of the control hosts.
 	Controls []string
 }
--- a/pkg/rollout/quorum/node.go
+++ b/pkg/rollout/quorum/node.go
@@ -363,3 +363,12 @@
 
 // MembersCommitted tells whether the newest members are committed.
 func (n *Node) MembersCommitted() bool { return n.membersIndex <= n.commit }
+
+// HeardLeader returns when a follower last heard its leader, or zero when it
+// follows none.
+func (n *Node) HeardLeader() rollout.Millis {
+	if n.role != follower || n.leader == "" {
+		return 0
+	}
+	return n.holdUntil - n.cfg.ElectionMS
+}
