Keep the text of long items in the log as it grows

Ruled out: the election itself, 0.3 s. Change: 20 new events of an item go to the log as one piece; a result carries only what follows. The next leader resumes at the last kept event, and a group that comes again finds its text.

--- a/internal/jobstore/item.go
+++ b/internal/jobstore/item.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"slices"
 	"strconv"
-	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -22,40 +20,27 @@
 	scoreRetryPause = 150 * time.Millisecond
 	// scoreBudget is the time that one call to a scorer may take.
 	scoreBudget = 3 * time.Second
+	// keepEvents is how many new events of an item the book is told of at
+	// once: about a second of work of an engine.
+	keepEvents = 20
 	// proposeRetryPause is the pause after a result could not be listed.
 	proposeRetryPause = 100 * time.Millisecond
 )
 
-// text is what engines have generated for an item.
+// text is the text of an item that is being generated.
 type text struct {
-	events   []string
-	lastID   uint64
-	versions []uint64
-	// complete is true once the last event is there.
-	complete bool
-	usedMS   rollout.Millis
-}
-
-// add takes an event made under a version. Events that are there already are
-// dropped.
-func (t *text) add(e rollout.StreamEvent, version uint64) {
-	if e.ID <= t.lastID && t.lastID > 0 {
-		return
-	}
-	t.events = append(t.events, string(e.Data))
-	t.lastID = e.ID
-	if !slices.Contains(t.versions, version) {
-		t.versions = append(t.versions, version)
-		slices.Sort(t.versions)
-	}
+	job.Text
+	// kept is the number of events that the book holds.
+	kept int
+	// keeping is true while a piece is on its way to the book.
+	keeping bool
 }
 
 // fit drops text that the bounds of a job do not allow.
 func (t *text) fit(minVersion uint64, single bool) {
-	if len(t.versions) == 0 || (t.versions[0] >= minVersion && (!single || len(t.versions) == 1)) {
-		return
+	if !t.Fits(minVersion, single) {
+		*t = text{}
 	}
-	*t = text{usedMS: t.usedMS}
 }
 
 // runItem runs an item on an engine, or only scores it when its text is
@@ -71,7 +56,7 @@
 		r.nudge()
 	}
 	abandon := w.failures >= max(1, w.route.MaxAttempts)
-	complete := w.text.complete
+	complete := w.text.Complete
 	r.mu.Unlock()
 	switch {
 	case ctx.Err() != nil:
@@ -138,7 +123,8 @@
 			version = e.WeightVersion
 		}
 		r.mu.Lock()
-		w.text.add(e, version)
+		w.text.Text = w.text.WithEvent(e, version)
+		r.keepLong(ctx, w)
 		r.sched.Progress(r.s.clock.Now(), a.Task)
 		r.mu.Unlock()
 	})
@@ -150,7 +136,7 @@
 		return dispatch.OutcomeBroken
 	}
 	r.mu.Lock()
-	w.text.complete = true
+	w.text.Complete = true
 	r.mu.Unlock()
 	return dispatch.OutcomeDone
 }
@@ -181,20 +167,15 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if w.text.lastID > 0 {
-		x.ResumeAfter = strconv.FormatUint(w.text.lastID, 10)
+	if w.text.LastID > 0 {
+		x.ResumeAfter = strconv.FormatUint(w.text.LastID, 10)
 	}
 	return x
 }
 
 // score has the text of an item scored and lists the result.
 func (r *runner) score(ctx context.Context, w *work) {
-	r.mu.Lock()
-	result := job.Result{
-		ItemID: w.item.ID, State: job.StateCompleted,
-		Output: strings.Join(w.text.events, "\n"), Versions: slices.Clone(w.text.versions),
-	}
-	r.mu.Unlock()
+	result := job.Result{ItemID: w.item.ID, State: job.StateCompleted}
 	if w.item.Scorer == nil {
 		r.finish(ctx, w, result)
 		return
@@ -261,12 +242,23 @@
 // finish lists a result. It tries until the lead or the job ends.
 func (r *runner) finish(ctx context.Context, w *work, result job.Result) {
 	for {
-		err := r.s.propose(ctx, job.Command{Finish: &job.Finish{JobID: w.spec.ID, Result: result}})
+		f := job.Finish{JobID: w.spec.ID, Result: result}
+		r.mu.Lock()
+		if result.State == job.StateCompleted {
+			f.Piece = w.text.Since(w.text.kept)
+		}
+		r.mu.Unlock()
+		err := r.s.propose(ctx, job.Command{Finish: &f})
 		r.s.opts.Log.Info("ItemListed", zap.String("Request", w.item.ID), zap.String("Job", w.spec.ID),
-			zap.String("State", string(result.State)), zap.Uint64s("Versions", result.Versions), zap.Error(err))
+			zap.String("State", string(result.State)), zap.Uint64s("Versions", f.Piece.Versions), zap.Error(err))
 		if err == nil {
 			break
 		}
+		if rollout.AsError(err).Kind == rollout.KindConflict {
+			r.mu.Lock()
+			w.text.kept = 0
+			r.mu.Unlock()
+		}
 		if !pause(ctx, proposeRetryPause) {
 			return
 		}
@@ -276,9 +268,38 @@
 	w.done = true
 }
 
+// keepLong has the book keep the text of an item once much of it is new, so
+// that another leader goes on from there. It is called with mu held.
+func (r *runner) keepLong(ctx context.Context, w *work) {
+	if w.text.keeping || len(w.text.Events)-w.text.kept < keepEvents {
+		return
+	}
+	w.text.keeping = true
+	r.wait.Go(func() { r.keep(ctx, w) })
+}
+
+// keep has the book keep what is new of the text of an item.
+func (r *runner) keep(ctx context.Context, w *work) {
+	r.mu.Lock()
+	piece := w.text.Since(w.text.kept)
+	r.mu.Unlock()
+	err := r.s.propose(ctx, job.Command{Extend: &job.Extend{JobID: w.spec.ID, ItemID: w.item.ID, Piece: piece}})
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	w.text.keeping = false
+	switch {
+	case err == nil:
+		w.text.kept = piece.From + len(piece.Events)
+	case rollout.AsError(err).Kind == rollout.KindConflict:
+		w.text.kept = 0
+	default:
+		r.s.opts.Log.Info("TextNotKept", zap.String("Request", w.item.ID), zap.Error(err))
+	}
+}
+
 func (r *runner) logRun(w *work, a dispatch.Assignment, started time.Time, status int, err error) {
 	r.mu.Lock()
-	events := len(w.text.events)
+	events := len(w.text.Events)
 	r.mu.Unlock()
 	r.s.opts.Log.Info("ItemRun", zap.String("Request", w.item.ID), zap.String("Job", w.spec.ID), zap.String("Upstream", a.Engine),
 		zap.Uint64("Version", a.Version), zap.Int("Status", status), zap.Int("Events", events),
--- a/internal/jobstore/runner.go
+++ b/internal/jobstore/runner.go
@@ -25,8 +25,6 @@
 	orderSpareMS rollout.Millis = 100
 	// forgetInterval is the time between two removals of old jobs.
 	forgetInterval = 10 * time.Second
-	// textKeepMS is how long the text of an item is kept for a later job.
-	textKeepMS rollout.Millis = 60_000
 )
 
 // work is the state of one item while its job is open.
@@ -59,7 +57,6 @@
 	// The fields below are guarded by mu.
 	sched *dispatch.Scheduler
 	jobs  map[string][]*work
-	texts map[string]*text
 	index *document.Index
 	order uint64
 }
@@ -68,7 +65,7 @@
 	return &runner{
 		s: s, term: term, wake: make(chan struct{}, 1),
 		sched: dispatch.New(dispatch.DefaultConfig(s.opts.FailureDomain)),
-		jobs:  make(map[string][]*work), texts: make(map[string]*text),
+		jobs:  make(map[string][]*work),
 	}
 }
 
@@ -78,9 +75,6 @@
 	r.ctx = ctx
 	r.mu.Unlock()
 	r.sync(r.s.watcher.Copy())
-	for _, id := range r.s.openJobs() {
-		r.open(id)
-	}
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
 	forget := time.NewTicker(forgetInterval)
@@ -98,7 +92,8 @@
 	r.wait.Wait()
 }
 
-// close stops the items of a job that has ended.
+// close stops the items of a job that has ended. Their text is kept where a
+// later step may still use it.
 func (r *runner) close(jobID string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -108,6 +103,10 @@
 		if w.cancel != nil {
 			w.cancel()
 		}
+		if len(w.text.Events) > w.text.kept && !w.text.keeping && w.text.Fits(w.spec.MinVersion+1, w.route.SingleVersion) {
+			w.text.keeping = true
+			r.wait.Go(func() { r.keep(r.ctx, w) })
+		}
 	}
 	delete(r.jobs, jobID)
 }
@@ -116,26 +115,27 @@
 func (r *runner) open(jobID string) {
 	r.s.mu.Lock()
 	j := r.s.book.Jobs[jobID]
-	var items []*job.Item
+	var works []*work
 	if j != nil && !j.Ended {
 		for i := range j.Spec.Items {
-			if !j.Listed(j.Spec.Items[i].ID) {
-				items = append(items, &j.Spec.Items[i])
+			it := &j.Spec.Items[i]
+			if !j.Listed(it.ID) {
+				t := r.s.book.Texts[job.TextKey{Account: j.Spec.Account, ItemID: it.ID}]
+				works = append(works, &work{spec: &j.Spec, item: it, text: &text{Text: t, kept: len(t.Events)}})
 			}
 		}
 	}
 	r.s.mu.Unlock()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if _, known := r.jobs[jobID]; known || len(items) == 0 || r.ctx == nil {
+	if _, known := r.jobs[jobID]; known || len(works) == 0 || r.index == nil {
 		return
 	}
-	r.jobs[jobID] = nil
+	r.jobs[jobID] = works
 	route := r.routeOf(&j.Spec)
-	for _, it := range items {
+	for _, w := range works {
 		r.order++
-		w := &work{spec: &j.Spec, item: it, route: route, order: r.order, text: r.textOf(it.ID)}
-		r.jobs[jobID] = append(r.jobs[jobID], w)
+		w.route, w.order = route, r.order
 		r.queue(w)
 	}
 	r.nudge()
@@ -151,8 +151,8 @@
 		MinVersion: w.spec.MinVersion, DueMS: w.spec.SubmittedMS + w.route.ResultDeadlineMS, Order: w.order,
 	}
 	w.text.fit(w.spec.MinVersion, w.route.SingleVersion)
-	if w.route.SingleVersion && len(w.text.versions) > 0 {
-		t.OnlyVersion = w.text.versions[0]
+	if w.route.SingleVersion && len(w.text.Versions) > 0 {
+		t.OnlyVersion = w.text.Versions[0]
 	}
 	if w.route.MaxQueueMS > 0 && rollout.Millis(time.Now().UnixMilli()) > w.spec.SubmittedMS+w.route.MaxQueueMS {
 		r.wait.Go(func() {
@@ -160,7 +160,7 @@
 		})
 		return
 	}
-	if w.text.complete {
+	if w.text.Complete {
 		r.start(w, dispatch.Assignment{Task: t})
 		return
 	}
@@ -169,21 +169,28 @@
 
 // routeOf is called with mu held.
 func (r *runner) routeOf(spec *job.Spec) document.Route {
-	if r.index != nil {
-		if route, ok := r.index.RouteByName(spec.Route); ok {
-			return route
-		}
+	if route, ok := r.index.RouteByName(spec.Route); ok {
+		return route
 	}
 	return document.Route{MaxAttempts: 1, Split: []document.Share{{Weight: 1}}}
 }
 
-// sync takes what control has decided.
+// sync takes what control has decided. With the first configuration the open
+// jobs are queued.
 func (r *runner) sync(c view.Copy) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if c.Index == nil {
+	if c.Index == nil || !r.take(c) {
 		return
 	}
+	for _, id := range r.s.openJobs() {
+		r.open(id)
+	}
+}
+
+// take tells whether the configuration is the first.
+func (r *runner) take(c view.Copy) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	first := r.index == nil
 	r.index = c.Index
 	models := make(map[string][]string)
 	for _, p := range c.Index.Document.Pools {
@@ -192,17 +199,7 @@
 	r.sched.SetTargets(c.Facts.Versions)
 	r.sched.Sync(c.Upstreams, models)
 	r.nudge()
-}
-
-// textOf is called with mu held.
-func (r *runner) textOf(itemID string) *text {
-	t := r.texts[itemID]
-	if t == nil {
-		t = &text{}
-		r.texts[itemID] = t
-	}
-	t.usedMS = r.s.clock.Now()
-	return t
+	return first
 }
 
 func (r *runner) nudge() {
@@ -263,14 +260,6 @@
 
 // forget drops old jobs and texts.
 func (r *runner) forget(ctx context.Context) {
-	now := r.s.clock.Now()
-	r.mu.Lock()
-	for id, t := range r.texts {
-		if now-t.usedMS > textKeepMS {
-			delete(r.texts, id)
-		}
-	}
-	r.mu.Unlock()
 	before := rollout.Millis(time.Now().UnixMilli()) - r.s.opts.KeepMS
 	r.s.mu.Lock()
 	old := false
--- a/pkg/rollout/job/job.go
+++ b/pkg/rollout/job/job.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"slices"
+	"strings"
 
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 )
@@ -73,16 +74,25 @@
 // Command changes the state. One field is set.
 type Command struct {
 	Submit *Spec   `json:",omitempty"`
+	Extend *Extend `json:",omitempty"`
 	Finish *Finish `json:",omitempty"`
 	End    *End    `json:",omitempty"`
 	// Forget drops the jobs submitted before a time.
 	Forget *Forget `json:",omitempty"`
 }
 
-// Finish lists a result at the next position of a job.
+// Extend keeps text of an item that is still being generated.
+type Extend struct {
+	JobID, ItemID string
+	Piece         Piece
+}
+
+// Finish lists a result at the next position of a job. The output of a
+// completed result is the kept text and the piece after it.
 type Finish struct {
 	JobID  string
 	Result Result
+	Piece  Piece
 }
 
 // End ends a job.
@@ -102,6 +112,7 @@
 	Results []Result
 	Ended   bool
 	listed  map[string]bool
+	items   map[string]bool
 }
 
 // Listed tells whether an item has a result.
@@ -125,78 +136,138 @@
 // Book holds all jobs. It is used by one thread at a time.
 type Book struct {
 	Jobs map[string]*Job
+	// Texts holds what is kept of the text of items. An item that comes again
+	// in a later job finds it here.
+	Texts map[TextKey]Text
 }
 
 // NewBook returns an empty book.
-func NewBook() *Book { return &Book{Jobs: make(map[string]*Job)} }
+func NewBook() *Book { return &Book{Jobs: make(map[string]*Job), Texts: make(map[TextKey]Text)} }
 
 // Apply carries a command out. It tells whether the command was in order.
 func (b *Book) Apply(c Command) error {
 	switch {
 	case c.Submit != nil:
 		return b.submit(*c.Submit)
+	case c.Extend != nil:
+		return b.extend(*c.Extend)
 	case c.Finish != nil:
 		return b.finish(*c.Finish)
 	case c.End != nil:
 		return b.end(*c.End)
 	case c.Forget != nil:
-		for id, j := range b.Jobs {
-			if j.Ended && j.Spec.SubmittedMS < c.Forget.BeforeMS {
-				delete(b.Jobs, id)
-			}
-		}
+		b.forget(*c.Forget)
 	}
 	return nil
 }
 
 // Snapshot returns the whole state.
-func (b *Book) Snapshot() ([]byte, error) { return json.Marshal(b.Jobs) }
+func (b *Book) Snapshot() ([]byte, error) {
+	data, err := json.Marshal(b)
+	if err != nil {
+		return nil, rollout.NewError(rollout.KindStorage, "snapshot of jobs").WithCause(err)
+	}
+	return data, nil
+}
 
 // Restore replaces the state.
 func (b *Book) Restore(data []byte) error {
-	jobs := make(map[string]*Job)
-	if err := json.Unmarshal(data, &jobs); err != nil {
+	next := NewBook()
+	if err := json.Unmarshal(data, next); err != nil {
 		return rollout.NewError(rollout.KindStorage, "snapshot of jobs").WithCause(err)
 	}
-	for _, j := range jobs {
-		j.listed = make(map[string]bool)
+	for _, j := range next.Jobs {
+		j.index()
 		for _, r := range j.Results {
 			j.listed[r.ItemID] = true
 		}
 	}
-	b.Jobs = jobs
+	*b = *next
 	return nil
 }
 
-func (b *Book) submit(s Spec) error {
-	if old := b.Jobs[s.ID]; old != nil {
-		if old.Spec.Account != s.Account {
-			return rollout.NewError(rollout.KindConflict, "job %s belongs to another account", s.ID)
-		}
-		return nil
+func (b *Book) end(e End) error {
+	j := b.Jobs[e.JobID]
+	if j == nil || j.Spec.Account != e.Account {
+		return rollout.NewError(rollout.KindNotFound, "job %s", e.JobID)
 	}
-	b.Jobs[s.ID] = &Job{Spec: s, listed: make(map[string]bool)}
+	j.Ended = true
+	return nil
+}
+
+func (b *Book) extend(e Extend) error {
+	j, err := b.item(e.JobID, e.ItemID)
+	if err != nil || j.listed[e.ItemID] {
+		return err
+	}
+	k := TextKey{j.Spec.Account, e.ItemID}
+	t, err := b.Texts[k].With(e.Piece)
+	if err != nil {
+		return err
+	}
+	t.UsedMS = j.Spec.SubmittedMS
+	b.Texts[k] = t
 	return nil
 }
 
 func (b *Book) finish(f Finish) error {
-	j := b.Jobs[f.JobID]
-	if j == nil || j.listed[f.Result.ItemID] {
-		return nil
+	j, err := b.item(f.JobID, f.Result.ItemID)
+	if err != nil || j.listed[f.Result.ItemID] {
+		return err
 	}
-	if !slices.ContainsFunc(j.Spec.Items, func(it Item) bool { return it.ID == f.Result.ItemID }) {
-		return rollout.NewError(rollout.KindInvalidInput, "job %s has no item %s", f.JobID, f.Result.ItemID)
+	result := f.Result
+	if result.State == StateCompleted {
+		k := TextKey{j.Spec.Account, result.ItemID}
+		t, err := b.Texts[k].With(f.Piece)
+		if err != nil {
+			return err
+		}
+		result.Output, result.Versions = strings.Join(t.Events, eventSeparator), t.Versions
+		b.Texts[k] = Text{Events: []string{result.Output}, LastID: t.LastID, Versions: t.Versions, Complete: true, UsedMS: j.Spec.SubmittedMS}
 	}
-	j.listed[f.Result.ItemID] = true
-	j.Results = append(j.Results, f.Result)
+	j.listed[result.ItemID] = true
+	j.Results = append(j.Results, result)
 	return nil
 }
 
-func (b *Book) end(e End) error {
-	j := b.Jobs[e.JobID]
-	if j == nil || j.Spec.Account != e.Account {
-		return rollout.NewError(rollout.KindNotFound, "job %s", e.JobID)
+func (b *Book) forget(f Forget) {
+	for id, j := range b.Jobs {
+		if j.Ended && j.Spec.SubmittedMS < f.BeforeMS {
+			delete(b.Jobs, id)
+		}
 	}
-	j.Ended = true
+	for k, t := range b.Texts {
+		if t.UsedMS < f.BeforeMS {
+			delete(b.Texts, k)
+		}
+	}
+}
+
+// item returns the job of an item.
+func (b *Book) item(jobID, itemID string) (*Job, error) {
+	j := b.Jobs[jobID]
+	if j == nil || !j.items[itemID] {
+		return nil, rollout.NewError(rollout.KindNotFound, "job %s has no item %s", jobID, itemID)
+	}
+	return j, nil
+}
+
+func (b *Book) submit(s Spec) error {
+	if old := b.Jobs[s.ID]; old != nil {
+		if old.Spec.Account != s.Account {
+			return rollout.NewError(rollout.KindConflict, "job %s belongs to another account", s.ID)
+		}
+		return nil
+	}
+	j := &Job{Spec: s}
+	j.index()
+	b.Jobs[s.ID] = j
 	return nil
 }
+
+func (j *Job) index() {
+	j.listed, j.items = make(map[string]bool), make(map[string]bool)
+	for _, it := range j.Spec.Items {
+		j.items[it.ID] = true
+	}
+}
