--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -38,8 +38,9 @@
 	Dir           string
 	Address       string
 	FailureDomain string
-	// Seeds are the addresses of control hosts, this one perhaps included.
-	Seeds []string
+	// Seeds returns addresses of control hosts, this one perhaps included.
+	// They may change.
+	Seeds func() []string
 	// Founding is true when the whole system starts for the first time.
 	Founding bool
 	// Losses is the number of hosts that may be lost at once.
@@ -135,7 +136,7 @@
 	group.Go(func() error {
 		var founding replica.Founding
 		if d.opts.Founding {
-			founding = d.opts.Seeds
+			founding = d.opts.Seeds()
 		}
 		return d.replica.Introduce(run, d.client, founding, d.controls)
 	})
@@ -157,7 +158,7 @@
 
 // controls returns the addresses of control hosts.
 func (d *Director) controls() []string {
-	addresses := append([]string(nil), d.opts.Seeds...)
+	addresses := d.opts.Seeds()
 	return append(addresses, d.watcher.Copy().Facts.Controls...)
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -34,8 +34,8 @@
 type Options struct {
 	Host          string
 	FailureDomain string
-	// Controls are the addresses of control hosts.
-	Controls []string
+	// Controls returns addresses of control hosts. They may change.
+	Controls func() []string
 	// WindowMS is the length of a usage window.
 	WindowMS  rollout.Millis
 	Upstreams rollout.Upstreams
--- a/internal/jobstore/item.go
+++ b/internal/jobstore/item.go
@@ -160,7 +160,7 @@
 	x := rollout.Exchange{
 		Address: a.Address, Instance: a.Engine, Method: "POST", URI: w.item.Path, Host: w.spec.Host,
 		AttemptID: w.item.ID, Account: w.spec.Account, Body: w.item.Body, WeightVersion: a.Version,
-		BudgetMS: max(1_000, w.spec.SubmittedMS+w.route.MaxQueueMS-rollout.Millis(time.Now().UnixMilli())),
+		BudgetMS: max(1_000, w.openedMS+w.route.MaxQueueMS-r.s.clock.Now()),
 	}
 	for _, h := range w.item.Headers {
 		x.Header = append(x.Header, rollout.HeaderField{Name: h.Name, Value: h.Value})
--- a/internal/jobstore/runner.go
+++ b/internal/jobstore/runner.go
@@ -25,6 +25,8 @@
 	orderSpareMS rollout.Millis = 100
 	// forgetInterval is the time between two removals of old jobs.
 	forgetInterval = 10 * time.Second
+	// clockSlackMS bounds how far the clocks of two hosts differ.
+	clockSlackMS rollout.Millis = 20_000
 )
 
 // work is the state of one item while its job is open.
@@ -32,8 +34,11 @@
 	spec  *job.Spec
 	item  *job.Item
 	route document.Route
-	order uint64
-	text  *text
+	// openedMS is when this leader has queued the item. It is never before the
+	// submission, whatever the clocks of other hosts say.
+	openedMS rollout.Millis
+	order    uint64
+	text     *text
 	// failures counts answers of 500.
 	failures int
 	cancel   context.CancelFunc
@@ -111,6 +116,22 @@
 	delete(r.jobs, jobID)
 }
 
+// keepAll has the book keep what is new of all texts.
+func (r *runner) keepAll(ctx context.Context) {
+	var group sync.WaitGroup
+	r.mu.Lock()
+	for _, works := range r.jobs {
+		for _, w := range works {
+			if !w.done && !w.text.keeping && len(w.text.Events) > w.text.kept {
+				w.text.keeping = true
+				group.Go(func() { r.keep(ctx, w) })
+			}
+		}
+	}
+	r.mu.Unlock()
+	group.Wait()
+}
+
 // open queues the items of a job that have no result.
 func (r *runner) open(jobID string) {
 	r.s.mu.Lock()
@@ -132,10 +153,10 @@
 		return
 	}
 	r.jobs[jobID] = works
-	route := r.routeOf(&j.Spec)
+	route, now := r.routeOf(&j.Spec), r.s.clock.Now()
 	for _, w := range works {
 		r.order++
-		w.route, w.order = route, r.order
+		w.route, w.order, w.openedMS = route, r.order, now
 		r.queue(w)
 	}
 	r.nudge()
@@ -148,13 +169,13 @@
 	}
 	t := dispatch.Task{
 		JobID: w.spec.ID, ItemID: w.item.ID, Pool: w.route.Pick(0), Model: w.spec.Model, Group: w.item.Group,
-		MinVersion: w.spec.MinVersion, DueMS: w.spec.SubmittedMS + w.route.ResultDeadlineMS, Order: w.order,
+		MinVersion: w.spec.MinVersion, DueMS: w.openedMS + w.route.ResultDeadlineMS, Order: w.order,
 	}
 	w.text.fit(w.spec.MinVersion, w.route.SingleVersion)
 	if w.route.SingleVersion && len(w.text.Versions) > 0 {
 		t.OnlyVersion = w.text.Versions[0]
 	}
-	if w.route.MaxQueueMS > 0 && rollout.Millis(time.Now().UnixMilli()) > w.spec.SubmittedMS+w.route.MaxQueueMS {
+	if w.route.MaxQueueMS > 0 && r.s.clock.Now() > w.openedMS+w.route.MaxQueueMS {
 		r.wait.Go(func() {
 			r.finish(r.ctx, w, job.Result{ItemID: w.item.ID, State: job.StateAbandoned})
 		})
@@ -260,7 +281,7 @@
 
 // forget drops old jobs and texts.
 func (r *runner) forget(ctx context.Context) {
-	before := rollout.Millis(time.Now().UnixMilli()) - r.s.opts.KeepMS
+	before := rollout.Millis(time.Now().UnixMilli()) - r.s.opts.KeepMS - clockSlackMS
 	r.s.mu.Lock()
 	old := false
 	for _, j := range r.s.book.Jobs {
--- a/internal/jobstore/store.go
+++ b/internal/jobstore/store.go
@@ -30,6 +30,8 @@
 	// transferWait is how long a leaving host serves on after it has given
 	// the lead away.
 	transferWait = 1_500 * time.Millisecond
+	// handOverTimeout bounds the last write of a leaving leader.
+	handOverTimeout = 400 * time.Millisecond
 )
 
 // Options set a store host up.
@@ -38,8 +40,8 @@
 	Dir           string
 	Address       string
 	FailureDomain string
-	// Controls are the addresses of control hosts.
-	Controls []string
+	// Controls returns addresses of control hosts. They may change.
+	Controls func() []string
 	// Founding is true when the whole system starts for the first time.
 	Founding bool
 	// Losses is the number of hosts that may be lost at once.
@@ -126,6 +128,7 @@
 		case <-ctx.Done():
 		}
 		s.opts.Log.Info("Leaving")
+		s.handOver(run)
 		s.replica.Transfer()
 		time.Sleep(transferWait)
 		return nil
@@ -157,6 +160,20 @@
 	}
 }
 
+// handOver keeps what this host has generated, so that the next leader goes on
+// from there.
+func (s *Store) handOver(ctx context.Context) {
+	s.mu.Lock()
+	r := s.runner
+	s.mu.Unlock()
+	if r == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	r.keepAll(ctx)
+}
+
 // peers returns the addresses of hosts that may know the leader.
 func (s *Store) peers() []string {
 	f := s.watcher.Copy().Facts
--- a/internal/view/watcher.go
+++ b/internal/view/watcher.go
@@ -42,8 +42,8 @@
 	Role          Role
 	Address       string
 	FailureDomain string
-	// Seeds are addresses of control hosts.
-	Seeds  []string
+	// Seeds returns addresses of control hosts. They may change.
+	Seeds  func() []string
 	Client *fabric.Client
 	Log    *zap.Logger
 	// Usage returns the totals to send, or nil.
@@ -103,7 +103,7 @@
 		w.target = address
 		return true
 	}
-	addresses := slices.Clone(w.opts.Seeds)
+	addresses := slices.Clone(w.opts.Seeds())
 	for _, a := range w.Copy().Facts.Controls {
 		if !slices.Contains(addresses, a) {
 			addresses = append(addresses, a)
@@ -116,7 +116,8 @@
 
 func (w *Watcher) watchOnce(ctx context.Context) error {
 	if w.target == "" {
-		w.target = w.opts.Seeds[w.next%len(w.opts.Seeds)]
+		seeds := w.opts.Seeds()
+		w.target = seeds[w.next%len(seeds)]
 	}
 	old := w.Copy()
 	req := Request{
--- /dev/null
+++ b/pkg/rollout/job/job_test.go
@@ -0,0 +1,170 @@
+package job_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/job"
+)
+
+func newBook(t *testing.T) *job.Book {
+	t.Helper()
+	b := job.NewBook()
+	mustApply(t, b, submit("j", "a", "i1", "i2"))
+	return b
+}
+
+func submit(id, account string, items ...string) job.Command {
+	s := job.Spec{ID: id, Account: account, SubmittedMS: 1_000}
+	for _, it := range items {
+		s.Items = append(s.Items, job.Item{ID: it})
+	}
+	return job.Command{Submit: &s}
+}
+
+func extend(item string, from int, events ...string) job.Command {
+	p := job.Piece{From: from, Events: events, LastID: uint64(from + len(events)), Versions: []uint64{3}}
+	return job.Command{Extend: &job.Extend{JobID: "j", ItemID: item, Piece: p}}
+}
+
+func finish(item string, from int, events ...string) job.Command {
+	e := extend(item, from, events...).Extend
+	return job.Command{Finish: &job.Finish{JobID: "j", Result: job.Result{ItemID: item, State: job.StateCompleted, Score: "s"}, Piece: e.Piece}}
+}
+
+func mustApply(t *testing.T, b *job.Book, cs ...job.Command) {
+	t.Helper()
+	for _, c := range cs {
+		if err := b.Apply(c); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+func assertKind(t *testing.T, err error, want rollout.Kind) {
+	t.Helper()
+	if err == nil || rollout.AsError(err).Kind != want {
+		t.Fatalf("error %v, want %v", err, want)
+	}
+}
+
+func assertOutputs(t *testing.T, b *job.Book, id string, want ...string) {
+	t.Helper()
+	var got []string
+	for _, r := range b.Jobs[id].Results {
+		got = append(got, r.Output)
+	}
+	if strings.Join(got, "|") != strings.Join(want, "|") {
+		t.Fatalf("outputs %q, want %q", got, want)
+	}
+}
+
+func TestResubmittedJobChangesNothing(t *testing.T) {
+	b := newBook(t)
+	mustApply(t, b, finish("i1", 0, "x"), submit("j", "a", "i1", "i2"))
+	assertOutputs(t, b, "j", "x")
+	assertKind(t, b.Apply(submit("j", "other")), rollout.KindConflict)
+}
+
+func TestFirstResultOfAnItemStands(t *testing.T) {
+	b := newBook(t)
+	mustApply(t, b, finish("i1", 0, "first"), finish("i1", 0, "second"))
+	assertOutputs(t, b, "j", "first")
+}
+
+// A leader that has lost its place lists a result after its successor has
+// kept other text.
+func TestPieceMustFollowWhatIsKept(t *testing.T) {
+	b := newBook(t)
+	mustApply(t, b, extend("i1", 0, "1", "2"), extend("i1", 2, "3"))
+	assertKind(t, b.Apply(extend("i1", 2, "x")), rollout.KindConflict)
+	assertKind(t, b.Apply(finish("i1", 4, "x")), rollout.KindConflict)
+	mustApply(t, b, finish("i1", 3, "4"))
+	assertOutputs(t, b, "j", "1\n2\n3\n4")
+}
+
+func TestPieceFromTheStartReplacesText(t *testing.T) {
+	b := newBook(t)
+	mustApply(t, b, extend("i1", 0, "1", "2"), finish("i1", 0, "a", "b"))
+	assertOutputs(t, b, "j", "a\nb")
+}
+
+func TestTextOutlivesItsJob(t *testing.T) {
+	b := newBook(t)
+	mustApply(t, b, extend("i1", 0, "1", "2"), finish("i2", 0, "x", "y"), job.Command{End: &job.End{JobID: "j", Account: "a"}}, submit("k", "a", "i1", "i2"))
+	if got := b.Texts[job.TextKey{Account: "a", ItemID: "i1"}]; got.Complete || len(got.Events) != 2 {
+		t.Fatalf("text %+v, want two events", got)
+	}
+	if got := b.Texts[job.TextKey{Account: "a", ItemID: "i2"}]; !got.Complete {
+		t.Fatalf("text %+v, want a complete one", got)
+	}
+}
+
+func TestRestoredBookIsTheSame(t *testing.T) {
+	b := newBook(t)
+	mustApply(t, b, extend("i1", 0, "1"), finish("i2", 0, "x"))
+	data, err := b.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	restored := job.NewBook()
+	if err := restored.Restore(data); err != nil {
+		t.Fatal(err)
+	}
+	mustApply(t, restored, finish("i2", 0, "again"), finish("i1", 1, "2"))
+	assertOutputs(t, restored, "j", "x", "1\n2")
+}
+
+func TestOthersDoNotEndAJob(t *testing.T) {
+	b := newBook(t)
+	assertKind(t, b.Apply(job.Command{End: &job.End{JobID: "j", Account: "other"}}), rollout.KindNotFound)
+	if b.Jobs["j"].Ended {
+		t.Fatal("the job has ended")
+	}
+}
+
+func TestUnknownItemsAreRefused(t *testing.T) {
+	b := newBook(t)
+	assertKind(t, b.Apply(finish("i9", 0, "x")), rollout.KindNotFound)
+}
+
+func TestPagesAreBounded(t *testing.T) {
+	b := newBook(t)
+	big := strings.Repeat("x", 600<<10)
+	mustApply(t, b, finish("i1", 0, big), finish("i2", 0, big))
+	if got := len(b.Jobs["j"].Page(0)); got != 1 {
+		t.Fatalf("%d results in a page, want 1", got)
+	}
+	if got := len(b.Jobs["j"].Page(1)); got != 1 {
+		t.Fatalf("%d results from position 1, want 1", got)
+	}
+	if got := b.Jobs["j"].Page(2); got != nil {
+		t.Fatalf("results after the last: %v", got)
+	}
+}
+
+func TestOnlyOldEndedJobsAreForgotten(t *testing.T) {
+	b := newBook(t)
+	mustApply(t, b, submit("k", "a", "i3"), job.Command{End: &job.End{JobID: "k", Account: "a"}}, job.Command{Forget: &job.Forget{BeforeMS: 2_000}})
+	if b.Jobs["j"] == nil || b.Jobs["k"] != nil {
+		t.Fatalf("jobs %v, want only the open one", b.Jobs)
+	}
+}
+
+func TestTextOfOlderVersionsDoesNotFit(t *testing.T) {
+	text := job.Text{Versions: []uint64{3, 4}}
+	if !text.Fits(3, false) || text.Fits(4, false) || text.Fits(3, true) {
+		t.Fatal("bounds on versions do not hold")
+	}
+}
+
+func TestRepeatedEventsAreDropped(t *testing.T) {
+	var text job.Text
+	for _, id := range []uint64{1, 2, 2, 1, 3} {
+		text = text.WithEvent(rollout.StreamEvent{ID: id, Data: []byte{byte('a' + id)}}, 5)
+	}
+	if strings.Join(text.Events, "") != "bcd" || len(text.Versions) != 1 {
+		t.Fatalf("text %+v", text)
+	}
+}
--- a/pkg/rollout/roster/roster.go
+++ b/pkg/rollout/roster/roster.go
@@ -92,7 +92,7 @@
 	var best *Candidate
 	for _, id := range sortedIDs(v.Candidates) {
 		c := v.Candidates[id]
-		if _, ok := v.Members.Find(id); ok || now-c.SeenMS > CandidateExpiryMS || v.Retiring[c.Member.Address] {
+		if _, ok := v.Members.Find(id); ok || now-c.SeenMS > CandidateExpiryMS || v.Retiring[c.Member.Address] || v.successor(now, c.Member) {
 			continue
 		}
 		if best == nil || inDomain[c.FailureDomain] < inDomain[best.FailureDomain] {
@@ -140,16 +140,10 @@
 // unfitVoters returns the voters to replace: those whose address has a new
 // member, the silent and the retiring, the surest first.
 func (v View) unfitVoters(now rollout.Millis) []quorum.Member {
-	replaced := make(map[string]quorum.MemberID)
-	for id, c := range v.Candidates {
-		if now-c.SeenMS <= CandidateExpiryMS && !v.Members.IsVoter(id) {
-			replaced[c.Member.Address] = id
-		}
-	}
 	var wiped, silent, retiring []quorum.Member
 	for _, m := range v.Members.Voters {
 		switch {
-		case m.ID != v.Self && replaced[m.Address] != "":
+		case m.ID != v.Self && v.successor(now, m):
 			wiped = append(wiped, m)
 		case m.ID != v.Self && now-v.Heard(m.ID) > SilentMS:
 			silent = append(silent, m)
@@ -160,6 +154,17 @@
 	return slices.Concat(wiped, silent, retiring)
 }
 
+// successor tells whether a host has come to the address of a member under
+// another ID, as after the loss of its disk.
+func (v View) successor(now rollout.Millis, m quorum.Member) bool {
+	for id, c := range v.Candidates {
+		if id != m.ID && c.Member.Address == m.Address && c.SeenMS > v.Candidates[m.ID].SeenMS && now-c.SeenMS <= CandidateExpiryMS {
+			return true
+		}
+	}
+	return false
+}
+
 func sortedIDs(cs map[quorum.MemberID]Candidate) []quorum.MemberID {
 	ids := make([]quorum.MemberID, 0, len(cs))
 	for id := range cs {
--- /dev/null
+++ b/pkg/rollout/roster/roster_test.go
@@ -0,0 +1,158 @@
+package roster_test
+
+import (
+	"slices"
+	"testing"
+
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/quorum"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/roster"
+)
+
+// cluster drives Next until nothing is left to do. Learners catch up at once.
+type cluster struct {
+	roster.View
+	now    rollout.Millis
+	silent map[quorum.MemberID]bool
+	steps  []string
+}
+
+func newCluster(want int, voters ...string) *cluster {
+	c := &cluster{now: 100_000, silent: make(map[quorum.MemberID]bool)}
+	c.View = roster.View{
+		Self: quorum.MemberID(voters[0]), Want: want,
+		Candidates: make(map[quorum.MemberID]roster.Candidate), Retiring: make(map[string]bool),
+		CaughtUp: func(id quorum.MemberID) bool { return !c.silent[id] },
+		Heard: func(id quorum.MemberID) rollout.Millis {
+			if c.silent[id] {
+				return c.now - 10*roster.SilentMS
+			}
+			return c.now
+		},
+	}
+	for _, v := range voters {
+		c.join(v, "address-"+v, "domain-"+v[:1])
+		c.Members.Voters = append(c.Members.Voters, quorum.Member{ID: quorum.MemberID(v), Address: "address-" + v})
+	}
+	return c
+}
+
+func (c *cluster) join(id, address, domain string) {
+	m := quorum.Member{ID: quorum.MemberID(id), Address: address}
+	c.Candidates[m.ID] = roster.Candidate{Member: m, FailureDomain: domain, SeenMS: c.now}
+}
+
+func (c *cluster) settle(t *testing.T) {
+	t.Helper()
+	for range 20 {
+		change, ok := roster.Next(c.now, c.View)
+		if !ok {
+			return
+		}
+		c.steps = append(c.steps, change.Reason)
+		c.Members = change.Members
+	}
+	t.Fatalf("never settles: %v", c.steps)
+}
+
+func assertVoters(t *testing.T, c *cluster, want ...string) {
+	t.Helper()
+	var got []string
+	for _, v := range c.Members.Voters {
+		got = append(got, string(v.ID))
+	}
+	slices.Sort(got)
+	if !slices.Equal(got, want) || len(c.Members.Learners) != 0 {
+		t.Fatalf("members %+v after %v, want voters %v", c.Members, c.steps, want)
+	}
+}
+
+func TestWholeQuorumStays(t *testing.T) {
+	c := newCluster(3, "a1", "b1", "c1")
+	c.join("a2", "address-a2", "domain-a")
+	c.settle(t)
+	assertVoters(t, c, "a1", "b1", "c1")
+}
+
+func TestHostWithLostDiskIsReplacedByItself(t *testing.T) {
+	c := newCluster(3, "a1", "b1", "c1")
+	c.now += 500
+	c.silent["b1"] = true
+	c.join("b1new", "address-b1", "domain-b")
+	c.settle(t)
+	assertVoters(t, c, "a1", "b1new", "c1")
+	if !slices.Equal(c.steps, []string{"LearnerAdded", "MemberPromoted", "VoterRemoved"}) {
+		t.Fatalf("steps %v", c.steps)
+	}
+}
+
+func TestLostHostWithoutSuccessorStaysAVoter(t *testing.T) {
+	c := newCluster(3, "a1", "b1", "c1")
+	c.silent["b1"] = true
+	c.settle(t)
+	assertVoters(t, c, "a1", "b1", "c1")
+}
+
+func TestLostHostIsReplacedInItsFailureDomain(t *testing.T) {
+	c := newCluster(3, "a1", "b1", "c1")
+	c.silent["b1"] = true
+	c.join("a2", "address-a2", "domain-a")
+	c.join("b2", "address-b2", "domain-b")
+	c.settle(t)
+	assertVoters(t, c, "a1", "b2", "c1")
+}
+
+func TestRetiringHostLeaves(t *testing.T) {
+	c := newCluster(3, "a1", "b1", "c1")
+	c.Retiring["address-c1"] = true
+	c.join("c2", "address-c2", "domain-c")
+	c.settle(t)
+	assertVoters(t, c, "a1", "b1", "c2")
+}
+
+func TestRetiringLeaderLeaves(t *testing.T) {
+	c := newCluster(3, "a1", "b1", "c1")
+	c.Retiring["address-a1"] = true
+	c.join("a2", "address-a2", "domain-a")
+	c.settle(t)
+	assertVoters(t, c, "a2", "b1", "c1")
+}
+
+func TestRetiringHostIsNoCandidate(t *testing.T) {
+	c := newCluster(3, "a1", "b1", "c1")
+	c.silent["b1"] = true
+	c.join("b2", "address-b2", "domain-b")
+	c.Retiring["address-b2"] = true
+	c.settle(t)
+	assertVoters(t, c, "a1", "b1", "c1")
+}
+
+func TestQuorumGrowsToTheWantedSize(t *testing.T) {
+	c := newCluster(5, "a1", "b1", "c1")
+	c.join("a2", "address-a2", "domain-a")
+	c.join("b2", "address-b2", "domain-b")
+	c.settle(t)
+	assertVoters(t, c, "a1", "a2", "b1", "b2", "c1")
+}
+
+func TestCandidateThatFellSilentIsNotAdded(t *testing.T) {
+	c := newCluster(3, "a1", "b1", "c1")
+	c.silent["b1"] = true
+	c.join("b2", "address-b2", "domain-b")
+	c.now += roster.CandidateExpiryMS + 1
+	c.settle(t)
+	assertVoters(t, c, "a1", "b1", "c1")
+}
+
+func TestLearnerThatDiesMakesRoom(t *testing.T) {
+	c := newCluster(3, "a1", "b1", "c1")
+	c.silent["b1"] = true
+	c.join("b2", "address-b2", "domain-b")
+	change, _ := roster.Next(c.now, c.View)
+	c.Members = change.Members
+	c.silent["b2"] = true
+	delete(c.Candidates, "b2")
+	c.join("c2", "address-c2", "domain-c")
+	c.settle(t)
+	assertVoters(t, c, "a1", "c1", "c2")
+}
