--- a/internal/director/operator.go
+++ b/internal/director/operator.go
@@ -71,7 +71,7 @@
 		return local(ctx, in)
 	}
 	var out Out
-	leader := d.replica.Status().Leader.Address
+	leader := d.Leader()
 	if leader == "" || leader == d.opts.Address {
 		return out, rollout.NewError(rollout.KindUnavailable, "no control host is in charge").WithNotRun()
 	}
@@ -121,7 +121,12 @@
 }
 
 // Leader returns the address of the known leader, or an empty string.
-func (d *Director) Leader() string { return d.replica.Status().Leader.Address }
+func (d *Director) Leader() string {
+	if leader := d.replica.Status().Leader.Address; leader != "" {
+		return leader
+	}
+	return d.watcher.Leader()
+}
 
 func (d *Director) put(ctx context.Context, p registry.Put) (none, error) {
 	if err := p.Document.Validate(); err != nil {
--- a/internal/fabric/fabric.go
+++ b/internal/fabric/fabric.go
@@ -11,17 +11,36 @@
 	"storj.io/drpc"
 
 	"github.com/coltsfootspoke/coltsfootspoke/internal/link"
+	"github.com/coltsfootspoke/coltsfootspoke/internal/pack"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 )
 
-// jsonEncoding implements drpc.Encoding.
+// packer is shared by all connections: it holds no state between bodies.
+var packer = pack.New()
+
+// jsonEncoding implements drpc.Encoding: JSON, packed.
 type jsonEncoding struct{}
 
 // Marshal implements drpc.Encoding.
-func (jsonEncoding) Marshal(msg drpc.Message) ([]byte, error) { return json.Marshal(msg) }
+func (jsonEncoding) Marshal(msg drpc.Message) ([]byte, error) {
+	data, err := json.Marshal(msg)
+	if err != nil {
+		return nil, rollout.NewError(rollout.KindInternal, "encode body").WithCause(err)
+	}
+	return packer.Pack(data), nil
+}
 
 // Unmarshal implements drpc.Encoding.
-func (jsonEncoding) Unmarshal(buf []byte, msg drpc.Message) error { return json.Unmarshal(buf, msg) }
+func (jsonEncoding) Unmarshal(buf []byte, msg drpc.Message) error {
+	data, err := packer.Unpack(buf)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(data, msg); err != nil {
+		return rollout.NewError(rollout.KindInvalidInput, "body").WithCause(err)
+	}
+	return nil
+}
 
 // Client calls other processes.
 type Client struct {
--- a/internal/replica/apply.go
+++ b/internal/replica/apply.go
@@ -55,7 +55,7 @@
 	}
 	batch := r.pending
 	r.pending = nil
-	index, term, err := r.node.Propose(now, encodeBatch(batch))
+	index, term, err := r.node.Propose(now, r.packer.Pack(encodeBatch(batch)))
 	w := waiter{term: term, since: now}
 	for _, p := range batch {
 		if err != nil {
@@ -153,7 +153,11 @@
 	var results []any
 	switch e.Kind {
 	case quorum.EntryCommand:
-		err := decodeBatch(e.Data, func(command []byte) {
+		batch, err := r.packer.Unpack(e.Data)
+		if err != nil {
+			return err
+		}
+		err = decodeBatch(batch, func(command []byte) {
 			results = append(results, r.machine.Apply(e.Index, command))
 		})
 		if err != nil {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -14,6 +14,7 @@
 
 	"github.com/coltsfootspoke/coltsfootspoke/internal/disk"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/link"
+	"github.com/coltsfootspoke/coltsfootspoke/internal/pack"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/peer"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/quorum"
@@ -97,6 +98,7 @@
 	store   *disk.Store
 	node    *quorum.Node
 	peers   *peer.Sender
+	packer  *pack.Packer
 	inbox   chan func(now rollout.Millis)
 
 	pending  []proposal
@@ -125,7 +127,7 @@
 		return nil, err
 	}
 	r := &Replica{
-		opts: opts, machine: machine, store: store,
+		opts: opts, machine: machine, store: store, packer: pack.New(),
 		inbox:      make(chan func(rollout.Millis), inboxLength),
 		waiters:    make(map[uint64]waiter),
 		candidates: make(map[quorum.MemberID]roster.Candidate),
--- a/internal/view/watcher.go
+++ b/internal/view/watcher.go
@@ -58,8 +58,10 @@
 
 // Watcher follows the leader of control.
 type Watcher struct {
-	opts   Options
-	copy   atomic.Pointer[Copy]
+	opts Options
+	copy atomic.Pointer[Copy]
+	// leader is the address that answered last, or empty.
+	leader atomic.Value
 	target string
 	next   int
 }
@@ -68,12 +70,17 @@
 func NewWatcher(opts Options) *Watcher {
 	w := &Watcher{opts: opts, next: rand.IntN(1 << 16)}
 	w.copy.Store(&Copy{Upstreams: map[string]discovery.Upstream{}})
+	w.leader.Store("")
 	return w
 }
 
 // Copy returns what is known.
 func (w *Watcher) Copy() Copy { return *w.copy.Load() }
 
+// Leader returns the address of the leader of control while it answers, or an
+// empty string.
+func (w *Watcher) Leader() string { return w.leader.Load().(string) }
+
 // Run follows control until the context ends.
 func (w *Watcher) Run(ctx context.Context) error {
 	reached := false
@@ -83,6 +90,11 @@
 			continue
 		}
 		err := w.watchOnce(ctx)
+		if err == nil {
+			w.leader.Store(w.target)
+		} else {
+			w.leader.Store("")
+		}
 		if reached != (err == nil) && ctx.Err() == nil {
 			reached = err == nil
 			w.opts.Log.Info("ControlReached", zap.Bool("Reached", reached), zap.String("Address", w.target), zap.Error(err))
