--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -154,6 +154,7 @@
 		case <-hedge.C:
 			if c.mayRun() && c.launch(ctx) {
 				b.log.Debug("Hedged", zap.String("Request", req.Exchange.AttemptID), zap.Strings("Tried", c.tried))
+				hedge.Reset(req.HedgeAfter)
 			}
 		case a := <-c.results:
 			c.note(a)
--- /dev/null
+++ b/pkg/rollout/registry/registry_test.go
@@ -0,0 +1,94 @@
+package registry_test
+
+import (
+	"testing"
+
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/document"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/quorum"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/registry"
+)
+
+func put(version uint64, raw string) registry.Command {
+	return registry.Command{Put: &registry.Put{Raw: []byte(raw), Document: document.Document{Version: version}}}
+}
+
+func assertInForce(t *testing.T, s *registry.State, version uint64, raw string) {
+	t.Helper()
+	if s.Document.Version != version || string(s.Raw) != raw {
+		t.Fatalf("version %d %q in force, want %d %q", s.Document.Version, s.Raw, version, raw)
+	}
+}
+
+func TestHighestVersionIsInForce(t *testing.T) {
+	s := registry.New()
+	s.Apply(put(5, "five"))
+	s.Apply(put(3, "three"))
+	assertInForce(t, s, 5, "five")
+}
+
+func TestFirstOfTwoOfOneVersionStands(t *testing.T) {
+	s := registry.New()
+	s.Apply(put(5, "first"))
+	s.Apply(put(5, "second"))
+	assertInForce(t, s, 5, "first")
+}
+
+func TestNamedVersionsDoNotFall(t *testing.T) {
+	s := registry.New()
+	for _, v := range []uint64{2, 4, 3} {
+		s.Apply(registry.Command{Name: &registry.Name{Model: "m", Version: v}})
+	}
+	if s.Versions["m"] != 4 {
+		t.Fatalf("version %d, want 4", s.Versions["m"])
+	}
+}
+
+func TestClosedWindowKeepsItsFigures(t *testing.T) {
+	s := registry.New()
+	s.Apply(registry.Command{Close: &registry.Close{Window: 9, Requests: map[string]uint64{"a": 1}}})
+	s.Apply(registry.Command{Sent: &registry.Sent{Window: 9}})
+	s.Apply(registry.Command{Close: &registry.Close{Window: 9, Requests: map[string]uint64{"a": 2}}})
+	if w := s.Windows[9]; w.Requests["a"] != 1 || !w.Sent {
+		t.Fatalf("window %+v", w)
+	}
+}
+
+func TestOldWindowsAreForgottenAndStayClosed(t *testing.T) {
+	s := registry.New()
+	for w := uint64(1); w <= 200; w++ {
+		s.Apply(registry.Command{Close: &registry.Close{Window: w}})
+	}
+	s.Apply(registry.Command{Close: &registry.Close{Window: 3}})
+	if _, back := s.Windows[3]; back || len(s.Windows) > 70 {
+		t.Fatalf("%d windows kept, the third among them: %v", len(s.Windows), back)
+	}
+}
+
+func TestStoreIsFoundedOnce(t *testing.T) {
+	s := registry.New()
+	s.Apply(registry.Command{Found: &registry.Found{Members: []quorum.Member{{ID: "a"}}}})
+	s.Apply(registry.Command{Found: &registry.Found{Members: []quorum.Member{{ID: "b"}}}})
+	if s.Founders[0].ID != "a" {
+		t.Fatalf("founders %v", s.Founders)
+	}
+}
+
+func TestRestoredStateIsTheSame(t *testing.T) {
+	s := registry.New()
+	s.Apply(put(5, "five"))
+	s.Apply(registry.Command{Name: &registry.Name{Model: "m", Version: 2}})
+	s.Apply(registry.Command{Retire: &registry.RetiredHost{Host: "h", Address: "x"}})
+	s.Apply(registry.Command{Close: &registry.Close{Window: 9, Requests: map[string]uint64{"a": 1}}})
+	data, err := s.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	restored := registry.New()
+	if err := restored.Restore(data); err != nil {
+		t.Fatal(err)
+	}
+	assertInForce(t, restored, 5, "five")
+	if restored.Versions["m"] != 2 || restored.Retiring["h"] != "x" || restored.Windows[9].Requests["a"] != 1 || restored.Revision != s.Revision {
+		t.Fatalf("restored %+v", restored)
+	}
+}
