Run control without a disk as a relay

Cause: on the grown second site the control role also stands on a machine without a disk, where its data folder cannot be written: 101 exits. Change: a replica without a data folder keeps nothing and never joins.

--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -34,11 +34,8 @@
 
 // Options set a control host up.
 type Options struct {
-	Host string
-	Dir  string
-	// Relay is true on a host without a disk: it hands calls on and is no
-	// member of the quorum.
-	Relay         bool
+	Host          string
+	Dir           string
 	Address       string
 	FailureDomain string
 	// Seeds returns addresses of control hosts, this one perhaps included.
@@ -137,7 +134,7 @@
 	group.Go(func() error { return d.replica.Run(run) })
 	group.Go(func() error { return link.NewServer(listener, d.opts.Secret, mux, d.opts.Log).Serve(run) })
 	group.Go(func() error {
-		if d.opts.Relay {
+		if d.opts.Dir == "" {
 			return nil
 		}
 		var founding replica.Founding
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -12,7 +12,6 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/coltsfootspoke/coltsfootspoke/internal/disk"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/link"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/pack"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/peer"
@@ -50,6 +49,8 @@
 
 // Options set a replica up.
 type Options struct {
+	// Dir is the data folder. Empty on a host without a disk, whose replica
+	// only listens.
 	Dir     string
 	Address string
 	// FailureDomain is where the host stands.
@@ -95,7 +96,7 @@
 type Replica struct {
 	opts    Options
 	machine Machine
-	store   *disk.Store
+	store   storage
 	node    *quorum.Node
 	peers   *peer.Sender
 	packer  *pack.Packer
@@ -122,7 +123,7 @@
 
 // Open opens the data folder of a replica.
 func Open(ctx context.Context, opts Options, machine Machine) (*Replica, error) {
-	store, saved, err := disk.Open(opts.Dir)
+	store, saved, err := openStorage(opts.Dir)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -288,3 +288,19 @@
 		t.Fatalf("applied %v", got)
 	}
 }
+
+func TestHostWithoutDiskStaysOut(t *testing.T) {
+	c := newCluster(t, 3, 1<<20)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	relay := c.start(l, "", nil)
+	c.commit("a")
+	if s := relay.Status(); !s.Blank() || s.Member == "" {
+		t.Fatalf("status %+v", s)
+	}
+	if _, err := relay.Propose(t.Context(), []byte("x")); rollout.AsError(err).Kind != rollout.KindNotLeader {
+		t.Fatalf("error %v", err)
+	}
+}
