Write binary log records and apply commits in slices

Cause: after a power loss on the grown first site the store's thread read 5,900 entries at once, lost its lease at once, and led only 9 s after its start; the log records were JSON with base64. Change: a record is a protobuf message (JSON of earlier versions is still read); committed entries are applied for 20 ms at a time.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -111,6 +111,12 @@
 // ran tells whether an upstream may have run the request.
 func (a attempt) ran() bool { return a.err == nil || !a.err.NotRun }
 
+// broke tells whether the attempt counts against the upstream. Being full
+// does not.
+func (a attempt) broke() bool {
+	return a.err != nil && (!a.err.NotRun || a.err.Kind != rollout.KindOverloaded)
+}
+
 // good tells whether the answer ends the request whatever else is possible.
 func (a attempt) good() bool { return a.err == nil && a.answer.Head.Status < 500 }
 
@@ -238,8 +244,7 @@
 		cancel()
 		delete(c.cancels, a.upstream)
 	}
-	failed := a.err != nil && !(a.err.NotRun && a.err.Kind == rollout.KindOverloaded)
-	c.b.finished(a.upstream, failed)
+	c.b.finished(a.upstream, a.broke())
 	if a.ran() {
 		c.runs++
 		if c.req.Began != nil {
--- a/internal/disk/record.go
+++ b/internal/disk/record.go
@@ -6,17 +6,22 @@
 	"fmt"
 	"hash/crc32"
 
+	"google.golang.org/protobuf/proto"
+
+	"github.com/coltsfootspoke/coltsfootspoke/internal/wire"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/quorum"
 )
 
 // Each record is a header of three little-endian uint32 (payload length,
-// CRC-32C of the payload, CRC-32C of the first eight bytes) and a payload in
-// JSON.
+// CRC-32C of the payload, CRC-32C of the first eight bytes) and a payload: a
+// wire.LogRecord, or JSON as earlier versions wrote it.
 const (
 	headerBytes = 12
 	// maxRecordBytes bounds the payload of one record.
 	maxRecordBytes = 1 << 30
+	// jsonStart begins a payload in JSON. No wire.LogRecord begins with it.
+	jsonStart = '{'
 )
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
@@ -41,7 +46,11 @@
 }
 
 func encodeRecord(r record) ([]byte, error) {
-	payload, err := json.Marshal(r)
+	w := &wire.LogRecord{Entries: wire.FromEntries(r.Entries)}
+	if h := r.HardState; h != nil {
+		w.HasHardState, w.Term, w.Vote = true, h.Term, string(h.Vote)
+	}
+	payload, err := proto.Marshal(w)
 	if err != nil {
 		return nil, rollout.NewError(rollout.KindStorage, "encode record").WithCause(err)
 	}
@@ -83,8 +92,8 @@
 			corrupt.Reason = "payload checksum"
 			return nil, 0, corrupt
 		}
-		var r record
-		if err := json.Unmarshal(payload, &r); err != nil {
+		r, err := decodePayload(payload)
+		if err != nil {
 			corrupt.Reason = err.Error()
 			return nil, 0, corrupt
 		}
@@ -94,6 +103,22 @@
 	return records, int64(offset), nil
 }
 
+func decodePayload(payload []byte) (record, error) {
+	var r record
+	if len(payload) > 0 && payload[0] == jsonStart {
+		return r, json.Unmarshal(payload, &r)
+	}
+	var w wire.LogRecord
+	if err := proto.Unmarshal(payload, &w); err != nil {
+		return r, err
+	}
+	if w.HasHardState {
+		r.HardState = &quorum.HardState{Term: w.Term, Vote: quorum.MemberID(w.Vote)}
+	}
+	r.Entries = wire.ToEntries(w.Entries)
+	return r, nil
+}
+
 func allZero(b []byte) bool {
 	for _, c := range b {
 		if c != 0 {
@@ -102,3 +127,23 @@
 	}
 	return true
 }
+
+func encodeSnapshot(s quorum.Snapshot) ([]byte, error) {
+	w, err := wire.FromSnapshot(&s)
+	if err != nil {
+		return nil, err
+	}
+	return proto.Marshal(w)
+}
+
+func decodeSnapshot(payload []byte) (*quorum.Snapshot, error) {
+	if len(payload) > 0 && payload[0] == jsonStart {
+		var s quorum.Snapshot
+		return &s, json.Unmarshal(payload, &s)
+	}
+	var w wire.Snapshot
+	if err := proto.Unmarshal(payload, &w); err != nil {
+		return nil, err
+	}
+	return wire.ToSnapshot(&w)
+}
--- a/internal/disk/store.go
+++ b/internal/disk/store.go
@@ -5,7 +5,6 @@
 import (
 	"crypto/rand"
 	"encoding/hex"
-	"encoding/json"
 	"errors"
 	"io/fs"
 	"os"
@@ -102,7 +101,7 @@
 
 // Save stores a snapshot and the entries that follow it in place of the log.
 func (s *Store) Save(snap quorum.Snapshot, hard quorum.HardState, entries []quorum.Entry) error {
-	data, err := json.Marshal(snap)
+	data, err := encodeSnapshot(snap)
 	if err != nil {
 		return storageError("encode snapshot", err)
 	}
@@ -181,11 +180,11 @@
 	if err != nil {
 		return nil, err
 	}
-	var snap quorum.Snapshot
-	if err := json.Unmarshal(payload, &snap); err != nil {
+	snap, err := decodeSnapshot(payload)
+	if err != nil {
 		return nil, &CorruptError{Path: path, Reason: err.Error()}
 	}
-	return &snap, nil
+	return snap, nil
 }
 
 func (s *Store) path(name string) string { return filepath.Join(s.dir, name) }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"sync"
 	"time"
 
@@ -136,12 +135,9 @@
 		PrevIndex: m.PrevIndex, PrevTerm: m.PrevTerm, Commit: m.Commit,
 		Round: m.Round, Reject: m.Reject, Match: m.Match, Force: m.Force,
 	}
-	for _, e := range m.Entries {
-		w.Entries = append(w.Entries, &wire.LogEntry{Index: e.Index, Term: e.Term, Kind: uint32(e.Kind), Data: e.Data})
-	}
+	w.Entries = wire.FromEntries(m.Entries)
 	if s := m.Snapshot; s != nil {
-		members, _ := json.Marshal(s.Members)
-		w.Snapshot = &wire.Snapshot{Index: s.Index, Term: s.Term, Members: members, Data: s.Data}
+		w.Snapshot, _ = wire.FromSnapshot(s)
 	}
 	return w
 }
@@ -153,14 +149,11 @@
 		PrevIndex: w.PrevIndex, PrevTerm: w.PrevTerm, Commit: w.Commit,
 		Round: w.Round, Reject: w.Reject, Match: w.Match, Force: w.Force,
 	}
-	for _, e := range w.Entries {
-		m.Entries = append(m.Entries, quorum.Entry{Index: e.Index, Term: e.Term, Kind: quorum.EntryKind(e.Kind), Data: e.Data})
-	}
-	if s := w.Snapshot; s != nil {
-		m.Snapshot = &quorum.Snapshot{Index: s.Index, Term: s.Term, Data: s.Data}
-		if err := json.Unmarshal(s.Members, &m.Snapshot.Members); err != nil {
-			return m, err
-		}
+	m.Entries = wire.ToEntries(w.Entries)
+	if w.Snapshot == nil {
+		return m, nil
 	}
-	return m, nil
+	var err error
+	m.Snapshot, err = wire.ToSnapshot(w.Snapshot)
+	return m, err
 }
--- a/internal/replica/apply.go
+++ b/internal/replica/apply.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -132,20 +133,39 @@
 
 func (r *Replica) applyOutput(out quorum.Output) error {
 	if out.Snapshot != nil {
+		r.backlog = nil
 		if err := r.machine.Restore(out.Snapshot.Data); err != nil {
 			return err
 		}
 		r.peers.LearnAll(out.Snapshot.Members)
 		r.opts.Log.Info("SnapshotInstalled", zap.Uint64("Index", out.Snapshot.Index))
 	}
-	for _, e := range out.Committed {
-		if err := r.applyEntry(e); err != nil {
+	r.backlog = append(r.backlog, out.Committed...)
+	return nil
+}
+
+// applyBacklog applies committed entries for a bounded time, so that
+// heartbeats go on while a long log is read again.
+func (r *Replica) applyBacklog() error {
+	if len(r.backlog) == 0 {
+		return nil
+	}
+	end := time.Now().Add(applySlice)
+	done := 0
+	for done < len(r.backlog) && (done == 0 || time.Now().Before(end)) {
+		if err := r.applyEntry(r.backlog[done]); err != nil {
 			return err
 		}
+		done++
 	}
-	if len(out.Committed) > 0 {
-		r.compact(out.Committed[len(out.Committed)-1].Index)
+	last := r.backlog[done-1].Index
+	r.backlog = r.backlog[done:]
+	if len(r.backlog) > 0 {
+		r.do(func(rollout.Millis) {})
+		return nil
 	}
+	r.backlog = nil
+	r.compact(last)
 	return nil
 }
 
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -33,8 +33,11 @@
 	// waiterTimeoutMS is how long a proposal may stay without a result.
 	waiterTimeoutMS = 3_000
 	inboxLength     = 4_096
-	inputsPerBatch  = 512
-	maxAppendBytes  = 1 << 20
+	// applySlice bounds the time that is spent on applying before heartbeats
+	// and messages are looked at again.
+	applySlice     = 20 * time.Millisecond
+	inputsPerBatch = 512
+	maxAppendBytes = 1 << 20
 )
 
 // Machine is the replicated state. Its methods are called by one thread.
@@ -102,9 +105,11 @@
 	packer  *pack.Packer
 	inbox   chan func(now rollout.Millis)
 
-	pending  []proposal
-	waiters  map[uint64]waiter
-	unsaved  *quorum.Output
+	pending []proposal
+	waiters map[uint64]waiter
+	unsaved *quorum.Output
+	// backlog holds committed entries that are not yet applied.
+	backlog  []quorum.Entry
 	logBytes int
 
 	candidates map[quorum.MemberID]roster.Candidate
@@ -306,6 +311,9 @@
 	if err := r.carryOut(); err != nil {
 		return err
 	}
+	if err := r.applyBacklog(); err != nil {
+		return err
+	}
 	r.observeLead(ctx, now)
 	if r.leadCancel != nil && now >= r.rosterAt {
 		r.rosterAt = now + rosterIntervalMS
@@ -338,7 +346,7 @@
 // observeLead starts and ends what runs only at the leader.
 func (r *Replica) observeLead(ctx context.Context, now rollout.Millis) {
 	until := r.node.LeaseUntil()
-	if r.unsaved != nil {
+	if r.unsaved != nil || (r.leadCancel == nil && len(r.backlog) > 0) {
 		until = 0
 	}
 	r.leaseUntil.Store(int64(until))
