--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -224,18 +225,18 @@
 	return nil
 }
 
-// Restore implements replica.Machine.
-func (m machine) Restore(data []byte) error {
+// Freeze implements replica.Machine.
+func (m machine) Freeze() func(w io.Writer) error {
 	m.d.mu.Lock()
 	defer m.d.mu.Unlock()
-	err := m.d.state.Restore(data)
-	m.d.notify()
-	return err
+	return m.d.state.Freeze()
 }
 
-// Snapshot implements replica.Machine.
-func (m machine) Snapshot() ([]byte, error) {
+// Restore implements replica.Machine.
+func (m machine) Restore(r io.Reader) error {
 	m.d.mu.Lock()
 	defer m.d.mu.Unlock()
-	return m.d.state.Snapshot()
+	err := m.d.state.Restore(r)
+	m.d.notify()
+	return err
 }
--- a/internal/disk/store.go
+++ b/internal/disk/store.go
@@ -9,6 +9,7 @@
 	"io/fs"
 	"os"
 	"path/filepath"
+	"sync"
 
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/quorum"
@@ -40,6 +41,10 @@
 	hard quorum.HardState
 	// CutBytes is the length of the torn record that Open cut off.
 	CutBytes int64
+	// snapshotMu guards the snapshot file and snapshotIndex, the index of the
+	// newest snapshot stored.
+	snapshotMu    sync.Mutex
+	snapshotIndex uint64
 	// openLog opens the log for appending. Tests replace it.
 	openLog func(path string) (File, error)
 }
@@ -101,14 +106,34 @@
 
 // Save stores a snapshot and the entries that follow it in place of the log.
 func (s *Store) Save(snap quorum.Snapshot, hard quorum.HardState, entries []quorum.Entry) error {
+	if err := s.SaveSnapshot(snap); err != nil {
+		return err
+	}
+	return s.Shorten(hard, entries)
+}
+
+// SaveSnapshot stores a snapshot. Entries of the log that it covers are passed
+// over from then on. It may be called by another thread than the rest; one
+// that is older than the stored one is dropped.
+func (s *Store) SaveSnapshot(snap quorum.Snapshot) error {
+	s.snapshotMu.Lock()
+	defer s.snapshotMu.Unlock()
+	if snap.Index < s.snapshotIndex {
+		return nil
+	}
 	data, err := encodeSnapshot(snap)
 	if err != nil {
 		return storageError("encode snapshot", err)
 	}
-	framed := frame(data)
-	if err := s.replace(snapshotName, framed); err != nil {
+	if err := s.replace(snapshotName, frame(data)); err != nil {
 		return err
 	}
+	s.snapshotIndex = snap.Index
+	return nil
+}
+
+// Shorten stores entries that follow a saved snapshot in place of the log.
+func (s *Store) Shorten(hard quorum.HardState, entries []quorum.Entry) error {
 	rec, err := encodeRecord(record{HardState: &hard, Entries: entries})
 	if err != nil {
 		return err
@@ -132,6 +157,9 @@
 		return saved, err
 	}
 	saved.Snapshot = snap
+	if snap != nil {
+		s.snapshotIndex = snap.Index
+	}
 	data, err := os.ReadFile(s.path(logName))
 	if err != nil && !errors.Is(err, fs.ErrNotExist) {
 		return saved, storageError("read log", err)
--- a/internal/jobstore/calls.go
+++ b/internal/jobstore/calls.go
@@ -28,11 +28,21 @@
 	WaitMS rollout.Millis
 }
 
+// Result is the end of an item as readers see it.
+type Result struct {
+	ItemID string
+	State  job.State
+	// Output holds the data of all events, separated by line feeds.
+	Output   string
+	Versions []uint64
+	Score    string
+}
+
 // Page is a part of the results of a job.
 type Page struct {
 	// Total is the number of items.
 	Total   int
-	Results []job.Result
+	Results []Result
 }
 
 // BodyRequest asks for the body of an item.
@@ -111,30 +121,44 @@
 		s.mu.Lock()
 		j, changed := s.book.Jobs[req.JobID], s.changed
 		known := j != nil && j.Spec.Account == req.Account
-		var p Page
+		var results []job.Result
+		total := 0
 		if known {
-			p = Page{Total: len(j.Spec.Items), Results: j.Page(req.After)}
+			total, results = j.Total, j.Page(req.After)
 		}
 		s.mu.Unlock()
-		if err := s.sure(known, len(p.Results) > 0); err != nil {
+		if err := s.sure(known, len(results) > 0); err != nil {
 			return Page{}, err
 		}
 		if !known {
 			return Page{}, rollout.NewError(rollout.KindNotFound, "job %s", req.JobID)
 		}
-		if len(p.Results) > 0 || req.After >= p.Total {
-			return p, nil
+		if len(results) > 0 || req.After >= total {
+			return s.page(total, results)
 		}
 		select {
 		case <-changed:
 		case <-timeout.C:
-			return p, nil
+			return Page{Total: total}, nil
 		case <-ctx.Done():
 			return Page{}, ctx.Err()
 		}
 	}
 }
 
+// page decodes results for a reader.
+func (s *Store) page(total int, results []job.Result) (Page, error) {
+	p := Page{Total: total}
+	for _, r := range results {
+		output, err := unpackOutput(s.packer, r.Chunks)
+		if err != nil {
+			return Page{}, err
+		}
+		p.Results = append(p.Results, Result{ItemID: r.ItemID, State: r.State, Output: output, Versions: r.Versions, Score: r.Score})
+	}
+	return p, nil
+}
+
 func (s *Store) body(_ context.Context, req BodyRequest) (Body, error) {
 	s.mu.Lock()
 	j := s.book.Jobs[req.JobID]
--- a/internal/jobstore/item.go
+++ b/internal/jobstore/item.go
@@ -23,26 +23,12 @@
 	// keepEvents is how many new events of an item the book is told of at
 	// once: about a second of work of an engine.
 	keepEvents = 20
+	// keepPause is the time between two looks at a piece on its way.
+	keepPause = 10 * time.Millisecond
 	// proposeRetryPause is the pause after a result could not be listed.
 	proposeRetryPause = 100 * time.Millisecond
 )
 
-// text is the text of an item that is being generated.
-type text struct {
-	job.Text
-	// kept is the number of events that the book holds.
-	kept int
-	// keeping is true while a piece is on its way to the book.
-	keeping bool
-}
-
-// fit drops text that the bounds of a job do not allow.
-func (t *text) fit(minVersion uint64, single bool) {
-	if !t.Fits(minVersion, single) {
-		*t = text{}
-	}
-}
-
 // runItem runs an item on an engine, or only scores it when its text is
 // complete.
 func (r *runner) runItem(ctx context.Context, w *work, a dispatch.Assignment) {
@@ -56,7 +42,7 @@
 		r.nudge()
 	}
 	abandon := w.failures >= max(1, w.route.MaxAttempts)
-	complete := w.text.Complete
+	complete := w.text.complete
 	r.mu.Unlock()
 	switch {
 	case ctx.Err() != nil:
@@ -123,7 +109,7 @@
 			version = e.WeightVersion
 		}
 		r.mu.Lock()
-		w.text.Text = w.text.WithEvent(e, version)
+		w.text.add(e, version)
 		r.keepLong(ctx, w)
 		r.sched.Progress(r.s.clock.Now(), a.Task)
 		r.mu.Unlock()
@@ -136,7 +122,7 @@
 		return dispatch.OutcomeBroken
 	}
 	r.mu.Lock()
-	w.text.Complete = true
+	w.text.complete = true
 	r.mu.Unlock()
 	return dispatch.OutcomeDone
 }
@@ -167,8 +153,8 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if w.text.LastID > 0 {
-		x.ResumeAfter = strconv.FormatUint(w.text.LastID, 10)
+	if w.text.lastID > 0 {
+		x.ResumeAfter = strconv.FormatUint(w.text.lastID, 10)
 	}
 	return x
 }
@@ -241,13 +227,20 @@
 
 // finish lists a result. It tries until the lead or the job ends.
 func (r *runner) finish(ctx context.Context, w *work, result job.Result) {
+	for r.isKeeping(w) {
+		if !pause(ctx, keepPause) {
+			return
+		}
+	}
 	for {
 		f := job.Finish{JobID: w.spec.ID, Result: result}
-		r.mu.Lock()
 		if result.State == job.StateCompleted {
-			f.Piece = w.text.Since(w.text.kept)
+			var err error
+			if f.Piece, _, err = r.piece(w); err != nil {
+				r.s.opts.Log.Error("TextUnreadable", zap.String("Request", w.item.ID), zap.Error(err))
+				return
+			}
 		}
-		r.mu.Unlock()
 		err := r.s.propose(ctx, job.Command{Finish: &f})
 		r.s.opts.Log.Info("ItemListed", zap.String("Request", w.item.ID), zap.String("Job", w.spec.ID),
 			zap.String("State", string(result.State)), zap.Uint64s("Versions", f.Piece.Versions), zap.Error(err))
@@ -256,7 +249,7 @@
 		}
 		if rollout.AsError(err).Kind == rollout.KindConflict {
 			r.mu.Lock()
-			w.text.kept = 0
+			w.text.rewrite = true
 			r.mu.Unlock()
 		}
 		if !pause(ctx, proposeRetryPause) {
@@ -268,10 +261,16 @@
 	w.done = true
 }
 
+func (r *runner) isKeeping(w *work) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return w.text.keeping
+}
+
 // keepLong has the book keep the text of an item once much of it is new, so
 // that another leader goes on from there. It is called with mu held.
 func (r *runner) keepLong(ctx context.Context, w *work) {
-	if w.text.keeping || len(w.text.Events)-w.text.kept < keepEvents {
+	if w.text.keeping || len(w.text.events) < keepEvents {
 		return
 	}
 	w.text.keeping = true
@@ -280,26 +279,36 @@
 
 // keep has the book keep what is new of the text of an item.
 func (r *runner) keep(ctx context.Context, w *work) {
-	r.mu.Lock()
-	piece := w.text.Since(w.text.kept)
-	r.mu.Unlock()
-	err := r.s.propose(ctx, job.Command{Extend: &job.Extend{JobID: w.spec.ID, ItemID: w.item.ID, Piece: piece}})
+	piece, events, err := r.piece(w)
+	if err == nil {
+		err = r.s.propose(ctx, job.Command{Extend: &job.Extend{JobID: w.spec.ID, ItemID: w.item.ID, Piece: piece}})
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	w.text.keeping = false
 	switch {
 	case err == nil:
-		w.text.kept = piece.From + len(piece.Events)
+		w.text.kept(piece, events)
 	case rollout.AsError(err).Kind == rollout.KindConflict:
-		w.text.kept = 0
+		w.text.rewrite = true
 	default:
 		r.s.opts.Log.Info("TextNotKept", zap.String("Request", w.item.ID), zap.Error(err))
 	}
 }
 
+// piece returns what the book lacks of the text of an item, and the number of
+// new events in it.
+func (r *runner) piece(w *work) (job.Piece, int, error) {
+	r.mu.Lock()
+	t := *w.text
+	r.mu.Unlock()
+	p, err := t.piece(r.s.packer)
+	return p, len(t.events), err
+}
+
 func (r *runner) logRun(w *work, a dispatch.Assignment, started time.Time, status int, err error) {
 	r.mu.Lock()
-	events := len(w.text.Events)
+	events := w.text.total
 	r.mu.Unlock()
 	r.s.opts.Log.Info("ItemRun", zap.String("Request", w.item.ID), zap.String("Job", w.spec.ID), zap.String("Upstream", a.Engine),
 		zap.Uint64("Version", a.Version), zap.Int("Status", status), zap.Int("Events", events),
--- a/internal/jobstore/runner.go
+++ b/internal/jobstore/runner.go
@@ -25,6 +25,9 @@
 	orderSpareMS rollout.Millis = 100
 	// forgetInterval is the time between two removals of old jobs.
 	forgetInterval = 10 * time.Second
+	// textKeepMS is how long the text of an item is kept for a later job; a
+	// group that comes again does so with the next steps.
+	textKeepMS rollout.Millis = 30_000
 	// clockSlackMS bounds how far the clocks of two hosts differ.
 	clockSlackMS rollout.Millis = 20_000
 )
@@ -108,7 +111,7 @@
 		if w.cancel != nil {
 			w.cancel()
 		}
-		if len(w.text.Events) > w.text.kept && !w.text.keeping && w.text.Fits(w.spec.MinVersion+1, w.route.SingleVersion) {
+		if len(w.text.events) > 0 && !w.text.keeping && job.Fits(w.text.versions, w.spec.MinVersion+1, w.route.SingleVersion) {
 			w.text.keeping = true
 			r.wait.Go(func() { r.keep(r.ctx, w) })
 		}
@@ -122,7 +125,7 @@
 	r.mu.Lock()
 	for _, works := range r.jobs {
 		for _, w := range works {
-			if !w.done && !w.text.keeping && len(w.text.Events) > w.text.kept {
+			if !w.done && !w.text.keeping && len(w.text.events) > 0 {
 				w.text.keeping = true
 				group.Go(func() { r.keep(ctx, w) })
 			}
@@ -137,12 +140,14 @@
 	r.s.mu.Lock()
 	j := r.s.book.Jobs[jobID]
 	var works []*work
+	var spec job.Spec
 	if j != nil && !j.Ended {
-		for i := range j.Spec.Items {
-			it := &j.Spec.Items[i]
+		spec = j.Spec
+		for i := range spec.Items {
+			it := &spec.Items[i]
 			if !j.Listed(it.ID) {
 				t := r.s.book.Texts[job.TextKey{Account: j.Spec.Account, ItemID: it.ID}]
-				works = append(works, &work{spec: &j.Spec, item: it, text: &text{Text: t, kept: len(t.Events)}})
+				works = append(works, &work{spec: &spec, item: it, text: newText(t)})
 			}
 		}
 	}
@@ -153,7 +158,7 @@
 		return
 	}
 	r.jobs[jobID] = works
-	route, now := r.routeOf(&j.Spec), r.s.clock.Now()
+	route, now := r.routeOf(&spec), r.s.clock.Now()
 	for _, w := range works {
 		r.order++
 		w.route, w.order, w.openedMS = route, r.order, now
@@ -172,8 +177,8 @@
 		MinVersion: w.spec.MinVersion, DueMS: w.openedMS + w.route.ResultDeadlineMS, Order: w.order,
 	}
 	w.text.fit(w.spec.MinVersion, w.route.SingleVersion)
-	if w.route.SingleVersion && len(w.text.Versions) > 0 {
-		t.OnlyVersion = w.text.Versions[0]
+	if w.route.SingleVersion && len(w.text.versions) > 0 {
+		t.OnlyVersion = w.text.versions[0]
 	}
 	if w.route.MaxQueueMS > 0 && r.s.clock.Now() > w.openedMS+w.route.MaxQueueMS {
 		r.wait.Go(func() {
@@ -181,7 +186,7 @@
 		})
 		return
 	}
-	if w.text.Complete {
+	if w.text.complete {
 		r.start(w, dispatch.Assignment{Task: t})
 		return
 	}
@@ -281,17 +286,21 @@
 
 // forget drops old jobs and texts.
 func (r *runner) forget(ctx context.Context) {
-	before := rollout.Millis(time.Now().UnixMilli()) - r.s.opts.KeepMS - clockSlackMS
+	now := rollout.Millis(time.Now().UnixMilli())
+	before, textsBefore := now-r.s.opts.KeepMS-clockSlackMS, now-textKeepMS
 	r.s.mu.Lock()
 	old := false
 	for _, j := range r.s.book.Jobs {
 		old = old || (j.Ended && j.Spec.SubmittedMS < before)
 	}
+	for _, t := range r.s.book.Texts {
+		old = old || t.UsedMS < textsBefore
+	}
 	r.s.mu.Unlock()
 	if !old {
 		return
 	}
-	if err := r.s.propose(ctx, job.Command{Forget: &job.Forget{BeforeMS: before}}); err != nil {
+	if err := r.s.propose(ctx, job.Command{Forget: &job.Forget{BeforeMS: before, TextsBeforeMS: textsBefore}}); err != nil {
 		r.s.opts.Log.Warn("JobsNotForgotten", zap.Error(err))
 	}
 }
--- a/internal/jobstore/runner_test.go
+++ b/internal/jobstore/runner_test.go
@@ -173,7 +173,7 @@
 }
 
 // results submits a job and returns its results once all items have one.
-func results(t *testing.T, s *Store, spec job.Spec) map[string]job.Result {
+func results(t *testing.T, s *Store, spec job.Spec) map[string]Result {
 	t.Helper()
 	if _, err := s.submit(t.Context(), spec); err != nil {
 		t.Fatal(err)
@@ -184,14 +184,14 @@
 		page, err = s.read(t.Context(), ReadRequest{JobID: spec.ID, Account: "acc"})
 		return err == nil && len(page.Results) == len(spec.Items)
 	})
-	byItem := make(map[string]job.Result)
+	byItem := make(map[string]Result)
 	for _, r := range page.Results {
 		byItem[r.ItemID] = r
 	}
 	return byItem
 }
 
-func assertCompleted(t *testing.T, r job.Result) {
+func assertCompleted(t *testing.T, r Result) {
 	t.Helper()
 	if r.State != job.StateCompleted || r.Output != "e1\ne2\ne3\ne4\ne5" || r.Score != "signed score-"+r.ItemID {
 		t.Fatalf("result %+v", r)
--- a/internal/jobstore/store.go
+++ b/internal/jobstore/store.go
@@ -4,17 +4,19 @@
 
 import (
 	"context"
-	"encoding/json"
+	"io"
 	"net"
 	"sync"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/coltsfootspoke/coltsfootspoke/internal/balance"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/fabric"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/link"
+	"github.com/coltsfootspoke/coltsfootspoke/internal/pack"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/replica"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/view"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
@@ -24,9 +26,9 @@
 )
 
 const (
-	// compactBytes bounds the log well below the smallest disk of a store
-	// host, which holds 340 MB.
-	compactBytes = 48 << 20
+	// compactBytes bounds the log, which is also held in memory; the smallest
+	// store host has 144 MB of it.
+	compactBytes = 12 << 20
 	// transferWait is how long a leaving host serves on after it has given
 	// the lead away.
 	transferWait = 1_500 * time.Millisecond
@@ -65,6 +67,7 @@
 	replica  *replica.Replica
 	watcher  *view.Watcher
 	balancer *balance.Balancer
+	packer   *pack.Packer
 
 	mu sync.Mutex
 	// book is guarded by mu.
@@ -84,7 +87,7 @@
 func New(ctx context.Context, opts Options) (*Store, error) {
 	s := &Store{
 		opts: opts, clock: clock.Boottime{}, dialer: link.NewDialer(opts.Secret),
-		book: job.NewBook(), changed: make(chan struct{}),
+		book: job.NewBook(), changed: make(chan struct{}), packer: pack.New(),
 	}
 	s.client = fabric.NewClient(s.dialer)
 	s.balancer = balance.New(opts.Upstreams, s.clock, opts.FailureDomain, opts.Log)
@@ -214,7 +217,7 @@
 
 // propose commits a command. The result is an error of the command itself.
 func (s *Store) propose(ctx context.Context, c job.Command) error {
-	data, err := json.Marshal(c)
+	data, err := cbor.Marshal(c)
 	if err != nil {
 		return rollout.NewError(rollout.KindInternal, "encode command").WithCause(err)
 	}
@@ -234,7 +237,7 @@
 // Apply implements replica.Machine.
 func (m machine) Apply(_ uint64, command []byte) any {
 	var c job.Command
-	if err := json.Unmarshal(command, &c); err != nil {
+	if err := cbor.Unmarshal(command, &c); err != nil {
 		m.s.opts.Log.Error("CommandUnreadable", zap.Error(err))
 		return nil
 	}
@@ -249,16 +252,16 @@
 	return nil
 }
 
-// Restore implements replica.Machine.
-func (m machine) Restore(data []byte) error {
+// Freeze implements replica.Machine.
+func (m machine) Freeze() func(w io.Writer) error {
 	m.s.mu.Lock()
 	defer m.s.mu.Unlock()
-	return m.s.book.Restore(data)
+	return m.s.book.Freeze()
 }
 
-// Snapshot implements replica.Machine.
-func (m machine) Snapshot() ([]byte, error) {
+// Restore implements replica.Machine.
+func (m machine) Restore(r io.Reader) error {
 	m.s.mu.Lock()
 	defer m.s.mu.Unlock()
-	return m.s.book.Snapshot()
+	return m.s.book.Restore(r)
 }
--- a/internal/replica/apply.go
+++ b/internal/replica/apply.go
@@ -134,7 +134,7 @@
 func (r *Replica) applyOutput(out quorum.Output) error {
 	if out.Snapshot != nil {
 		r.backlog = nil
-		if err := r.machine.Restore(out.Snapshot.Data); err != nil {
+		if err := r.restore(out.Snapshot.Data); err != nil {
 			return err
 		}
 		r.peers.LearnAll(out.Snapshot.Members)
@@ -202,32 +202,6 @@
 	return nil
 }
 
-// compact replaces a long log by a snapshot.
-func (r *Replica) compact(applied uint64) {
-	if r.logBytes < r.opts.CompactBytes {
-		return
-	}
-	data, err := r.machine.Snapshot()
-	if err != nil {
-		r.opts.Log.Error("SnapshotRefused", zap.Error(err))
-		return
-	}
-	snap := r.node.Compact(applied, data)
-	if snap == nil {
-		return
-	}
-	entries := r.node.Entries()
-	if err := r.store.Save(*snap, r.store.HardState(), entries); err != nil {
-		r.opts.Log.Error("SnapshotRefused", zap.Error(err))
-		return
-	}
-	r.logBytes = 0
-	for _, e := range entries {
-		r.logBytes += len(e.Data)
-	}
-	r.opts.Log.Info("SnapshotTaken", zap.Uint64("Index", snap.Index), zap.Int("Bytes", len(data)))
-}
-
 func (r *Replica) expireWaiters(now rollout.Millis) {
 	for index, w := range r.waiters {
 		if now-w.since < waiterTimeoutMS {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"io"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -44,10 +45,11 @@
 type Machine interface {
 	// Apply carries a command out and returns its result.
 	Apply(index uint64, command []byte) any
-	// Snapshot returns the whole state.
-	Snapshot() ([]byte, error)
-	// Restore replaces the state by a snapshot.
-	Restore(data []byte) error
+	// Freeze returns a function that writes the present state. Another thread
+	// calls it while the state changes on.
+	Freeze() func(w io.Writer) error
+	// Restore replaces the state by one that was written.
+	Restore(r io.Reader) error
 }
 
 // Options set a replica up.
@@ -108,6 +110,8 @@
 	pending []proposal
 	waiters map[uint64]waiter
 	unsaved *quorum.Output
+	// freezing is true while a snapshot is being written.
+	freezing bool
 	// backlog holds committed entries that are not yet applied.
 	backlog  []quorum.Entry
 	logBytes int
@@ -141,7 +145,7 @@
 		peers:      peer.New(ctx, opts.Dialer, opts.Address),
 	}
 	if saved.Snapshot != nil {
-		if err := machine.Restore(saved.Snapshot.Data); err != nil {
+		if err := r.restore(saved.Snapshot.Data); err != nil {
 			return nil, err
 		}
 	}
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"slices"
 	"sync"
@@ -35,16 +36,15 @@
 	return len(r.commands)
 }
 
-func (r *register) Restore(data []byte) error {
+func (r *register) Restore(from io.Reader) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return json.Unmarshal(data, &r.commands)
+	return json.NewDecoder(from).Decode(&r.commands)
 }
 
-func (r *register) Snapshot() ([]byte, error) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return json.Marshal(r.commands)
+func (r *register) Freeze() func(io.Writer) error {
+	commands := r.all()
+	return func(w io.Writer) error { return json.NewEncoder(w).Encode(commands) }
 }
 
 func (r *register) all() []string {
--- a/internal/replica/storage.go
+++ b/internal/replica/storage.go
@@ -15,6 +15,10 @@
 	HardState() quorum.HardState
 	Member() quorum.MemberID
 	Save(snap quorum.Snapshot, hard quorum.HardState, entries []quorum.Entry) error
+	// SaveSnapshot may be called by another thread than the rest.
+	SaveSnapshot(snap quorum.Snapshot) error
+	// Shorten stores entries that follow a saved snapshot in place of the log.
+	Shorten(hard quorum.HardState, entries []quorum.Entry) error
 }
 
 // memberBytes make the ID of a replica without a disk.
@@ -59,3 +63,12 @@
 	f.hard = hard
 	return nil
 }
+
+// SaveSnapshot implements storage.
+func (f *forgetful) SaveSnapshot(quorum.Snapshot) error { return nil }
+
+// Shorten implements storage.
+func (f *forgetful) Shorten(hard quorum.HardState, _ []quorum.Entry) error {
+	f.hard = hard
+	return nil
+}
--- a/pkg/rollout/job/job.go
+++ b/pkg/rollout/job/job.go
@@ -3,15 +3,19 @@
 package job
 
 import (
-	"encoding/json"
+	"errors"
+	"io"
+	"maps"
 	"slices"
-	"strings"
+
+	"github.com/fxamacker/cbor/v2"
 
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 )
 
-// maxPageBytes bounds the text of the results that one read returns.
-const maxPageBytes = 900 << 10
+// maxPageBytes bounds the chunks of the results that one read returns; decoded
+// text is at most about twice as long.
+const maxPageBytes = 400 << 10
 
 // Header is one header line of an item.
 type Header struct {
@@ -64,11 +68,21 @@
 
 // Result is the end of an item.
 type Result struct {
-	ItemID   string
-	State    State
-	Output   string
-	Versions []uint64 `json:",omitempty"`
-	Score    string   `json:",omitempty"`
+	ItemID string
+	State  State
+	// Chunks hold the output, as the caller encoded it.
+	Chunks   [][]byte
+	Versions []uint64
+	Score    string
+}
+
+// size returns the bytes of the chunks.
+func (r Result) size() int {
+	total := 0
+	for _, c := range r.Chunks {
+		total += len(c)
+	}
+	return total
 }
 
 // Command changes the state. One field is set.
@@ -101,14 +115,17 @@
 	Account string
 }
 
-// Forget drops ended jobs that were submitted before a time.
+// Forget drops ended jobs, and texts whose newest job is older.
 type Forget struct {
-	BeforeMS rollout.Millis
+	BeforeMS, TextsBeforeMS rollout.Millis
 }
 
 // Job is a job with its results.
 type Job struct {
-	Spec    Spec
+	// Spec has no items once the job has ended.
+	Spec Spec
+	// Total is the number of items.
+	Total   int
 	Results []Result
 	Ended   bool
 	listed  map[string]bool
@@ -125,7 +142,7 @@
 	}
 	size := 0
 	for i, r := range j.Results[after:] {
-		size += len(r.Output)
+		size += r.size()
 		if size > maxPageBytes && i > 0 {
 			return slices.Clone(j.Results[after : after+i])
 		}
@@ -161,29 +178,69 @@
 	return nil
 }
 
-// Snapshot returns the whole state.
-func (b *Book) Snapshot() ([]byte, error) {
-	data, err := json.Marshal(b)
-	if err != nil {
-		return nil, rollout.NewError(rollout.KindStorage, "snapshot of jobs").WithCause(err)
+// Freeze returns a function that writes the present state. It may be called
+// by another thread while the book changes.
+func (b *Book) Freeze() func(w io.Writer) error {
+	jobs := make([]Job, 0, len(b.Jobs))
+	for _, j := range b.Jobs {
+		jobs = append(jobs, Job{Spec: j.Spec, Total: j.Total, Results: slices.Clip(j.Results), Ended: j.Ended})
+	}
+	texts := maps.Clone(b.Texts)
+	return func(w io.Writer) error {
+		e := cbor.NewEncoder(w)
+		err := e.Encode(bookHeader{Jobs: len(jobs), Texts: len(texts)})
+		for _, j := range jobs {
+			err = errors.Join(err, e.Encode(j))
+		}
+		for k, t := range texts {
+			err = errors.Join(err, e.Encode(namedText{k, t}))
+		}
+		return err
 	}
-	return data, nil
 }
 
-// Restore replaces the state.
-func (b *Book) Restore(data []byte) error {
-	next := NewBook()
-	if err := json.Unmarshal(data, next); err != nil {
+// Restore replaces the state by one that was written.
+func (b *Book) Restore(r io.Reader) error {
+	next, err := readBook(cbor.NewDecoder(r))
+	if err != nil {
 		return rollout.NewError(rollout.KindStorage, "snapshot of jobs").WithCause(err)
 	}
-	for _, j := range next.Jobs {
+	*b = *next
+	return nil
+}
+
+// bookHeader begins a written book. The jobs and the texts follow.
+type bookHeader struct {
+	Jobs, Texts int
+}
+
+type namedText struct {
+	Key  TextKey
+	Text Text
+}
+
+func readBook(d *cbor.Decoder) (*Book, error) {
+	b := NewBook()
+	var h bookHeader
+	if err := d.Decode(&h); err != nil {
+		return nil, err
+	}
+	for range h.Jobs {
+		j := &Job{}
+		if err := d.Decode(j); err != nil {
+			return nil, err
+		}
 		j.index()
-		for _, r := range j.Results {
-			j.listed[r.ItemID] = true
+		b.Jobs[j.Spec.ID] = j
+	}
+	for range h.Texts {
+		var t namedText
+		if err := d.Decode(&t); err != nil {
+			return nil, err
 		}
+		b.Texts[t.Key] = t.Text
 	}
-	*b = *next
-	return nil
+	return b, nil
 }
 
 func (b *Book) end(e End) error {
@@ -192,13 +249,17 @@
 		return rollout.NewError(rollout.KindNotFound, "job %s", e.JobID)
 	}
 	j.Ended = true
+	j.Spec.Items = nil
 	return nil
 }
 
 func (b *Book) extend(e Extend) error {
-	j, err := b.item(e.JobID, e.ItemID)
-	if err != nil || j.listed[e.ItemID] {
-		return err
+	j := b.Jobs[e.JobID]
+	if j == nil {
+		return rollout.NewError(rollout.KindNotFound, "job %s", e.JobID)
+	}
+	if j.listed[e.ItemID] {
+		return nil
 	}
 	k := TextKey{j.Spec.Account, e.ItemID}
 	t, err := b.Texts[k].With(e.Piece)
@@ -222,8 +283,9 @@
 		if err != nil {
 			return err
 		}
-		result.Output, result.Versions = strings.Join(t.Events, eventSeparator), t.Versions
-		b.Texts[k] = Text{Events: []string{result.Output}, LastID: t.LastID, Versions: t.Versions, Complete: true, UsedMS: j.Spec.SubmittedMS}
+		t.Complete, t.UsedMS = true, j.Spec.SubmittedMS
+		result.Chunks, result.Versions = t.Chunks, t.Versions
+		b.Texts[k] = t
 	}
 	j.listed[result.ItemID] = true
 	j.Results = append(j.Results, result)
@@ -237,16 +299,16 @@
 		}
 	}
 	for k, t := range b.Texts {
-		if t.UsedMS < f.BeforeMS {
+		if t.UsedMS < f.TextsBeforeMS {
 			delete(b.Texts, k)
 		}
 	}
 }
 
-// item returns the job of an item.
+// item returns the open job of an item.
 func (b *Book) item(jobID, itemID string) (*Job, error) {
 	j := b.Jobs[jobID]
-	if j == nil || !j.items[itemID] {
+	if j == nil || j.Ended || !j.items[itemID] {
 		return nil, rollout.NewError(rollout.KindNotFound, "job %s has no item %s", jobID, itemID)
 	}
 	return j, nil
@@ -259,7 +321,7 @@
 		}
 		return nil
 	}
-	j := &Job{Spec: s}
+	j := &Job{Spec: s, Total: len(s.Items)}
 	j.index()
 	b.Jobs[s.ID] = j
 	return nil
@@ -270,4 +332,7 @@
 	for _, it := range j.Spec.Items {
 		j.items[it.ID] = true
 	}
+	for _, r := range j.Results {
+		j.listed[r.ItemID] = true
+	}
 }
--- a/pkg/rollout/job/job_test.go
+++ b/pkg/rollout/job/job_test.go
@@ -1,6 +1,7 @@
 package job_test
 
 import (
+	"bytes"
 	"strings"
 	"testing"
 
@@ -24,7 +25,7 @@
 }
 
 func extend(item string, from int, events ...string) job.Command {
-	p := job.Piece{From: from, Events: events, LastID: uint64(from + len(events)), Versions: []uint64{3}}
+	p := job.Piece{From: from, Chunk: []byte(strings.Join(events, "\n")), LastID: uint64(from + len(events)), Versions: []uint64{3}}
 	return job.Command{Extend: &job.Extend{JobID: "j", ItemID: item, Piece: p}}
 }
 
@@ -53,7 +54,7 @@
 	t.Helper()
 	var got []string
 	for _, r := range b.Jobs[id].Results {
-		got = append(got, r.Output)
+		got = append(got, string(bytes.Join(r.Chunks, []byte("\n"))))
 	}
 	if strings.Join(got, "|") != strings.Join(want, "|") {
 		t.Fatalf("outputs %q, want %q", got, want)
@@ -77,10 +78,10 @@
 // kept other text.
 func TestPieceMustFollowWhatIsKept(t *testing.T) {
 	b := newBook(t)
-	mustApply(t, b, extend("i1", 0, "1", "2"), extend("i1", 2, "3"))
-	assertKind(t, b.Apply(extend("i1", 2, "x")), rollout.KindConflict)
-	assertKind(t, b.Apply(finish("i1", 4, "x")), rollout.KindConflict)
-	mustApply(t, b, finish("i1", 3, "4"))
+	mustApply(t, b, extend("i1", 0, "1", "2"), extend("i1", 1, "3"))
+	assertKind(t, b.Apply(extend("i1", 1, "x")), rollout.KindConflict)
+	assertKind(t, b.Apply(finish("i1", 3, "x")), rollout.KindConflict)
+	mustApply(t, b, finish("i1", 2, "4"))
 	assertOutputs(t, b, "j", "1\n2\n3\n4")
 }
 
@@ -93,8 +94,8 @@
 func TestTextOutlivesItsJob(t *testing.T) {
 	b := newBook(t)
 	mustApply(t, b, extend("i1", 0, "1", "2"), finish("i2", 0, "x", "y"), job.Command{End: &job.End{JobID: "j", Account: "a"}}, submit("k", "a", "i1", "i2"))
-	if got := b.Texts[job.TextKey{Account: "a", ItemID: "i1"}]; got.Complete || len(got.Events) != 2 {
-		t.Fatalf("text %+v, want two events", got)
+	if got := b.Texts[job.TextKey{Account: "a", ItemID: "i1"}]; got.Complete || len(got.Chunks) != 1 {
+		t.Fatalf("text %+v, want one chunk", got)
 	}
 	if got := b.Texts[job.TextKey{Account: "a", ItemID: "i2"}]; !got.Complete {
 		t.Fatalf("text %+v, want a complete one", got)
@@ -104,12 +105,14 @@
 func TestRestoredBookIsTheSame(t *testing.T) {
 	b := newBook(t)
 	mustApply(t, b, extend("i1", 0, "1"), finish("i2", 0, "x"))
-	data, err := b.Snapshot()
-	if err != nil {
+	var data bytes.Buffer
+	frozen := b.Freeze()
+	mustApply(t, b, extend("i1", 1, "later"))
+	if err := frozen(&data); err != nil {
 		t.Fatal(err)
 	}
 	restored := job.NewBook()
-	if err := restored.Restore(data); err != nil {
+	if err := restored.Restore(&data); err != nil {
 		t.Fatal(err)
 	}
 	mustApply(t, restored, finish("i2", 0, "again"), finish("i1", 1, "2"))
@@ -153,18 +156,20 @@
 }
 
 func TestTextOfOlderVersionsDoesNotFit(t *testing.T) {
-	text := job.Text{Versions: []uint64{3, 4}}
-	if !text.Fits(3, false) || text.Fits(4, false) || text.Fits(3, true) {
+	versions := []uint64{3, 4}
+	if !job.Fits(versions, 3, false) || job.Fits(versions, 4, false) || job.Fits(versions, 3, true) {
 		t.Fatal("bounds on versions do not hold")
 	}
 }
 
-func TestRepeatedEventsAreDropped(t *testing.T) {
-	var text job.Text
-	for _, id := range []uint64{1, 2, 2, 1, 3} {
-		text = text.WithEvent(rollout.StreamEvent{ID: id, Data: []byte{byte('a' + id)}}, 5)
-	}
-	if strings.Join(text.Events, "") != "bcd" || len(text.Versions) != 1 {
-		t.Fatalf("text %+v", text)
+// A replica that was restored and one that was not must agree on results that
+// come after the end.
+func TestEndedJobTakesNoMoreResults(t *testing.T) {
+	b := newBook(t)
+	mustApply(t, b, finish("i1", 0, "x"), job.Command{End: &job.End{JobID: "j", Account: "a"}})
+	assertKind(t, b.Apply(finish("i2", 0, "y")), rollout.KindNotFound)
+	assertOutputs(t, b, "j", "x")
+	if b.Jobs["j"].Total != 2 {
+		t.Fatalf("total %d, want 2", b.Jobs["j"].Total)
 	}
 }
--- a/pkg/rollout/registry/registry.go
+++ b/pkg/rollout/registry/registry.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"maps"
 
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
@@ -123,19 +124,28 @@
 	}
 }
 
-// Restore replaces the state by a snapshot.
-func (s *State) Restore(data []byte) error {
+// Freeze returns a function that writes the present state.
+func (s *State) Freeze() func(w io.Writer) error {
+	data, err := json.Marshal(s)
+	return func(w io.Writer) error {
+		if err != nil {
+			return rollout.NewError(rollout.KindStorage, "snapshot of control").WithCause(err)
+		}
+		_, werr := w.Write(data)
+		return werr
+	}
+}
+
+// Restore replaces the state by one that was written.
+func (s *State) Restore(r io.Reader) error {
 	next := New()
-	if err := json.Unmarshal(data, next); err != nil {
+	if err := json.NewDecoder(r).Decode(next); err != nil {
 		return rollout.NewError(rollout.KindStorage, "snapshot of control").WithCause(err)
 	}
 	*s = *next
 	return nil
 }
 
-// Snapshot returns the whole state.
-func (s *State) Snapshot() ([]byte, error) { return json.Marshal(s) }
-
 // closeWindow keeps the first figures of a window.
 func (s *State) closeWindow(c Close) {
 	if _, closed := s.Windows[c.Window]; closed || (s.ClosedTo > windowsKept && c.Window <= s.ClosedTo-windowsKept) {
--- a/pkg/rollout/registry/registry_test.go
+++ b/pkg/rollout/registry/registry_test.go
@@ -1,6 +1,7 @@
 package registry_test
 
 import (
+	"bytes"
 	"testing"
 
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/document"
@@ -79,12 +80,12 @@
 	s.Apply(registry.Command{Name: &registry.Name{Model: "m", Version: 2}})
 	s.Apply(registry.Command{Retire: &registry.RetiredHost{Host: "h", Address: "x"}})
 	s.Apply(registry.Command{Close: &registry.Close{Window: 9, Requests: map[string]uint64{"a": 1}}})
-	data, err := s.Snapshot()
-	if err != nil {
+	var data bytes.Buffer
+	if err := s.Freeze()(&data); err != nil {
 		t.Fatal(err)
 	}
 	restored := registry.New()
-	if err := restored.Restore(data); err != nil {
+	if err := restored.Restore(&data); err != nil {
 		t.Fatal(err)
 	}
 	assertInForce(t, restored, 5, "five")
