--- a/internal/disk/record.go
+++ b/internal/disk/record.go
@@ -127,23 +127,3 @@
 	}
 	return true
 }
-
-func encodeSnapshot(s quorum.Snapshot) ([]byte, error) {
-	w, err := wire.FromSnapshot(&s)
-	if err != nil {
-		return nil, err
-	}
-	return proto.Marshal(w)
-}
-
-func decodeSnapshot(payload []byte) (*quorum.Snapshot, error) {
-	if len(payload) > 0 && payload[0] == jsonStart {
-		var s quorum.Snapshot
-		return &s, json.Unmarshal(payload, &s)
-	}
-	var w wire.Snapshot
-	if err := proto.Unmarshal(payload, &w); err != nil {
-		return nil, err
-	}
-	return wire.ToSnapshot(&w)
-}
--- a/internal/disk/store.go
+++ b/internal/disk/store.go
@@ -6,6 +6,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"errors"
+	"io"
 	"io/fs"
 	"os"
 	"path/filepath"
@@ -106,30 +107,14 @@
 
 // Save stores a snapshot and the entries that follow it in place of the log.
 func (s *Store) Save(snap quorum.Snapshot, hard quorum.HardState, entries []quorum.Entry) error {
-	if err := s.SaveSnapshot(snap); err != nil {
+	write := func(w io.Writer) error {
+		_, err := w.Write(snap.Data)
 		return err
 	}
-	return s.Shorten(hard, entries)
-}
-
-// SaveSnapshot stores a snapshot. Entries of the log that it covers are passed
-// over from then on. It may be called by another thread than the rest; one
-// that is older than the stored one is dropped.
-func (s *Store) SaveSnapshot(snap quorum.Snapshot) error {
-	s.snapshotMu.Lock()
-	defer s.snapshotMu.Unlock()
-	if snap.Index < s.snapshotIndex {
-		return nil
-	}
-	data, err := encodeSnapshot(snap)
-	if err != nil {
-		return storageError("encode snapshot", err)
-	}
-	if err := s.replace(snapshotName, frame(data)); err != nil {
+	if err := s.SaveSnapshot(snap, write); err != nil {
 		return err
 	}
-	s.snapshotIndex = snap.Index
-	return nil
+	return s.Shorten(hard, entries)
 }
 
 // Shorten stores entries that follow a saved snapshot in place of the log.
@@ -152,7 +137,7 @@
 
 func (s *Store) load() (quorum.Saved, error) {
 	var saved quorum.Saved
-	snap, err := s.loadSnapshot()
+	snap, err := s.LoadSnapshot()
 	if err != nil {
 		return saved, err
 	}
@@ -195,36 +180,24 @@
 	return s.replace(memberName, []byte(s.member))
 }
 
-func (s *Store) loadSnapshot() (*quorum.Snapshot, error) {
-	path := s.path(snapshotName)
-	data, err := os.ReadFile(path)
-	if errors.Is(err, fs.ErrNotExist) {
-		return nil, nil
-	}
-	if err != nil {
-		return nil, storageError("read snapshot", err)
-	}
-	payload, err := unframe(path, data)
-	if err != nil {
-		return nil, err
-	}
-	snap, err := decodeSnapshot(payload)
-	if err != nil {
-		return nil, &CorruptError{Path: path, Reason: err.Error()}
-	}
-	return snap, nil
-}
-
 func (s *Store) path(name string) string { return filepath.Join(s.dir, name) }
 
 // replace writes a file whole or not at all.
 func (s *Store) replace(name string, data []byte) error {
+	return s.replaceBy(name, func(f *os.File) error {
+		_, err := f.Write(data)
+		return err
+	})
+}
+
+// replaceBy has a function write a file, whole or not at all.
+func (s *Store) replaceBy(name string, write func(f *os.File) error) error {
 	tmp := s.path(name + ".tmp")
 	f, err := os.OpenFile(tmp, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, filePerm)
 	if err != nil {
 		return storageError("create "+name, err)
 	}
-	_, err = f.Write(data)
+	err = write(f)
 	if err == nil {
 		err = f.Sync()
 	}
--- a/internal/replica/apply.go
+++ b/internal/replica/apply.go
@@ -92,7 +92,7 @@
 		if n := len(out.Entries); n > 0 {
 			r.node.Persisted(r.opts.Clock.Now(), out.Entries[n-1].Index)
 		}
-		r.peers.Send(out.Messages)
+		r.send(out.Messages)
 		if err := r.applyOutput(out); err != nil {
 			return err
 		}
@@ -137,6 +137,7 @@
 		if err := r.restore(out.Snapshot.Data); err != nil {
 			return err
 		}
+		out.Snapshot.Data = nil
 		r.peers.LearnAll(out.Snapshot.Members)
 		r.opts.Log.Info("SnapshotInstalled", zap.Uint64("Index", out.Snapshot.Index))
 	}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -115,6 +115,9 @@
 	// backlog holds committed entries that are not yet applied.
 	backlog  []quorum.Entry
 	logBytes int
+	// compactAt is the size of the log at which this replica begins a
+	// snapshot. Replicas differ, so that they do not all write at once.
+	compactAt int
 
 	candidates map[quorum.MemberID]roster.Candidate
 	retiring   map[string]bool
@@ -143,11 +146,13 @@
 		candidates: make(map[quorum.MemberID]roster.Candidate),
 		retiring:   make(map[string]bool),
 		peers:      peer.New(ctx, opts.Dialer, opts.Address),
+		compactAt:  opts.CompactBytes + rand.IntN(opts.CompactBytes/2+1),
 	}
 	if saved.Snapshot != nil {
 		if err := r.restore(saved.Snapshot.Data); err != nil {
 			return nil, err
 		}
+		saved.Snapshot.Data = nil
 	}
 	for _, e := range saved.Entries {
 		r.logBytes += len(e.Data)
--- a/internal/replica/snapshot.go
+++ b/internal/replica/snapshot.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"time"
 
 	"github.com/klauspost/compress/zstd"
 	"go.uber.org/zap"
@@ -12,61 +13,58 @@
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/quorum"
 )
 
-// snapshotWindow bounds the memory of the compressor of snapshots.
-const snapshotWindow = 256 << 10
+const (
+	// snapshotWindow bounds the memory of the compressor of snapshots.
+	snapshotWindow = 256 << 10
+	// A snapshot is written paceBytes at a time with a pause between, so that
+	// heartbeats and requests go on.
+	paceBytes = 256 << 10
+	pacePause = 4 * time.Millisecond
+)
+
+// pacedWriter pauses after each paceBytes.
+type pacedWriter struct {
+	w    io.Writer
+	left int
+}
+
+// Write implements io.Writer.
+func (p *pacedWriter) Write(data []byte) (int, error) {
+	p.left -= len(data)
+	if p.left <= 0 {
+		p.left = paceBytes
+		time.Sleep(pacePause)
+	}
+	return p.w.Write(data)
+}
 
 // compact begins to replace a long log by a snapshot. Another thread writes
-// the state, so that heartbeats go on.
+// it, so that heartbeats go on. Its data stays on the disk.
 func (r *Replica) compact(applied uint64) {
-	if r.logBytes < r.opts.CompactBytes || r.freezing {
+	if r.logBytes < r.compactAt || r.freezing {
 		return
 	}
 	r.freezing = true
 	frozen := r.machine.Freeze()
+	snap := r.node.SnapshotAt(applied)
 	r.group.Go(func() error {
-		data, err := r.write(frozen)
-		r.do(func(rollout.Millis) { r.compacted(applied, data, err) })
+		err := r.store.SaveSnapshot(snap, func(w io.Writer) error { return packState(&pacedWriter{w: w, left: paceBytes}, frozen) })
+		r.do(func(rollout.Millis) { r.shorten(applied, err) })
 		return nil
 	})
 }
 
-// compacted drops the log up to an index that a snapshot covers, and has the
-// snapshot stored.
-func (r *Replica) compacted(applied uint64, data []byte, err error) {
-	var snap *quorum.Snapshot
-	if err == nil && applied > r.node.SnapshotIndex() {
-		snap = r.node.Compact(applied, data)
-	}
-	if snap == nil {
-		r.freezing = false
-		r.opts.Log.Info("SnapshotDropped", zap.Uint64("Index", applied), zap.Error(err))
-		return
-	}
-	r.group.Go(func() error {
-		err := r.store.SaveSnapshot(*snap)
-		r.do(func(rollout.Millis) { r.shorten(snap.Index, len(data), err) })
-		return nil
-	})
-}
-
-// shorten stores what follows a stored snapshot in place of the log.
-func (r *Replica) shorten(index uint64, size int, err error) {
+// shorten drops the log that a stored snapshot covers.
+func (r *Replica) shorten(index uint64, err error) {
 	r.freezing = false
-	entries := r.node.Entries()
-	// A newer snapshot of the leader, or output that is not yet stored, takes
-	// its own way to the disk.
-	if err == nil && r.unsaved == nil && r.node.SnapshotIndex() == index {
-		err = r.store.Shorten(r.store.HardState(), entries)
-	}
-	if err != nil {
-		r.opts.Log.Error("SnapshotRefused", zap.Uint64("Index", index), zap.Error(err))
-		return
+	if err == nil && r.unsaved == nil && index > r.node.SnapshotIndex() && r.node.Compact(index, nil) != nil {
+		err = r.store.Shorten(r.store.HardState(), r.node.Entries())
 	}
 	r.logBytes = 0
-	for _, e := range entries {
+	for _, e := range r.node.Entries() {
 		r.logBytes += len(e.Data)
 	}
-	r.opts.Log.Info("SnapshotTaken", zap.Uint64("Index", index), zap.Int("Bytes", size))
+	r.opts.Log.Info("SnapshotTaken", zap.Uint64("Index", index), zap.Error(err))
 }
 
 // restore replaces the state by a snapshot.
@@ -79,15 +77,34 @@
 	return r.machine.Restore(d)
 }
 
-// write returns the packed form of a frozen state.
-func (r *Replica) write(frozen func(w io.Writer) error) ([]byte, error) {
-	var out bytes.Buffer
-	e, err := zstd.NewWriter(&out, zstd.WithEncoderConcurrency(1), zstd.WithWindowSize(snapshotWindow), zstd.WithLowerEncoderMem(true))
-	if err != nil {
-		return nil, rollout.NewError(rollout.KindInternal, "open snapshot").WithCause(err)
+// send sends messages. The data of a snapshot is read from the disk by
+// another thread.
+func (r *Replica) send(ms []quorum.Message) {
+	plain := make([]quorum.Message, 0, len(ms))
+	for _, m := range ms {
+		if m.Snapshot == nil || m.Snapshot.Data != nil {
+			plain = append(plain, m)
+			continue
+		}
+		r.group.Go(func() error {
+			snap, err := r.store.LoadSnapshot()
+			if err != nil || snap == nil {
+				r.opts.Log.Error("SnapshotUnreadable", zap.Error(err))
+				return nil
+			}
+			m.Snapshot = snap
+			r.peers.Send([]quorum.Message{m})
+			return nil
+		})
 	}
-	if err := errors.Join(frozen(e), e.Close()); err != nil {
-		return nil, rollout.NewError(rollout.KindInternal, "write snapshot").WithCause(err)
+	r.peers.Send(plain)
+}
+
+// packState writes the packed form of a frozen state.
+func packState(w io.Writer, frozen func(w io.Writer) error) error {
+	e, err := zstd.NewWriter(w, zstd.WithEncoderConcurrency(1), zstd.WithWindowSize(snapshotWindow), zstd.WithLowerEncoderMem(true))
+	if err != nil {
+		return rollout.NewError(rollout.KindInternal, "open snapshot").WithCause(err)
 	}
-	return out.Bytes(), nil
+	return errors.Join(frozen(e), e.Close())
 }
--- a/internal/replica/storage.go
+++ b/internal/replica/storage.go
@@ -15,8 +15,10 @@
 	HardState() quorum.HardState
 	Member() quorum.MemberID
 	Save(snap quorum.Snapshot, hard quorum.HardState, entries []quorum.Entry) error
-	// SaveSnapshot may be called by another thread than the rest.
-	SaveSnapshot(snap quorum.Snapshot) error
+	// SaveSnapshot and LoadSnapshot may be called by another thread than the
+	// rest.
+	SaveSnapshot(snap quorum.Snapshot, write disk.Write) error
+	LoadSnapshot() (*quorum.Snapshot, error)
 	// Shorten stores entries that follow a saved snapshot in place of the log.
 	Shorten(hard quorum.HardState, entries []quorum.Entry) error
 }
@@ -65,7 +67,10 @@
 }
 
 // SaveSnapshot implements storage.
-func (f *forgetful) SaveSnapshot(quorum.Snapshot) error { return nil }
+func (f *forgetful) SaveSnapshot(quorum.Snapshot, disk.Write) error { return nil }
+
+// LoadSnapshot implements storage.
+func (f *forgetful) LoadSnapshot() (*quorum.Snapshot, error) { return nil, nil }
 
 // Shorten implements storage.
 func (f *forgetful) Shorten(hard quorum.HardState, _ []quorum.Entry) error {
--- a/pkg/rollout/job/job.go
+++ b/pkg/rollout/job/job.go
@@ -262,11 +262,15 @@
 		return nil
 	}
 	k := TextKey{j.Spec.Account, e.ItemID}
-	t, err := b.Texts[k].With(e.Piece)
+	held := b.Texts[k]
+	if j.Ended && held.JobID != "" && held.JobID != e.JobID {
+		return rollout.NewError(rollout.KindConflict, "job %s writes the text of item %s now", held.JobID, e.ItemID)
+	}
+	t, err := held.With(e.Piece)
 	if err != nil {
 		return err
 	}
-	t.UsedMS = j.Spec.SubmittedMS
+	t.JobID, t.UsedMS = e.JobID, j.Spec.SubmittedMS
 	b.Texts[k] = t
 	return nil
 }
@@ -283,7 +287,7 @@
 		if err != nil {
 			return err
 		}
-		t.Complete, t.UsedMS = true, j.Spec.SubmittedMS
+		t.Complete, t.JobID, t.UsedMS = true, f.JobID, j.Spec.SubmittedMS
 		result.Chunks, result.Versions = t.Chunks, t.Versions
 		b.Texts[k] = t
 	}
--- a/pkg/rollout/job/job_test.go
+++ b/pkg/rollout/job/job_test.go
@@ -173,3 +173,16 @@
 		t.Fatalf("total %d, want 2", b.Jobs["j"].Total)
 	}
 }
+
+// The last piece of an ended job is late, and the item runs in the next job.
+func TestLatePieceOfAnEndedJobDoesNotJoinNewText(t *testing.T) {
+	b := newBook(t)
+	mustApply(t, b, extend("i1", 0, "old"), job.Command{End: &job.End{JobID: "j", Account: "a"}}, submit("k", "a", "i1"))
+	fresh := extend("i1", 0, "new")
+	fresh.Extend.JobID = "k"
+	mustApply(t, b, fresh)
+	assertKind(t, b.Apply(extend("i1", 1, "late")), rollout.KindConflict)
+	if got := b.Texts[job.TextKey{Account: "a", ItemID: "i1"}]; len(got.Chunks) != 1 || string(got.Chunks[0]) != "new" {
+		t.Fatalf("text %q", got.Chunks)
+	}
+}
--- a/pkg/rollout/job/text.go
+++ b/pkg/rollout/job/text.go
@@ -21,6 +21,8 @@
 	Versions []uint64
 	// Complete is true once the last event is there.
 	Complete bool
+	// JobID is the job that wrote last.
+	JobID string
 	// UsedMS is when the newest job with the item was submitted.
 	UsedMS rollout.Millis
 }
--- a/pkg/rollout/quorum/node.go
+++ b/pkg/rollout/quorum/node.go
@@ -124,7 +124,8 @@
 // Commit returns the last committed index.
 func (n *Node) Commit() uint64 { return n.commit }
 
-// Compact drops the log up to an applied index in favour of a snapshot.
+// Compact drops the log up to an applied index in favour of a snapshot. Without
+// data the caller fills it in when the snapshot is sent.
 func (n *Node) Compact(index uint64, data []byte) *Snapshot {
 	term, ok := n.log.term(index)
 	if !ok || index > n.taken {
@@ -136,6 +137,13 @@
 	return s
 }
 
+// SnapshotAt describes a snapshot of an applied index, without its data. The
+// caller may later compact up to the index.
+func (n *Node) SnapshotAt(index uint64) Snapshot {
+	term, _ := n.log.term(index)
+	return Snapshot{Index: index, Term: term, Members: n.membersAt(index)}
+}
+
 // ID returns the ID of the member.
 func (n *Node) ID() MemberID { return n.cfg.ID }
 
