Bound the logs, show metrics and explain a request from its logs

Cause: a log that is not read, or a storm of lines, would hold up requests; the on-call engineers have only logs and metrics. Change: lines wait in a bounded queue with a writer of its own, what is dropped is counted and logged; events below warning are sampled, late and failed requests are logged as warnings; each pick is one line with its reason and load. The command explain-request prints the story of an ID.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -159,7 +159,7 @@
 			return Answer{}, c.overdue()
 		case <-hedge.C:
 			if c.mayRun() && c.launch(ctx) {
-				b.log.Debug("Hedged", zap.String("Request", req.Exchange.AttemptID), zap.Strings("Tried", c.tried))
+				b.log.Info("Hedged", zap.String("Request", req.Exchange.AttemptID), zap.Strings("Tried", c.tried))
 				hedge.Reset(req.HedgeAfter)
 			}
 		case a := <-c.results:
@@ -206,10 +206,13 @@
 	if c.sends >= maxSends {
 		return false
 	}
-	u, ok := c.b.pick(c.req.Pool, c.tried)
+	choice, ok := c.b.pick(c.req.Pool, c.tried)
 	if !ok {
 		return false
 	}
+	u := choice.Upstream
+	c.b.log.Info("Routed", zap.String("Request", c.req.Exchange.AttemptID), zap.String("Pool", c.req.Pool), zap.String("Upstream", u.ID),
+		zap.String("Reason", string(choice.Reason)), zap.Float64("Load", choice.Load), zap.Int("Sends", c.sends+1), zap.Int("Running", c.running))
 	x := c.req.Exchange
 	x.Address, x.Instance = u.Address, u.ID
 	x.BudgetMS = max(1, rollout.Millis(time.Until(c.req.Deadline).Milliseconds()))
@@ -252,7 +255,11 @@
 			c.req.Began = nil
 		}
 	}
-	c.b.log.Debug("AttemptEnded", zap.String("Request", c.req.Exchange.AttemptID), zap.String("Upstream", a.upstream),
+	level := zap.DebugLevel
+	if !a.good() {
+		level = zap.WarnLevel
+	}
+	c.b.log.Log(level, "AttemptEnded", zap.String("Request", c.req.Exchange.AttemptID), zap.String("Upstream", a.upstream),
 		zap.Int("Status", a.answer.Head.Status), zap.Duration("Took", time.Since(a.started)), errorField(a.err))
 	if c.best.err == nil {
 		return
@@ -290,11 +297,10 @@
 	b.router.Finished(b.clock.Now(), id, routing.Outcome{Failed: failed, Running: -1})
 }
 
-func (b *Balancer) pick(pool string, tried []string) (catalog.Upstream, bool) {
+func (b *Balancer) pick(pool string, tried []string) (routing.Choice, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	choice, ok := b.router.Pick(b.clock.Now(), routing.Query{Pool: pool, Exclude: tried})
-	return choice.Upstream, ok
+	return b.router.Pick(b.clock.Now(), routing.Query{Pool: pool, Exclude: tried})
 }
 
 // send runs one attempt. Answers that are no streams are read whole.
--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -39,6 +39,7 @@
 	Agent   agentCmd   `cmd:"" help:"Run the agent of an upstream host."`
 	Ctl     ctlCmd     `cmd:"" help:"Ask and change the configuration."`
 	Host    hostCmd    `cmd:"" help:"Run a process on a platform that supplies its settings."`
+	Explain explainCmd `cmd:"" name:"explain-request" help:"Print what the logs tell of a request."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 }
 
--- /dev/null
+++ b/internal/cmd/explaincmd.go
@@ -0,0 +1,55 @@
+package cmd
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"github.com/coltsfootspoke/coltsfootspoke/internal/timeline"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
+)
+
+// explainCmd prints what the logs tell of a request.
+type explainCmd struct {
+	ID   string   `arg:"" help:"ID of a request, an item or a job."`
+	Logs []string `arg:"" optional:"" help:"Log files. Standard input when there are none." type:"existingfile"`
+}
+
+// Run implements the command.
+func (c *explainCmd) Run(streams Streams) error {
+	data, err := c.read(streams.In)
+	if err != nil {
+		return err
+	}
+	t := timeline.New(c.ID)
+	if err := t.Read(bytes.NewReader(data)); err != nil {
+		return rollout.NewError(rollout.KindInvalidInput, "read logs").WithCause(err)
+	}
+	if t.Len() == 0 {
+		return rollout.NewError(rollout.KindNotFound, "no line tells of %s", c.ID)
+	}
+	if err := t.Write(streams.Out); err != nil {
+		return err
+	}
+	if jobs := t.Jobs(); len(jobs) > 0 {
+		_, err = fmt.Fprintf(streams.Out, "item of: %s\n", strings.Join(jobs, " "))
+	}
+	return err
+}
+
+func (c *explainCmd) read(in io.Reader) ([]byte, error) {
+	if len(c.Logs) == 0 {
+		return io.ReadAll(in)
+	}
+	var all []byte
+	for _, name := range c.Logs {
+		data, err := os.ReadFile(name)
+		if err != nil {
+			return nil, rollout.NewError(rollout.KindInvalidInput, "log file").WithCause(err)
+		}
+		all = append(append(all, data...), '\n')
+	}
+	return all, nil
+}
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
@@ -56,6 +57,7 @@
 	Usage       rollout.UsageSink
 	Secret      string
 	Log         *zap.Logger
+	Registry    *prometheus.Registry
 }
 
 // host is a daemon that watches.
@@ -106,7 +108,7 @@
 	d.replica, err = replica.Open(ctx, replica.Options{
 		Dir: opts.Dir, Address: opts.Address, FailureDomain: opts.FailureDomain,
 		Want: 2*opts.Losses + 1, CompactBytes: compactBytes, Clock: d.clock,
-		Dialer: d.dialer, Log: opts.Log, OnLead: d.onLead,
+		Dialer: d.dialer, Log: opts.Log, Registry: opts.Registry, OnLead: d.onLead,
 	}, machine{d})
 	if err != nil {
 		return nil, err
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,6 +11,7 @@
 	mathrand "math/rand/v2"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
 	"github.com/coltsfootspoke/coltsfootspoke/internal/balance"
@@ -25,7 +26,8 @@
 const (
 	// hedgeShare is the part of a route's target latency after which a
 	// repeatable request goes to a second upstream.
-	hedgeShare = 0.6
+	hedgeShare        = 0.6
+	statusServerError = 500
 	// incarnationBytes make the ID of a run of the process.
 	incarnationBytes = 8
 )
@@ -41,6 +43,7 @@
 	Upstreams rollout.Upstreams
 	Secret    string
 	Log       *zap.Logger
+	Registry  *prometheus.Registry
 }
 
 // Gateway is an entry.
@@ -51,6 +54,7 @@
 	watcher  *view.Watcher
 	balancer *balance.Balancer
 	meter    *meter
+	metrics  *metrics
 }
 
 // Inbound is a caller's request.
@@ -71,7 +75,7 @@
 
 // New returns an entry.
 func New(opts Options) *Gateway {
-	g := &Gateway{opts: opts, dialer: link.NewDialer(opts.Secret)}
+	g := &Gateway{opts: opts, dialer: link.NewDialer(opts.Secret), metrics: newMetrics(opts.Registry)}
 	g.client = fabric.NewClient(g.dialer)
 	g.balancer = balance.New(opts.Upstreams, clock.Boottime{}, opts.FailureDomain, opts.Log)
 	id := make([]byte, incarnationBytes)
@@ -151,16 +155,21 @@
 		Began:       func() { g.meter.count(account) },
 	}
 	answer, err := g.balancer.Do(ctx, req)
+	g.metrics.answered(in.Received, err)
 	if err != nil {
 		g.logRefusal(in, route, err)
 		return answer, err
 	}
-	g.opts.Log.Debug("Answered", zap.String("Request", in.AttemptID), zap.String("Route", route.Name), zap.String("Upstream", answer.Upstream),
+	level := zap.InfoLevel
+	if late := rollout.Millis(time.Since(in.Received).Milliseconds()) > route.TargetLatencyMS; late || answer.Head.Status >= statusServerError {
+		level = zap.WarnLevel
+	}
+	g.opts.Log.Log(level, "Answered", zap.String("Request", in.AttemptID), zap.String("Route", route.Name), zap.String("Upstream", answer.Upstream),
 		zap.Int("Status", answer.Head.Status), zap.Duration("Took", time.Since(in.Received)))
 	return answer, nil
 }
 
 func (g *Gateway) logRefusal(in Inbound, route document.Route, err error) {
-	g.opts.Log.Info("Refused", zap.String("Request", in.AttemptID), zap.String("Route", route.Name),
+	g.opts.Log.Warn("Refused", zap.String("Request", in.AttemptID), zap.String("Route", route.Name),
 		zap.Duration("Took", time.Since(in.Received)), zap.Error(err))
 }
--- a/internal/gateway/jobs.go
+++ b/internal/gateway/jobs.go
@@ -82,6 +82,7 @@
 		callCtx, cancelCall := context.WithTimeout(ctx, storeCallTimeout+wait)
 		err := g.client.Call(callCtx, address, method, in, out)
 		cancelCall()
+		g.metrics.jobCalls.WithLabelValues(method, outcome(err)).Inc()
 		if err == nil {
 			return nil
 		}
--- /dev/null
+++ b/internal/gateway/metrics.go
@@ -0,0 +1,46 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
+)
+
+// metrics counts what callers were told.
+type metrics struct {
+	requests *prometheus.CounterVec
+	seconds  prometheus.Histogram
+	jobCalls *prometheus.CounterVec
+}
+
+func newMetrics(registry *prometheus.Registry) *metrics {
+	m := &metrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "coltsfootspoke_gateway_requests_total", Help: "Requests of callers, by outcome: Answered or the kind of the error.",
+		}, []string{"outcome"}),
+		seconds: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "coltsfootspoke_gateway_request_seconds", Help: "Time from the request to its answer.",
+			Buckets: prometheus.ExponentialBuckets(0.005, 2, 12),
+		}),
+		jobCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "coltsfootspoke_gateway_job_calls_total", Help: "Calls to the job store, by method and outcome.",
+		}, []string{"method", "outcome"}),
+	}
+	registry.MustRegister(m.requests, m.seconds, m.jobCalls)
+	return m
+}
+
+func (m *metrics) answered(since time.Time, err error) {
+	m.requests.WithLabelValues(outcome(err)).Inc()
+	m.seconds.Observe(time.Since(since).Seconds())
+}
+
+// outcome returns the name of an error's kind.
+func outcome(err error) string {
+	if err == nil {
+		return "Answered"
+	}
+	return rollout.AsError(err).Kind.String()
+}
--- a/internal/jobstore/item.go
+++ b/internal/jobstore/item.go
@@ -34,7 +34,10 @@
 func (r *runner) runItem(ctx context.Context, w *work, a dispatch.Assignment) {
 	outcome := dispatch.OutcomeDone
 	if a.Engine != "" {
+		started := time.Now()
 		outcome = r.generateMovable(ctx, w, a)
+		r.s.metrics.runs.WithLabelValues(outcome.String()).Inc()
+		r.s.metrics.seconds.Observe(time.Since(started).Seconds())
 	}
 	r.mu.Lock()
 	if a.Engine != "" {
@@ -259,6 +262,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	w.done = true
+	r.s.metrics.items.WithLabelValues(string(result.State)).Inc()
 }
 
 func (r *runner) isKeeping(w *work) bool {
--- a/internal/jobstore/load.go
+++ b/internal/jobstore/load.go
@@ -53,7 +53,8 @@
 func (r *runner) ordered(l dispatch.Load, o rollout.OrderOutcome, err error) {
 	r.s.opts.Log.Info("WeightsOrdered", zap.String("Upstream", l.Engine), zap.String("Model", l.Model),
 		zap.Uint64("Version", l.Version), zap.Uint64("Accepted", l.Accepted), zap.Uint64("Term", r.term),
-		zap.Uint8("Outcome", uint8(o)), zap.Error(err))
+		zap.Stringer("Outcome", o), zap.Error(err))
+	r.s.metrics.loads.WithLabelValues(o.String()).Inc()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.sched.Ordered(r.s.clock.Now(), l, o)
--- /dev/null
+++ b/internal/jobstore/metrics.go
@@ -0,0 +1,35 @@
+package jobstore
+
+import "github.com/prometheus/client_golang/prometheus"
+
+// metrics counts what becomes of items.
+type metrics struct {
+	items   *prometheus.CounterVec
+	runs    *prometheus.CounterVec
+	seconds prometheus.Histogram
+	loads   *prometheus.CounterVec
+	waiting prometheus.Gauge
+}
+
+func newMetrics(registry *prometheus.Registry) *metrics {
+	m := &metrics{
+		items: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "coltsfootspoke_job_items_total", Help: "Items listed, by state.",
+		}, []string{"state"}),
+		runs: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "coltsfootspoke_job_runs_total", Help: "Runs of items on engines, by outcome.",
+		}, []string{"outcome"}),
+		seconds: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "coltsfootspoke_job_run_seconds", Help: "Time of a run of an item on an engine.",
+			Buckets: prometheus.ExponentialBuckets(0.05, 2, 10),
+		}),
+		loads: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "coltsfootspoke_job_weight_orders_total", Help: "Orders to change weights, by outcome.",
+		}, []string{"outcome"}),
+		waiting: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "coltsfootspoke_job_waiting_items", Help: "Items that wait for an engine, at the leader.",
+		}),
+	}
+	registry.MustRegister(m.items, m.runs, m.seconds, m.loads, m.waiting)
+	return m
+}
--- a/internal/jobstore/runner.go
+++ b/internal/jobstore/runner.go
@@ -257,6 +257,7 @@
 		w.stalled = m.Stalled
 		w.move()
 	}
+	defer func() { r.s.metrics.waiting.Set(float64(r.sched.Waiting())) }()
 	for _, a := range r.sched.Next(now) {
 		if w := r.workOf(a.Task); w != nil {
 			r.start(w, a)
--- a/internal/jobstore/store.go
+++ b/internal/jobstore/store.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
@@ -56,6 +57,7 @@
 	Upstreams   rollout.Upstreams
 	Secret      string
 	Log         *zap.Logger
+	Registry    *prometheus.Registry
 }
 
 // Store is a store host.
@@ -68,6 +70,7 @@
 	watcher  *view.Watcher
 	balancer *balance.Balancer
 	packer   *pack.Packer
+	metrics  *metrics
 
 	mu sync.Mutex
 	// book is guarded by mu.
@@ -88,6 +91,7 @@
 	s := &Store{
 		opts: opts, clock: clock.Boottime{}, dialer: link.NewDialer(opts.Secret),
 		book: job.NewBook(), changed: make(chan struct{}), packer: pack.New(),
+		metrics: newMetrics(opts.Registry),
 	}
 	s.client = fabric.NewClient(s.dialer)
 	s.balancer = balance.New(opts.Upstreams, s.clock, opts.FailureDomain, opts.Log)
@@ -95,7 +99,7 @@
 	s.replica, err = replica.Open(ctx, replica.Options{
 		Dir: opts.Dir, Address: opts.Address, FailureDomain: opts.FailureDomain,
 		Want: 2*opts.Losses + 1, CompactBytes: compactBytes, Clock: s.clock,
-		Dialer: s.dialer, Log: opts.Log, OnLead: s.onLead,
+		Dialer: s.dialer, Log: opts.Log, Registry: opts.Registry, OnLead: s.onLead,
 	}, machine{s})
 	if err != nil {
 		return nil, err
--- /dev/null
+++ b/internal/logging/bounded_test.go
@@ -0,0 +1,93 @@
+package logging_test
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"sync"
+	"testing"
+
+	"go.uber.org/zap"
+
+	"github.com/coltsfootspoke/coltsfootspoke/internal/logging"
+)
+
+// blocked is an output that nobody reads.
+type blocked struct{ started, release chan struct{} }
+
+func (b blocked) Write(p []byte) (int, error) {
+	select {
+	case b.started <- struct{}{}:
+	default:
+	}
+	<-b.release
+	return len(p), nil
+}
+
+// run writes all lines that a function logs and returns the output.
+func run(t *testing.T, emit func(*zap.Logger)) (string, *logging.Sink) {
+	t.Helper()
+	var out bytes.Buffer
+	log, sink, err := logging.NewBounded(&out, "info", "d")
+	if err != nil {
+		t.Fatal(err)
+	}
+	emit(log)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if err := sink.Run(ctx, log); err != nil {
+		t.Fatal(err)
+	}
+	return out.String(), sink
+}
+
+func TestManyLinesOfOneEventAreSampled(t *testing.T) {
+	out, sink := run(t, func(log *zap.Logger) {
+		for range 1_000 {
+			log.Info("Routine")
+		}
+	})
+	lines := strings.Count(out, "Event=Routine")
+	if lines >= 1_000 || uint64(1_000-lines) != sink.Dropped() {
+		t.Fatalf("%d lines written, %d dropped", lines, sink.Dropped())
+	}
+}
+
+func TestWarningsAreNotSampled(t *testing.T) {
+	out, sink := run(t, func(log *zap.Logger) {
+		for range 1_000 {
+			log.Warn("Failed")
+		}
+	})
+	if lines := strings.Count(out, "Event=Failed"); lines != 1_000 || sink.Dropped() != 0 {
+		t.Fatalf("%d lines written, %d dropped", lines, sink.Dropped())
+	}
+}
+
+func TestUnreadOutputBlocksNobody(t *testing.T) {
+	b := blocked{make(chan struct{}, 1), make(chan struct{})}
+	log, sink, err := logging.NewBounded(b, "info", "d")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	var wait sync.WaitGroup
+	wait.Go(func() { _ = sink.Run(ctx, log) })
+	log.Warn("First")
+	<-b.started
+	for range 10_000 {
+		log.Warn("Failed")
+	}
+	if sink.Dropped() == 0 {
+		t.Fatal("nothing dropped though nobody reads")
+	}
+	close(b.release)
+	cancel()
+	wait.Wait()
+}
+
+func TestDebugLinesStayOut(t *testing.T) {
+	if out, _ := run(t, func(log *zap.Logger) { log.Debug("Detail") }); out != "" {
+		t.Fatalf("output %q", out)
+	}
+}
--- a/internal/replica/apply.go
+++ b/internal/replica/apply.go
@@ -114,7 +114,10 @@
 	for _, e := range out.Entries {
 		r.logBytes += len(e.Data)
 	}
-	return r.store.Append(out.HardState, out.Entries)
+	start := time.Now()
+	err := r.store.Append(out.HardState, out.Entries)
+	r.metrics.sync.Observe(time.Since(start).Seconds())
+	return err
 }
 
 // refuseStorage gives up the lead while the disk refuses to store.
@@ -159,6 +162,7 @@
 		}
 		done++
 	}
+	r.metrics.commits.Add(float64(done))
 	last := r.backlog[done-1].Index
 	r.backlog = r.backlog[done:]
 	if len(r.backlog) > 0 {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
@@ -68,6 +69,7 @@
 	Clock        rollout.Clock
 	Dialer       *link.Dialer
 	Log          *zap.Logger
+	Registry     *prometheus.Registry
 	// OnLead runs while the replica leads. Its context ends with the lease.
 	OnLead func(ctx context.Context, term uint64)
 }
@@ -105,6 +107,7 @@
 	node    *quorum.Node
 	peers   *peer.Sender
 	packer  *pack.Packer
+	metrics *metrics
 	inbox   chan func(now rollout.Millis)
 
 	pending []proposal
@@ -141,6 +144,7 @@
 	}
 	r := &Replica{
 		opts: opts, machine: machine, store: store, packer: pack.New(),
+		metrics:    newMetrics(opts.Registry),
 		inbox:      make(chan func(rollout.Millis), inboxLength),
 		waiters:    make(map[uint64]waiter),
 		candidates: make(map[quorum.MemberID]roster.Candidate),
@@ -362,6 +366,11 @@
 	r.heardAt.Store(int64(r.node.HeardLeader()))
 	r.publish()
 	leads := until > now
+	r.metrics.term.Set(float64(r.node.Term()))
+	r.metrics.leading.Set(0)
+	if leads {
+		r.metrics.leading.Set(1)
+	}
 	if r.leadCancel != nil && (!leads || r.leadTerm != r.node.Term()) {
 		r.endLead()
 	}
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
 	"github.com/coltsfootspoke/coltsfootspoke/internal/fabric"
@@ -99,7 +100,7 @@
 	h := &host{machine: &register{}, address: l.Addr().String(), dir: dir}
 	r, err := replica.Open(ctx, replica.Options{
 		Dir: dir, Address: h.address, FailureDomain: h.address, Want: 3, CompactBytes: c.compact,
-		Clock: clock.Boottime{}, Dialer: dialer, Log: zap.NewNop(),
+		Clock: clock.Boottime{}, Dialer: dialer, Log: zap.NewNop(), Registry: prometheus.NewRegistry(),
 		OnLead: func(ctx context.Context, _ uint64) { <-ctx.Done() },
 	}, h.machine)
 	if err != nil {
--- a/pkg/rollout/dispatch/dispatch.go
+++ b/pkg/rollout/dispatch/dispatch.go
@@ -182,6 +182,15 @@
 	OutcomeMoved
 )
 
+// String returns the name of the outcome.
+func (o Outcome) String() string {
+	names := [...]string{"Done", "TurnedAway", "OtherVersion", "Broken", "Cancelled", "Moved"}
+	if int(o) < len(names) {
+		return names[o]
+	}
+	return "Unknown"
+}
+
 // SetTargets sets the newest named version of each model.
 func (s *Scheduler) SetTargets(targets map[string]uint64) { s.targets = targets }
 
--- a/pkg/rollout/upstream.go
+++ b/pkg/rollout/upstream.go
@@ -98,6 +98,15 @@
 	OrderRefused
 )
 
+// String returns the name of the outcome.
+func (o OrderOutcome) String() string {
+	names := [...]string{"Unknown", "Started", "Holds", "Conflict", "Fenced", "Refused"}
+	if int(o) < len(names) {
+		return names[o]
+	}
+	return names[OrderUnknown]
+}
+
 // EngineReport is what an engine says of itself.
 type EngineReport struct {
 	Instance string
