Fence writers of texts, and look for the leader without waiting

Change 1: a lead begins with an entry that makes it the only writer; texts and results of others are refused. TestPieceOfAnEarlierLeadIsRefused failed before. Change 2: a watch that finds no leader is not held, ends after 0.4 s and passes hosts over that did not answer for 2 s.

--- a/internal/gateway/jobs.go
+++ b/internal/gateway/jobs.go
@@ -75,9 +75,10 @@
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout+wait)
 	defer cancel()
 	hint, sent := first, false
+	failed := make(map[string]bool)
 	var last *rollout.Error
 	for try := 0; ; try++ {
-		address := g.storeAddress(hint, try)
+		address := g.storeAddress(hint, try, failed)
 		hint = ""
 		callCtx, cancelCall := context.WithTimeout(ctx, storeCallTimeout+wait)
 		err := g.client.Call(callCtx, address, method, in, out)
@@ -91,11 +92,12 @@
 		case rollout.KindNotFound, rollout.KindConflict:
 			return last
 		case rollout.KindNotLeader:
-			if next := strings.TrimPrefix(last.Message, "leader is "); next != "" && next != address {
+			if next := strings.TrimPrefix(last.Message, "leader is "); next != "" && next != address && !failed[next] {
 				hint = next
 				continue
 			}
 		default:
+			failed[address] = true
 			sent = sent || !last.NotRun
 		}
 		select {
@@ -122,13 +124,13 @@
 }
 
 // storeAddress returns the hinted leader, the one that control knows, or the
-// members in turn.
-func (g *Gateway) storeAddress(hint string, try int) string {
+// members in turn. Hosts that have failed come last.
+func (g *Gateway) storeAddress(hint string, try int, failed map[string]bool) string {
 	if hint != "" {
 		return hint
 	}
 	f := g.watcher.Copy().Facts
-	if f.StoreLeader != "" && try%2 == 0 {
+	if f.StoreLeader != "" && try%2 == 0 && !failed[f.StoreLeader] {
 		return f.StoreLeader
 	}
 	addresses := slices.Clone(f.Stores)
@@ -137,6 +139,9 @@
 			addresses = append(addresses, m.Address)
 		}
 	}
+	if sound := slices.DeleteFunc(slices.Clone(addresses), func(a string) bool { return failed[a] }); len(sound) > 0 {
+		addresses = sound
+	}
 	if len(addresses) == 0 {
 		return ""
 	}
--- a/internal/jobstore/item.go
+++ b/internal/jobstore/item.go
@@ -236,7 +236,7 @@
 		}
 	}
 	for {
-		f := job.Finish{JobID: w.spec.ID, Result: result}
+		f := job.Finish{Writer: r.writer, JobID: w.spec.ID, Result: result}
 		if result.State == job.StateCompleted {
 			var err error
 			if f.Piece, _, err = r.piece(w); err != nil {
@@ -250,7 +250,10 @@
 		if err == nil {
 			break
 		}
-		if rollout.AsError(err).Kind == rollout.KindConflict {
+		switch rollout.AsError(err).Kind {
+		case rollout.KindNoAuthority, rollout.KindNotFound:
+			return
+		case rollout.KindConflict:
 			r.mu.Lock()
 			w.text.rewrite = true
 			r.mu.Unlock()
@@ -285,7 +288,7 @@
 func (r *runner) keep(ctx context.Context, w *work) {
 	piece, events, err := r.piece(w)
 	if err == nil {
-		err = r.s.propose(ctx, job.Command{Extend: &job.Extend{JobID: w.spec.ID, ItemID: w.item.ID, Piece: piece}})
+		err = r.s.propose(ctx, job.Command{Extend: &job.Extend{Writer: r.writer, JobID: w.spec.ID, ItemID: w.item.ID, Piece: piece}})
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/jobstore/runner.go
+++ b/internal/jobstore/runner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"slices"
 	"sync"
 	"time"
@@ -57,9 +58,11 @@
 type runner struct {
 	s    *Store
 	term uint64
-	ctx  context.Context
-	wake chan struct{}
-	wait sync.WaitGroup
+	// writer names this lead in the log.
+	writer string
+	ctx    context.Context
+	wake   chan struct{}
+	wait   sync.WaitGroup
 
 	mu sync.Mutex
 	// The fields below are guarded by mu.
@@ -67,11 +70,13 @@
 	jobs  map[string][]*work
 	index *document.Index
 	order uint64
+	// writing is true once this lead is the only writer.
+	writing bool
 }
 
 func newRunner(s *Store, term uint64) *runner {
 	return &runner{
-		s: s, term: term, wake: make(chan struct{}, 1),
+		s: s, term: term, writer: rand.Text(), wake: make(chan struct{}, 1),
 		sched: dispatch.New(dispatch.DefaultConfig(s.opts.FailureDomain)),
 		jobs:  make(map[string][]*work),
 	}
@@ -82,6 +87,9 @@
 	r.mu.Lock()
 	r.ctx = ctx
 	r.mu.Unlock()
+	if !r.takeOver(ctx) {
+		return
+	}
 	r.sync(r.s.watcher.Copy())
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
@@ -100,6 +108,24 @@
 	r.wait.Wait()
 }
 
+// takeOver makes this lead the only writer. What earlier leads have sent is
+// applied before it returns.
+func (r *runner) takeOver(ctx context.Context) bool {
+	for {
+		err := r.s.propose(ctx, job.Command{Write: &job.Write{Writer: r.writer}})
+		r.s.opts.Log.Info("WriterTaken", zap.Uint64("Term", r.term), zap.Error(err))
+		if err == nil {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			r.writing = true
+			return true
+		}
+		if !pause(ctx, proposeRetryPause) {
+			return false
+		}
+	}
+}
+
 // close stops the items of a job that has ended. Their text is kept where a
 // later step may still use it.
 func (r *runner) close(jobID string) {
@@ -216,6 +242,9 @@
 func (r *runner) take(c view.Copy) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if !r.writing {
+		return false
+	}
 	first := r.index == nil
 	r.index = c.Index
 	models := make(map[string][]string)
--- a/internal/view/watcher.go
+++ b/internal/view/watcher.go
@@ -18,9 +18,14 @@
 
 const (
 	// waitMS is how long the leader may hold a watch.
-	waitMS rollout.Millis = 1_000
+	waitMS rollout.Millis = 800
 	// watchTimeout ends a watch whose connection has gone silent.
-	watchTimeout = 1_600 * time.Millisecond
+	watchTimeout = 1_200 * time.Millisecond
+	// searchTimeout ends a watch while the leader is looked for; it is not
+	// held then.
+	searchTimeout = 400 * time.Millisecond
+	// suspectTime is how long a host that did not answer is passed over.
+	suspectTime = 2 * time.Second
 	// retryPause is the time between tries at control hosts.
 	retryPause = 80 * time.Millisecond
 )
@@ -64,11 +69,15 @@
 	leader atomic.Value
 	target string
 	next   int
+	// searching is true while no leader answers.
+	searching bool
+	// suspects holds when a host last failed to answer.
+	suspects map[string]time.Time
 }
 
 // NewWatcher returns a watcher that knows nothing yet.
 func NewWatcher(opts Options) *Watcher {
-	w := &Watcher{opts: opts, next: rand.IntN(1 << 16)}
+	w := &Watcher{opts: opts, next: rand.IntN(1 << 16), searching: true, suspects: make(map[string]time.Time)}
 	w.copy.Store(&Copy{Upstreams: map[string]discovery.Upstream{}})
 	w.leader.Store("")
 	return w
@@ -90,8 +99,10 @@
 			continue
 		}
 		err := w.watchOnce(ctx)
+		w.searching = err != nil
 		if err == nil {
 			w.leader.Store(w.target)
+			delete(w.suspects, w.target)
 		} else {
 			w.leader.Store("")
 		}
@@ -107,11 +118,15 @@
 }
 
 // follow takes the leader's address from a refusal, or goes on to the next
-// control host. It tells whether the leader is known.
+// control host. Hosts that did not answer lately are passed over. It tells
+// whether the leader is known.
 func (w *Watcher) follow(err error) bool {
 	e := rollout.AsError(err)
+	if e.Kind != rollout.KindNotLeader {
+		w.suspects[w.target] = time.Now()
+	}
 	address := strings.TrimPrefix(e.Message, "leader is ")
-	if e.Kind == rollout.KindNotLeader && address != "" && address != w.target {
+	if e.Kind == rollout.KindNotLeader && address != "" && address != w.target && !w.isSuspect(address) {
 		w.target = address
 		return true
 	}
@@ -121,11 +136,21 @@
 			addresses = append(addresses, a)
 		}
 	}
-	w.next++
-	w.target = addresses[w.next%len(addresses)]
+	for range addresses {
+		w.next++
+		w.target = addresses[w.next%len(addresses)]
+		if !w.isSuspect(w.target) {
+			break
+		}
+	}
 	return false
 }
 
+func (w *Watcher) isSuspect(address string) bool {
+	at, known := w.suspects[address]
+	return known && time.Since(at) < suspectTime
+}
+
 func (w *Watcher) watchOnce(ctx context.Context) error {
 	if w.target == "" {
 		seeds := w.opts.Seeds()
@@ -145,7 +170,11 @@
 	if w.opts.Store != nil {
 		req.Store = w.opts.Store()
 	}
-	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
+	timeout := watchTimeout
+	if w.searching {
+		req.WaitMS, timeout = 0, searchTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var reply Reply
 	if err := w.opts.Client.Call(ctx, w.target, MethodWatch, req, &reply); err != nil {
--- a/pkg/rollout/job/job.go
+++ b/pkg/rollout/job/job.go
@@ -88,6 +88,7 @@
 // Command changes the state. One field is set.
 type Command struct {
 	Submit *Spec   `json:",omitempty"`
+	Write  *Write  `json:",omitempty"`
 	Extend *Extend `json:",omitempty"`
 	Finish *Finish `json:",omitempty"`
 	End    *End    `json:",omitempty"`
@@ -95,8 +96,15 @@
 	Forget *Forget `json:",omitempty"`
 }
 
+// Write makes a leader the only writer of texts and results. What earlier
+// leaders still send is refused from then on.
+type Write struct {
+	Writer string
+}
+
 // Extend keeps text of an item that is still being generated.
 type Extend struct {
+	Writer        string
 	JobID, ItemID string
 	Piece         Piece
 }
@@ -104,6 +112,7 @@
 // Finish lists a result at the next position of a job. The output of a
 // completed result is the kept text and the piece after it.
 type Finish struct {
+	Writer string
 	JobID  string
 	Result Result
 	Piece  Piece
@@ -156,6 +165,8 @@
 	// Texts holds what is kept of the text of items. An item that comes again
 	// in a later job finds it here.
 	Texts map[TextKey]Text
+	// Writer is the leader that may write.
+	Writer string
 }
 
 // NewBook returns an empty book.
@@ -166,6 +177,8 @@
 	switch {
 	case c.Submit != nil:
 		return b.submit(*c.Submit)
+	case c.Write != nil:
+		b.Writer = c.Write.Writer
 	case c.Extend != nil:
 		return b.extend(*c.Extend)
 	case c.Finish != nil:
@@ -185,10 +198,10 @@
 	for _, j := range b.Jobs {
 		jobs = append(jobs, Job{Spec: j.Spec, Total: j.Total, Results: slices.Clip(j.Results), Ended: j.Ended})
 	}
-	texts := maps.Clone(b.Texts)
+	texts, writer := maps.Clone(b.Texts), b.Writer
 	return func(w io.Writer) error {
 		e := cbor.NewEncoder(w)
-		err := e.Encode(bookHeader{Jobs: len(jobs), Texts: len(texts)})
+		err := e.Encode(bookHeader{Jobs: len(jobs), Texts: len(texts), Writer: writer})
 		for _, j := range jobs {
 			err = errors.Join(err, e.Encode(j))
 		}
@@ -212,6 +225,7 @@
 // bookHeader begins a written book. The jobs and the texts follow.
 type bookHeader struct {
 	Jobs, Texts int
+	Writer      string
 }
 
 type namedText struct {
@@ -225,6 +239,7 @@
 	if err := d.Decode(&h); err != nil {
 		return nil, err
 	}
+	b.Writer = h.Writer
 	for range h.Jobs {
 		j := &Job{}
 		if err := d.Decode(j); err != nil {
@@ -255,6 +270,9 @@
 
 func (b *Book) extend(e Extend) error {
 	j := b.Jobs[e.JobID]
+	if err := b.mayWrite(e.Writer); err != nil {
+		return err
+	}
 	if j == nil {
 		return rollout.NewError(rollout.KindNotFound, "job %s", e.JobID)
 	}
@@ -276,6 +294,9 @@
 }
 
 func (b *Book) finish(f Finish) error {
+	if err := b.mayWrite(f.Writer); err != nil {
+		return err
+	}
 	j, err := b.item(f.JobID, f.Result.ItemID)
 	if err != nil || j.listed[f.Result.ItemID] {
 		return err
@@ -318,6 +339,13 @@
 	return j, nil
 }
 
+func (b *Book) mayWrite(writer string) error {
+	if writer != b.Writer {
+		return rollout.NewError(rollout.KindNoAuthority, "%q writes, no longer %q", b.Writer, writer)
+	}
+	return nil
+}
+
 func (b *Book) submit(s Spec) error {
 	if old := b.Jobs[s.ID]; old != nil {
 		if old.Spec.Account != s.Account {
--- a/pkg/rollout/job/job_test.go
+++ b/pkg/rollout/job/job_test.go
@@ -162,6 +162,25 @@
 	}
 }
 
+// A piece of an earlier lead of the same host comes into the log after the
+// next lead has begun; the first kept piece of both begins the text.
+func TestPieceOfAnEarlierLeadIsRefused(t *testing.T) {
+	b := newBook(t)
+	mustApply(t, b, job.Command{Write: &job.Write{Writer: "second"}})
+	own := extend("i1", 0, "1", "2", "3")
+	own.Extend.Writer = "second"
+	mustApply(t, b, own)
+	late := extend("i1", 0, "1", "2")
+	late.Extend.Writer = "first"
+	assertKind(t, b.Apply(late), rollout.KindNoAuthority)
+	end := finish("i1", 1, "4")
+	end.Finish.Writer = "first"
+	assertKind(t, b.Apply(end), rollout.KindNoAuthority)
+	end.Finish.Writer = "second"
+	mustApply(t, b, end)
+	assertOutputs(t, b, "j", "1\n2\n3\n4")
+}
+
 // A replica that was restored and one that was not must agree on results that
 // come after the end.
 func TestEndedJobTakesNoMoreResults(t *testing.T) {
