--- a/internal/jobstore/item.go
+++ b/internal/jobstore/item.go
@@ -113,7 +113,7 @@
 		}
 		r.mu.Lock()
 		w.text.add(e, version)
-		r.keepLong(ctx, w)
+		r.keepLong(w)
 		r.sched.Progress(r.s.clock.Now(), a.Task)
 		r.mu.Unlock()
 	})
@@ -276,12 +276,12 @@
 
 // keepLong has the book keep the text of an item once much of it is new, so
 // that another leader goes on from there. It is called with mu held.
-func (r *runner) keepLong(ctx context.Context, w *work) {
+func (r *runner) keepLong(w *work) {
 	if w.text.keeping || len(w.text.events) < keepEvents {
 		return
 	}
 	w.text.keeping = true
-	r.wait.Go(func() { r.keep(ctx, w) })
+	r.wait.Go(func() { r.keep(r.ctx, w) })
 }
 
 // keep has the book keep what is new of the text of an item.
