Let half of an engine's peers load, and give models engines by their work

Ruled out: too few slots in all (108 for 84 to 164 items). Change: a job that allows the version before needs only half of its engines at the newest; engines go to models by their work of late, one move in 3 s.

--- a/internal/jobstore/runner.go
+++ b/internal/jobstore/runner.go
@@ -184,6 +184,7 @@
 		return
 	}
 	r.jobs[jobID] = works
+	r.sched.Bound(spec.Model, spec.MinVersion)
 	route, now := r.routeOf(&spec), r.s.clock.Now()
 	for _, w := range works {
 		r.order++
@@ -252,7 +253,7 @@
 		models[p.Name] = p.Models
 	}
 	r.sched.SetTargets(c.Facts.Versions)
-	r.sched.Sync(c.Upstreams, models)
+	r.sched.Sync(r.s.clock.Now(), c.Upstreams, models)
 	r.nudge()
 	return first
 }
--- a/pkg/rollout/dispatch/dispatch.go
+++ b/pkg/rollout/dispatch/dispatch.go
@@ -111,7 +111,14 @@
 	// targets holds the newest named version of each model.
 	targets map[string]uint64
 	// homes gives each engine the model that it is kept current for.
-	homes   map[string]string
+	homes map[string]string
+	// bounds holds the oldest version that the newest job of a model allows.
+	bounds map[string]uint64
+	// work counts the events of each model, halved from time to time.
+	work   map[string]float64
+	workAt rollout.Millis
+	// moveAt is when an engine may change its home again.
+	moveAt  rollout.Millis
 	waiting []Task
 	running map[key]*run
 	// medians holds the median pace of each pool at mediansAt.
@@ -124,6 +131,7 @@
 	return &Scheduler{
 		cfg: cfg, engines: make(map[string]*engine), models: make(map[string][]string),
 		targets: make(map[string]uint64), homes: make(map[string]string), running: make(map[key]*run),
+		bounds: make(map[string]uint64), work: make(map[string]float64),
 	}
 }
 
@@ -195,7 +203,7 @@
 func (s *Scheduler) SetTargets(targets map[string]uint64) { s.targets = targets }
 
 // Sync takes the engines that are known and the models of their pools.
-func (s *Scheduler) Sync(us map[string]discovery.Upstream, models map[string][]string) {
+func (s *Scheduler) Sync(now rollout.Millis, us map[string]discovery.Upstream, models map[string][]string) {
 	s.models = models
 	for id, e := range s.engines {
 		if u, ok := us[id]; !ok || u.Born != e.Born {
@@ -216,7 +224,7 @@
 			e.versions[m.Name] = max(e.versions[m.Name], m.Version)
 		}
 	}
-	s.assignHomes()
+	s.assignHomes(now)
 }
 
 // Next returns the tasks that may start now, the most urgent first.
--- a/pkg/rollout/dispatch/dispatch_test.go
+++ b/pkg/rollout/dispatch/dispatch_test.go
@@ -44,7 +44,7 @@
 	return f
 }
 
-func (f *fixture) sync() { f.Sync(f.upstreams, map[string][]string{pool: f.models}) }
+func (f *fixture) sync() { f.Sync(f.now, f.upstreams, map[string][]string{pool: f.models}) }
 
 func (f *fixture) add(n int, t dispatch.Task) {
 	for i := range n {
@@ -236,3 +236,71 @@
 		t.Fatalf("loads %+v, want one that asks the engine first", loads)
 	}
 }
+
+// settle carries out all loads until none is left, and returns their number by
+// model.
+func (f *fixture) settle() map[string]int {
+	counts := make(map[string]int)
+	for range 20 {
+		for _, l := range f.Loads(f.now) {
+			l, wanted := f.Surveyed(f.now, l, rollout.EngineReport{Versions: map[string]uint64{}})
+			if wanted {
+				f.Ordered(f.now, l, rollout.OrderStarted)
+				counts[l.Model]++
+			}
+		}
+		f.now += 1_000
+	}
+	return counts
+}
+
+func TestHalfOfTheHomesLoadWhenJobsAllowTheVersionBefore(t *testing.T) {
+	f := newFixture(6, 12, "m")
+	for version := uint64(2); version <= 5; version++ {
+		f.SetTargets(map[string]uint64{"m": version})
+		f.Bound("m", version-1)
+		if got := f.settle()["m"]; got != 3 {
+			t.Fatalf("%d loads of version %d, want 3", got, version)
+		}
+		f.add(72, dispatch.Task{Model: "m", MinVersion: version - 1})
+		as := f.Next(f.now)
+		if len(as) != 72 {
+			t.Fatalf("%d tasks of version %d start, want all 72", len(as), version)
+		}
+		for _, a := range as {
+			f.Ended(f.now, a, dispatch.OutcomeDone)
+		}
+	}
+}
+
+func TestAllHomesLoadWhenJobsAllowOnlyTheNewestVersion(t *testing.T) {
+	f := newFixture(6, 12, "m")
+	f.SetTargets(map[string]uint64{"m": 2})
+	f.Bound("m", 2)
+	if got := f.settle()["m"]; got != 6 {
+		t.Fatalf("%d loads, want 6", got)
+	}
+}
+
+func TestModelWithMoreWorkGetsMoreEngines(t *testing.T) {
+	f := newFixture(9, 12, "heavy", "light")
+	for _, m := range []struct {
+		name   string
+		events int
+	}{{"heavy", 3_000}, {"light", 1_000}} {
+		f.Add(dispatch.Task{JobID: m.name, ItemID: "i", Pool: pool, Model: m.name})
+		a := f.Next(f.now)[0]
+		for range m.events {
+			f.Progress(f.now, a.Task)
+		}
+	}
+	for range 5 {
+		f.now += 4_000
+		f.sync()
+	}
+	f.SetTargets(map[string]uint64{"heavy": 2, "light": 2})
+	counts := f.settle()
+	if counts["heavy"] <= counts["light"] || counts["light"] < 2 {
+		t.Fatalf("engines by model %v", counts)
+	}
+}
--- a/pkg/rollout/dispatch/loads.go
+++ b/pkg/rollout/dispatch/loads.go
@@ -15,19 +15,16 @@
 	for _, pool := range s.poolNames() {
 		engines := s.ofPool(pool)
 		slots := max(1, (len(engines)+s.cfg.EnginesPerLoad/2)/s.cfg.EnginesPerLoad)
-		var lagging []*engine
 		for _, e := range engines {
 			if e.ordering || now < e.loadedAt {
 				slots--
-				continue
-			}
-			if home := s.homes[e.ID]; now >= e.orderAt && e.versions[home] < s.targets[home] {
-				lagging = append(lagging, e)
 			}
 		}
-		slices.SortFunc(lagging, func(a, b *engine) int {
-			return cmp.Or(cmp.Compare(s.lag(b), s.lag(a)), cmp.Compare(a.running, b.running), cmp.Compare(a.ID, b.ID))
-		})
+		var lagging []*engine
+		for _, model := range s.models[pool] {
+			lagging = append(lagging, s.lagging(now, engines, model)...)
+		}
+		slices.SortFunc(lagging, s.compareLag)
 		for _, e := range lagging[:min(max(slots, 0), len(lagging))] {
 			home := s.homes[e.ID]
 			e.ordering = true
@@ -40,6 +37,53 @@
 	return loads
 }
 
+// lagging returns the homes of a model that are to change their weights now:
+// those that the newest jobs cannot use, and as many more as keep the homes
+// spread over the versions that jobs allow, so that few load at a time.
+func (s *Scheduler) lagging(now rollout.Millis, engines []*engine, model string) []*engine {
+	target, slack := s.targets[model], s.slack(model)
+	var behind []*engine
+	homes, current := 0, 0
+	for _, e := range engines {
+		if s.homes[e.ID] != model {
+			continue
+		}
+		homes++
+		switch {
+		case e.versions[model] >= target || e.ordering:
+			current++
+		case now >= e.orderAt && now >= e.loadedAt:
+			behind = append(behind, e)
+		}
+	}
+	slices.SortFunc(behind, s.compareLag)
+	wanted := (homes+int(slack))/(int(slack)+1) - current
+	return slices.DeleteFunc(behind, func(e *engine) bool {
+		wanted--
+		return wanted < 0 && e.versions[model]+slack >= target
+	})
+}
+
+// compareLag puts the engines that lag most first, then the idle ones.
+func (s *Scheduler) compareLag(a, b *engine) int {
+	return cmp.Or(cmp.Compare(s.lag(b), s.lag(a)), cmp.Compare(a.running, b.running), cmp.Compare(a.ID, b.ID))
+}
+
+// slack returns how far an engine may lag and still serve the newest jobs of a
+// model.
+func (s *Scheduler) slack(model string) uint64 {
+	oldest, known := s.bounds[model]
+	if !known || oldest >= s.targets[model] {
+		return 0
+	}
+	return min(s.targets[model]-oldest, maxSlack)
+}
+
+// Bound notes the oldest version that a new job of a model allows.
+func (s *Scheduler) Bound(model string, minVersion uint64) {
+	s.bounds[model] = max(s.bounds[model], minVersion)
+}
+
 // Ordered notes how an order ended.
 func (s *Scheduler) Ordered(now rollout.Millis, l Load, o rollout.OrderOutcome) {
 	e := s.engines[l.Engine]
@@ -80,9 +124,12 @@
 	return l, true
 }
 
-// assignHomes keeps the models of a pool spread evenly over its engines, with
-// as few moves as possible.
-func (s *Scheduler) assignHomes() {
+// maxSlack bounds how far homes may lag by plan.
+const maxSlack = 1
+
+// assignHomes spreads the engines of a pool over its models by the work that
+// the models have had, with as few moves as possible.
+func (s *Scheduler) assignHomes(now rollout.Millis) {
 	for _, pool := range s.poolNames() {
 		models := s.models[pool]
 		counts := make(map[string]int)
@@ -95,12 +142,22 @@
 				homeless = append(homeless, e)
 			}
 		}
+		shares := s.shares(models, len(engines))
+		byNeed := func(a, b string) int {
+			return cmp.Compare(float64(counts[a])-shares[a], float64(counts[b])-shares[b])
+		}
 		for _, e := range homeless {
-			home := slices.MinFunc(models, func(a, b string) int { return cmp.Compare(counts[a], counts[b]) })
+			home := slices.MinFunc(models, byNeed)
 			s.homes[e.ID] = home
 			counts[home]++
 		}
-		s.evenOut(engines, models, counts)
+		few, many := slices.MinFunc(models, byNeed), slices.MaxFunc(models, byNeed)
+		excess := float64(counts[many]) - shares[many] - float64(counts[few]) + shares[few]
+		if excess > moveExcess && counts[many] > 1 && now >= s.moveAt {
+			i := slices.IndexFunc(engines, func(e *engine) bool { return s.homes[e.ID] == many })
+			s.homes[engines[i].ID] = few
+			s.moveAt = now + movePauseMS
+		}
 	}
 	for id := range s.homes {
 		if s.engines[id] == nil {
@@ -109,18 +166,47 @@
 	}
 }
 
-func (s *Scheduler) evenOut(engines []*engine, models []string, counts map[string]int) {
-	for range engines {
-		few := slices.MinFunc(models, func(a, b string) int { return cmp.Compare(counts[a], counts[b]) })
-		many := slices.MaxFunc(models, func(a, b string) int { return cmp.Compare(counts[a], counts[b]) })
-		if counts[many]-counts[few] < 2 {
-			return
+// shares returns how many engines each model should have: half by equal
+// shares, half by the work of late, so that a model without work keeps some.
+func (s *Scheduler) shares(models []string, engines int) map[string]float64 {
+	total := 0.0
+	for _, m := range models {
+		total += s.work[m]
+	}
+	shares := make(map[string]float64)
+	for _, m := range models {
+		part := 1 / float64(len(models))
+		if total > workSeen {
+			part = (1-workShare)/float64(len(models)) + workShare*s.work[m]/total
+		}
+		shares[m] = part * float64(engines)
+	}
+	return shares
+}
+
+const (
+	// workShare is the part of the engines that follows the work.
+	workShare = 0.8
+	// workSeen is the work, in events, from which shares follow it.
+	workSeen = 500
+	// workHalfLifeMS is when work counts half.
+	workHalfLifeMS rollout.Millis = 8_000
+	// moveExcess is how far two models must be from their shares, together,
+	// before an engine changes its home, and movePauseMS the least time between
+	// two changes.
+	moveExcess                 = 1.3
+	movePauseMS rollout.Millis = 3_000
+)
+
+// noteWork counts an event of a model.
+func (s *Scheduler) noteWork(now rollout.Millis, model string) {
+	if now-s.workAt >= workHalfLifeMS {
+		for m := range s.work {
+			s.work[m] /= 2
 		}
-		i := slices.IndexFunc(engines, func(e *engine) bool { return s.homes[e.ID] == many })
-		s.homes[engines[i].ID] = few
-		counts[many]--
-		counts[few]++
+		s.workAt = now
 	}
+	s.work[model]++
 }
 
 // forgetVersions goes back to what the engine itself has announced.
--- a/pkg/rollout/dispatch/pace.go
+++ b/pkg/rollout/dispatch/pace.go
@@ -59,6 +59,7 @@
 	if r == nil {
 		return
 	}
+	s.noteWork(now, r.task.Model)
 	gap := now - r.lastMS
 	r.lastMS = now
 	r.events++
