--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -9,11 +9,9 @@
 	"io"
 	"net"
 	"sync"
-	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/coltsfootspoke/coltsfootspoke/internal/fabric"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/link"
@@ -29,9 +27,6 @@
 	// compactBytes bounds the log well below the smallest disk of a control
 	// host, which holds 64 MB.
 	compactBytes = 8 << 20
-	// transferWait is how long a leaving host serves on after it has given
-	// the lead away.
-	transferWait = 1_500 * time.Millisecond
 )
 
 // Options set a control host up.
@@ -108,7 +103,7 @@
 	d.replica, err = replica.Open(ctx, replica.Options{
 		Dir: opts.Dir, Address: opts.Address, FailureDomain: opts.FailureDomain,
 		Want: 2*opts.Losses + 1, CompactBytes: compactBytes, Clock: d.clock,
-		Dialer: d.dialer, Log: opts.Log, Registry: opts.Registry, OnLead: d.onLead,
+		Dialer: d.dialer, Client: d.client, Log: opts.Log, Registry: opts.Registry, OnLead: d.onLead,
 	}, machine{d})
 	if err != nil {
 		return nil, err
@@ -125,41 +120,14 @@
 // Serve answers other daemons and does the duties of the host until the
 // context ends. Then it gives the lead away.
 func (d *Director) Serve(ctx context.Context, listener net.Listener) error {
-	inner, err := d.replica.Handler()
-	if err != nil {
-		return err
+	var founding replica.Founding
+	if d.opts.Founding {
+		founding = d.opts.Seeds()
 	}
-	mux := fabric.NewMux(inner)
-	d.replica.Register(mux)
-	d.register(mux)
-	run, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	group, run := errgroup.WithContext(run)
-	group.Go(func() error { return d.replica.Run(run) })
-	group.Go(func() error { return link.NewServer(listener, d.opts.Secret, mux, d.opts.Log).Serve(run) })
-	group.Go(func() error {
-		if d.opts.Dir == "" {
-			return nil
-		}
-		var founding replica.Founding
-		if d.opts.Founding {
-			founding = d.opts.Seeds()
-		}
-		return d.replica.Introduce(run, d.client, founding, d.controls)
-	})
-	group.Go(func() error { return d.watcher.Run(run) })
-	group.Go(func() error {
-		defer cancel()
-		select {
-		case <-run.Done():
-			return nil
-		case <-ctx.Done():
-		}
-		d.opts.Log.Info("Leaving")
-		d.replica.Transfer()
-		time.Sleep(transferWait)
-		return nil
+	return d.replica.Serve(ctx, replica.Service{
+		Listener: listener, Secret: d.opts.Secret, Register: d.register, Founding: founding,
+		Known: d.controls, Beside: d.watcher.Run,
 	})
-	return group.Wait()
 }
 
 // controls returns the addresses of control hosts.
--- a/internal/disk/snapshot.go
+++ b/internal/disk/snapshot.go
@@ -53,6 +53,96 @@
 	return nil
 }
 
+// OpenSnapshot returns a reader of the data of the stored snapshot, whose
+// checksum was right when it was loaded or received.
+func (s *Store) OpenSnapshot() (io.ReadCloser, error) {
+	s.snapshotMu.Lock()
+	defer s.snapshotMu.Unlock()
+	f, err := os.Open(s.path(snapshotName))
+	if err != nil {
+		return nil, storageError("open snapshot", err)
+	}
+	if err := skipHeader(f); err != nil {
+		return nil, storageError("open snapshot", errors.Join(err, f.Close()))
+	}
+	return f, nil
+}
+
+// ReadPiece returns a piece of the file of the stored snapshot, and the index
+// and the size of the whole.
+func (s *Store) ReadPiece(offset int64, size int) (piece []byte, index uint64, total int64, err error) {
+	s.snapshotMu.Lock()
+	defer s.snapshotMu.Unlock()
+	f, err := os.Open(s.path(snapshotName))
+	if err != nil {
+		return nil, 0, 0, storageError("open snapshot", err)
+	}
+	defer func() { _ = f.Close() }()
+	info, err := f.Stat()
+	if err != nil {
+		return nil, 0, 0, storageError("open snapshot", err)
+	}
+	piece = make([]byte, min(int64(size), max(0, info.Size()-offset)))
+	if _, err := f.ReadAt(piece, offset); err != nil && !errors.Is(err, io.EOF) {
+		return nil, 0, 0, storageError("read snapshot", err)
+	}
+	return piece, s.snapshotIndex, info.Size(), nil
+}
+
+// Receive stores the file of another member's snapshot. The function writes
+// it; it takes its place when it is whole.
+func (s *Store) Receive(index uint64, write Write) error {
+	s.snapshotMu.Lock()
+	defer s.snapshotMu.Unlock()
+	if index < s.snapshotIndex {
+		return nil
+	}
+	err := s.replaceBy(snapshotName, func(f *os.File) error {
+		if err := write(f); err != nil {
+			return err
+		}
+		return checkFile(f)
+	})
+	if err != nil {
+		return err
+	}
+	s.snapshotIndex = index
+	return nil
+}
+
+// checkFile compares the checksum at the beginning of a file with the rest.
+func checkFile(f *os.File) error {
+	if _, err := f.Seek(0, io.SeekStart); err != nil {
+		return err
+	}
+	want := make([]byte, checksumBytes)
+	if _, err := io.ReadFull(f, want); err != nil {
+		return err
+	}
+	sum := crc32.New(castagnoli)
+	if _, err := io.Copy(sum, f); err != nil {
+		return err
+	}
+	if sum.Sum32() != binary.LittleEndian.Uint32(want) {
+		return &CorruptError{Path: f.Name(), Reason: "checksum"}
+	}
+	return nil
+}
+
+// skipHeader moves to the data of a snapshot file.
+func skipHeader(f *os.File) error {
+	start := make([]byte, checksumBytes+1+lengthBytes)
+	if _, err := io.ReadFull(f, start); err != nil {
+		return err
+	}
+	if start[checksumBytes] != streamMark {
+		return errors.New("snapshot of an earlier version")
+	}
+	size := binary.LittleEndian.Uint32(start[checksumBytes+1:])
+	_, err := f.Seek(int64(size), io.SeekCurrent)
+	return err
+}
+
 // LoadSnapshot returns the stored snapshot with its data, or nil when there is
 // none.
 func (s *Store) LoadSnapshot() (*quorum.Snapshot, error) {
--- a/internal/disk/store.go
+++ b/internal/disk/store.go
@@ -193,7 +193,7 @@
 // replaceBy has a function write a file, whole or not at all.
 func (s *Store) replaceBy(name string, write func(f *os.File) error) error {
 	tmp := s.path(name + ".tmp")
-	f, err := os.OpenFile(tmp, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, filePerm)
+	f, err := os.OpenFile(tmp, os.O_CREATE|os.O_TRUNC|os.O_RDWR, filePerm)
 	if err != nil {
 		return storageError("create "+name, err)
 	}
--- a/internal/disk/store_test.go
+++ b/internal/disk/store_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"os"
 	"path/filepath"
 	"testing"
@@ -191,3 +192,81 @@
 		t.Fatal(err)
 	}
 }
+
+// pieces copies the snapshot of one store into another, a few bytes at a time.
+func pieces(from *Store, spoil bool) Write {
+	return func(w io.Writer) error {
+		for offset := int64(0); ; {
+			piece, _, total, err := from.ReadPiece(offset, 5)
+			if err != nil {
+				return err
+			}
+			if spoil && offset > 20 {
+				piece[0] ^= 1
+			}
+			if _, err := w.Write(piece); err != nil {
+				return err
+			}
+			if offset += int64(len(piece)); offset >= total {
+				return nil
+			}
+		}
+	}
+}
+
+func openStore(t *testing.T) *Store {
+	t.Helper()
+	s, _ := open(t, t.TempDir())
+	t.Cleanup(func() { _ = s.Close() })
+	return s
+}
+
+func saveState(t *testing.T, s *Store, index uint64, state string) {
+	t.Helper()
+	err := s.SaveSnapshot(quorum.Snapshot{Index: index, Term: 2}, func(w io.Writer) error {
+		_, err := io.WriteString(w, state)
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+func assertState(t *testing.T, s *Store, want string) {
+	t.Helper()
+	r, err := s.OpenSnapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = r.Close() }()
+	if got, err := io.ReadAll(r); err != nil || string(got) != want {
+		t.Fatalf("state %q, %v, want %q", got, err, want)
+	}
+}
+
+func TestSnapshotTravelsInPieces(t *testing.T) {
+	from, to := openStore(t), openStore(t)
+	saveState(t, from, 7, "the whole state of a member")
+	if err := to.Receive(7, pieces(from, false)); err != nil {
+		t.Fatal(err)
+	}
+	assertState(t, to, "the whole state of a member")
+}
+
+func TestSpoiledPieceLeavesTheOldSnapshot(t *testing.T) {
+	from, to := openStore(t), openStore(t)
+	saveState(t, from, 7, "the whole state of a member")
+	saveState(t, to, 3, "older state")
+	if err := to.Receive(7, pieces(from, true)); err == nil {
+		t.Fatal("received a spoiled snapshot")
+	}
+	assertState(t, to, "older state")
+}
+
+// The own thread writes a snapshot while a newer one arrives from the leader.
+func TestOlderSnapshotDoesNotReplaceANewerOne(t *testing.T) {
+	s := openStore(t)
+	saveState(t, s, 7, "newer")
+	saveState(t, s, 5, "older")
+	assertState(t, s, "newer")
+}
--- a/internal/jobstore/store.go
+++ b/internal/jobstore/store.go
@@ -12,7 +12,6 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/coltsfootspoke/coltsfootspoke/internal/balance"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/fabric"
@@ -30,9 +29,6 @@
 	// compactBytes bounds the log, which is also held in memory; the smallest
 	// store host has 144 MB of it.
 	compactBytes = 12 << 20
-	// transferWait is how long a leaving host serves on after it has given
-	// the lead away.
-	transferWait = 1_500 * time.Millisecond
 	// handOverTimeout bounds the last write of a leaving leader.
 	handOverTimeout = 400 * time.Millisecond
 )
@@ -99,7 +95,7 @@
 	s.replica, err = replica.Open(ctx, replica.Options{
 		Dir: opts.Dir, Address: opts.Address, FailureDomain: opts.FailureDomain,
 		Want: 2*opts.Losses + 1, CompactBytes: compactBytes, Clock: s.clock,
-		Dialer: s.dialer, Log: opts.Log, Registry: opts.Registry, OnLead: s.onLead,
+		Dialer: s.dialer, Client: s.client, Log: opts.Log, Registry: opts.Registry, OnLead: s.onLead,
 	}, machine{s})
 	if err != nil {
 		return nil, err
@@ -114,33 +110,10 @@
 // Serve answers other daemons and runs items while this host leads, until the
 // context ends. Then it gives the lead away.
 func (s *Store) Serve(ctx context.Context, listener net.Listener) error {
-	inner, err := s.replica.Handler()
-	if err != nil {
-		return err
-	}
-	mux := fabric.NewMux(inner)
-	s.replica.Register(mux)
-	s.register(mux)
-	run, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	group, run := errgroup.WithContext(run)
-	group.Go(func() error { return s.replica.Run(run) })
-	group.Go(func() error { return link.NewServer(listener, s.opts.Secret, mux, s.opts.Log).Serve(run) })
-	group.Go(func() error { return s.replica.Introduce(run, s.client, nil, s.peers) })
-	group.Go(func() error { return s.watcher.Run(run) })
-	group.Go(func() error {
-		defer cancel()
-		select {
-		case <-run.Done():
-			return nil
-		case <-ctx.Done():
-		}
-		s.opts.Log.Info("Leaving")
-		s.handOver(run)
-		s.replica.Transfer()
-		time.Sleep(transferWait)
-		return nil
+	return s.replica.Serve(ctx, replica.Service{
+		Listener: listener, Secret: s.opts.Secret, Register: s.register,
+		Known: s.peers, Beside: s.watcher.Run, Leave: s.handOver,
 	})
-	return group.Wait()
 }
 
 // follow takes what control has decided.
--- a/internal/logging/bounded.go
+++ b/internal/logging/bounded.go
@@ -34,7 +34,7 @@
 func (s *Sink) Dropped() uint64 { return s.dropped.Load() }
 
 // Run writes lines until the context ends and the queue is empty.
-func (s *Sink) Run(ctx context.Context, log *zap.Logger) error {
+func (s *Sink) Run(ctx context.Context, log *zap.Logger) {
 	ticker := time.NewTicker(reportInterval)
 	defer ticker.Stop()
 	var told uint64
@@ -49,7 +49,7 @@
 			}
 		case <-ctx.Done():
 			s.drain()
-			return nil
+			return
 		}
 	}
 }
--- a/internal/logging/bounded_test.go
+++ b/internal/logging/bounded_test.go
@@ -35,9 +35,7 @@
 	emit(log)
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
-	if err := sink.Run(ctx, log); err != nil {
-		t.Fatal(err)
-	}
+	sink.Run(ctx, log)
 	return out.String(), sink
 }
 
@@ -72,7 +70,7 @@
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	var wait sync.WaitGroup
-	wait.Go(func() { _ = sink.Run(ctx, log) })
+	wait.Go(func() { sink.Run(ctx, log) })
 	log.Warn("First")
 	<-b.started
 	for range 10_000 {
--- a/internal/replica/apply.go
+++ b/internal/replica/apply.go
@@ -92,7 +92,7 @@
 		if n := len(out.Entries); n > 0 {
 			r.node.Persisted(r.opts.Clock.Now(), out.Entries[n-1].Index)
 		}
-		r.send(out.Messages)
+		r.peers.Send(out.Messages)
 		if err := r.applyOutput(out); err != nil {
 			return err
 		}
@@ -106,7 +106,7 @@
 			hard = *out.HardState
 		}
 		r.logBytes = 0
-		return r.store.Save(*out.Snapshot, hard, out.Entries)
+		return r.store.Shorten(hard, out.Entries)
 	}
 	if out.HardState == nil && len(out.Entries) == 0 {
 		return nil
@@ -137,10 +137,9 @@
 func (r *Replica) applyOutput(out quorum.Output) error {
 	if out.Snapshot != nil {
 		r.backlog = nil
-		if err := r.restore(out.Snapshot.Data); err != nil {
+		if err := r.restore(); err != nil {
 			return err
 		}
-		out.Snapshot.Data = nil
 		r.peers.LearnAll(out.Snapshot.Members)
 		r.opts.Log.Info("SnapshotInstalled", zap.Uint64("Index", out.Snapshot.Index))
 	}
--- a/internal/replica/join.go
+++ b/internal/replica/join.go
@@ -70,13 +70,14 @@
 	return mux, nil
 }
 
-// Register adds the greeting of hosts that want to join.
+// Register adds what hosts that want to join ask for.
 func (r *Replica) Register(mux *fabric.Mux) {
 	fabric.Handle(mux, methodHello, func(_ context.Context, h hello) (helloReply, error) {
 		r.Join(quorum.Member{ID: h.Member, Address: h.Address}, h.FailureDomain)
 		s := r.Status()
 		return helloReply{Member: s.Member, Blank: s.Blank(), Leader: s.Leader.Address}, nil
 	})
+	fabric.Handle(mux, methodPiece, r.pieceOf)
 }
 
 // Introduce greets other members until the context ends, so that the leader
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/coltsfootspoke/coltsfootspoke/internal/fabric"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/link"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/pack"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/peer"
@@ -68,6 +69,7 @@
 	CompactBytes int
 	Clock        rollout.Clock
 	Dialer       *link.Dialer
+	Client       *fabric.Client
 	Log          *zap.Logger
 	Registry     *prometheus.Registry
 	// OnLead runs while the replica leads. Its context ends with the lease.
@@ -115,6 +117,9 @@
 	unsaved *quorum.Output
 	// freezing is true while a snapshot is being written.
 	freezing bool
+	// fetching is true while a snapshot of another member is being fetched.
+	fetching bool
+	ctx      context.Context
 	// backlog holds committed entries that are not yet applied.
 	backlog  []quorum.Entry
 	logBytes int
@@ -153,10 +158,10 @@
 		compactAt:  opts.CompactBytes + rand.IntN(opts.CompactBytes/2+1),
 	}
 	if saved.Snapshot != nil {
-		if err := r.restore(saved.Snapshot.Data); err != nil {
+		saved.Snapshot.Data = nil
+		if err := r.restore(); err != nil {
 			return nil, err
 		}
-		saved.Snapshot.Data = nil
 	}
 	for _, e := range saved.Entries {
 		r.logBytes += len(e.Data)
@@ -170,6 +175,10 @@
 	r.do(func(now rollout.Millis) {
 		for _, m := range ms {
 			r.peers.Learn(m.From, address)
+			if m.Type == quorum.MessageSnapshot && m.Snapshot != nil {
+				r.fetch(address, m)
+				continue
+			}
 			r.node.Step(now, m)
 		}
 	})
@@ -245,6 +254,7 @@
 func (r *Replica) Run(ctx context.Context) error {
 	var leadCtx context.Context
 	r.group, leadCtx = errgroup.WithContext(ctx)
+	r.ctx = leadCtx
 	r.group.Go(func() error { return r.loop(leadCtx) })
 	return r.group.Wait()
 }
--- /dev/null
+++ b/internal/replica/serve.go
@@ -0,0 +1,72 @@
+package replica
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/coltsfootspoke/coltsfootspoke/internal/fabric"
+	"github.com/coltsfootspoke/coltsfootspoke/internal/link"
+)
+
+// transferWait is how long a leaving host serves on after it has given the
+// lead away, so that the next leader is in charge before it goes.
+const transferWait = 1_500 * time.Millisecond
+
+// Service is a replica with what its process does beside it.
+type Service struct {
+	Listener net.Listener
+	Secret   string
+	// Register adds the calls that the process answers.
+	Register func(mux *fabric.Mux)
+	// Founding names the hosts that begin the quorum. Empty on a host that may
+	// only join it.
+	Founding Founding
+	// Known returns addresses of hosts that may know the leader.
+	Known func() []string
+	// Beside runs until its context ends.
+	Beside func(ctx context.Context) error
+	// Leave is called before the lead is given away. It may be nil.
+	Leave func(ctx context.Context)
+}
+
+// Serve runs a service until the context ends. Then it gives the lead away. A
+// host without a disk never joins the quorum.
+func (r *Replica) Serve(ctx context.Context, s Service) error {
+	inner, err := r.Handler()
+	if err != nil {
+		return err
+	}
+	mux := fabric.NewMux(inner)
+	r.Register(mux)
+	s.Register(mux)
+	run, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	group, run := errgroup.WithContext(run)
+	group.Go(func() error { return r.Run(run) })
+	group.Go(func() error { return link.NewServer(s.Listener, s.Secret, mux, r.opts.Log).Serve(run) })
+	if r.opts.Dir != "" {
+		group.Go(func() error { return r.Introduce(run, r.opts.Client, s.Founding, s.Known) })
+	}
+	group.Go(func() error { return s.Beside(run) })
+	group.Go(func() error {
+		defer cancel()
+		select {
+		case <-run.Done():
+			return nil
+		case <-ctx.Done():
+		}
+		r.opts.Log.Info("Leaving")
+		if s.Leave != nil {
+			s.Leave(run)
+		}
+		r.Transfer()
+		select {
+		case <-run.Done():
+		case <-time.After(transferWait):
+		}
+		return nil
+	})
+	return group.Wait()
+}
--- a/internal/replica/snapshot.go
+++ b/internal/replica/snapshot.go
@@ -1,7 +1,7 @@
 package replica
 
 import (
-	"bytes"
+	"context"
 	"errors"
 	"io"
 	"time"
@@ -20,6 +20,10 @@
 	// heartbeats and requests go on.
 	paceBytes = 256 << 10
 	pacePause = 4 * time.Millisecond
+	// pieceBytes is how much of a snapshot a member fetches with one call.
+	pieceBytes   = 1 << 20
+	pieceTimeout = 2 * time.Second
+	methodPiece  = "Replica.SnapshotPiece"
 )
 
 // pacedWriter pauses after each paceBytes.
@@ -67,9 +71,14 @@
 	r.opts.Log.Info("SnapshotTaken", zap.Uint64("Index", index), zap.Error(err))
 }
 
-// restore replaces the state by a snapshot.
-func (r *Replica) restore(data []byte) error {
-	d, err := zstd.NewReader(bytes.NewReader(data), zstd.WithDecoderConcurrency(1), zstd.WithDecoderLowmem(true))
+// restore replaces the state by the stored snapshot.
+func (r *Replica) restore() error {
+	f, err := r.store.OpenSnapshot()
+	if err != nil {
+		return err
+	}
+	defer func() { _ = f.Close() }()
+	d, err := zstd.NewReader(f, zstd.WithDecoderConcurrency(1), zstd.WithDecoderLowmem(true))
 	if err != nil {
 		return rollout.NewError(rollout.KindStorage, "open snapshot").WithCause(err)
 	}
@@ -77,27 +86,72 @@
 	return r.machine.Restore(d)
 }
 
-// send sends messages. The data of a snapshot is read from the disk by
-// another thread.
-func (r *Replica) send(ms []quorum.Message) {
-	plain := make([]quorum.Message, 0, len(ms))
-	for _, m := range ms {
-		if m.Snapshot == nil || m.Snapshot.Data != nil {
-			plain = append(plain, m)
-			continue
-		}
-		r.group.Go(func() error {
-			snap, err := r.store.LoadSnapshot()
-			if err != nil || snap == nil {
-				r.opts.Log.Error("SnapshotUnreadable", zap.Error(err))
-				return nil
+// piece is a part of the file of a snapshot.
+type piece struct {
+	Index uint64
+	Total int64
+	Bytes []byte
+}
+
+type pieceRequest struct {
+	Offset int64
+}
+
+// pieceOf answers another member that fetches the snapshot.
+func (r *Replica) pieceOf(_ context.Context, req pieceRequest) (piece, error) {
+	data, index, total, err := r.store.ReadPiece(req.Offset, pieceBytes)
+	return piece{Index: index, Total: total, Bytes: data}, err
+}
+
+// fetch brings the snapshot that a leader has announced to the own disk and
+// then hands the message to the node. One snapshot is fetched at a time; the
+// leader announces it again.
+func (r *Replica) fetch(address string, m quorum.Message) {
+	if m.Snapshot.Index <= r.node.Commit() {
+		r.node.Step(r.opts.Clock.Now(), m)
+		return
+	}
+	if r.fetching {
+		return
+	}
+	r.fetching = true
+	ctx := r.ctx
+	r.group.Go(func() error {
+		snap := *m.Snapshot
+		err := r.store.Receive(snap.Index, func(w io.Writer) error { return r.copyPieces(ctx, address, &snap, w) })
+		r.opts.Log.Info("SnapshotFetched", zap.Uint64("Index", snap.Index), zap.String("From", address), zap.Error(err))
+		r.do(func(now rollout.Millis) {
+			r.fetching = false
+			if err == nil {
+				r.node.Step(now, m)
 			}
-			m.Snapshot = snap
-			r.peers.Send([]quorum.Message{m})
-			return nil
 		})
+		return nil
+	})
+}
+
+// copyPieces writes the file of a snapshot. It fails when the other member has
+// taken a newer one meanwhile.
+func (r *Replica) copyPieces(ctx context.Context, address string, snap *quorum.Snapshot, w io.Writer) error {
+	for offset := int64(0); ; {
+		callCtx, cancel := context.WithTimeout(ctx, pieceTimeout)
+		var p piece
+		err := r.opts.Client.Call(callCtx, address, methodPiece, pieceRequest{Offset: offset}, &p)
+		cancel()
+		if err != nil {
+			return err
+		}
+		if p.Index != snap.Index {
+			return rollout.NewError(rollout.KindConflict, "snapshot %d has become %d", snap.Index, p.Index)
+		}
+		if _, err := w.Write(p.Bytes); err != nil {
+			return err
+		}
+		offset += int64(len(p.Bytes))
+		if offset >= p.Total || len(p.Bytes) == 0 {
+			return nil
+		}
 	}
-	r.peers.Send(plain)
 }
 
 // packState writes the packed form of a frozen state.
--- a/internal/replica/storage.go
+++ b/internal/replica/storage.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/rand"
 	"encoding/hex"
+	"io"
 
 	"github.com/coltsfootspoke/coltsfootspoke/internal/disk"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
@@ -14,15 +15,17 @@
 	Append(hard *quorum.HardState, entries []quorum.Entry) error
 	HardState() quorum.HardState
 	Member() quorum.MemberID
-	Save(snap quorum.Snapshot, hard quorum.HardState, entries []quorum.Entry) error
-	// SaveSnapshot and LoadSnapshot may be called by another thread than the
-	// rest.
+	// The methods on snapshots may be called by another thread than the rest.
 	SaveSnapshot(snap quorum.Snapshot, write disk.Write) error
-	LoadSnapshot() (*quorum.Snapshot, error)
+	OpenSnapshot() (io.ReadCloser, error)
+	ReadPiece(offset int64, size int) (piece []byte, index uint64, total int64, err error)
+	Receive(index uint64, write disk.Write) error
 	// Shorten stores entries that follow a saved snapshot in place of the log.
 	Shorten(hard quorum.HardState, entries []quorum.Entry) error
 }
 
+var errNoDisk = rollout.NewError(rollout.KindStorage, "the host has no disk")
+
 // memberBytes make the ID of a replica without a disk.
 const memberBytes = 8
 
@@ -60,17 +63,17 @@
 // Member implements storage.
 func (f *forgetful) Member() quorum.MemberID { return f.member }
 
-// Save implements storage.
-func (f *forgetful) Save(_ quorum.Snapshot, hard quorum.HardState, _ []quorum.Entry) error {
-	f.hard = hard
-	return nil
-}
-
 // SaveSnapshot implements storage.
 func (f *forgetful) SaveSnapshot(quorum.Snapshot, disk.Write) error { return nil }
 
-// LoadSnapshot implements storage.
-func (f *forgetful) LoadSnapshot() (*quorum.Snapshot, error) { return nil, nil }
+// OpenSnapshot implements storage.
+func (f *forgetful) OpenSnapshot() (io.ReadCloser, error) { return nil, errNoDisk }
+
+// ReadPiece implements storage.
+func (f *forgetful) ReadPiece(int64, int) ([]byte, uint64, int64, error) { return nil, 0, 0, errNoDisk }
+
+// Receive implements storage.
+func (f *forgetful) Receive(uint64, disk.Write) error { return errNoDisk }
 
 // Shorten implements storage.
 func (f *forgetful) Shorten(hard quorum.HardState, _ []quorum.Entry) error {
--- a/pkg/rollout/quorum/replication.go
+++ b/pkg/rollout/quorum/replication.go
@@ -9,7 +9,7 @@
 const (
 	// snapshotResendMS is the time after which an unanswered snapshot is sent
 	// again.
-	snapshotResendMS = 5_000
+	snapshotResendMS = 1_500
 	// roundsKept bounds the heartbeat rounds whose send time is remembered.
 	roundsKept = 64
 )
