Make samples under one version where a route asks for it, and let gateway decide how to leave

Cause: a route may ask for samples of one version, but orders let runs go on under the next, and such a text was listed. And platform/ decided how an entry leaves. Change: a whole text that does not fit is made again; engines finish their runs before a change of weights while such a job is open. The leaving of an entry stands in gateway. Before: TestSampleOfTwoVersionsIsMadeAgainWhereOneIsAsked fails with versions [1 2] without the check. After: passes.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -9,6 +9,7 @@
 	"encoding/hex"
 	"math"
 	mathrand "math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -55,6 +56,7 @@
 	balancer *balance.Balancer
 	meter    *meter
 	metrics  *metrics
+	leaving  atomic.Bool
 }
 
 // Inbound is a caller's request.
@@ -89,8 +91,8 @@
 	return g
 }
 
-// Ready tells whether the entry knows a configuration.
-func (g *Gateway) Ready() bool { return g.watcher.Copy().Index != nil }
+// Ready tells whether the entry knows a configuration and is not leaving.
+func (g *Gateway) Ready() bool { return !g.Leaving() && g.watcher.Copy().Index != nil }
 
 // Limits returns what callers may send. The zero value is returned until a
 // configuration is known.
--- a/internal/jobstore/item.go
+++ b/internal/jobstore/item.go
@@ -44,6 +44,9 @@
 		r.sched.Ended(r.s.clock.Now(), a, outcome)
 		r.nudge()
 	}
+	if w.text.complete {
+		w.text.fit(w.spec.MinVersion, w.route.SingleVersion)
+	}
 	abandon := w.failures >= max(1, w.route.MaxAttempts)
 	complete := w.text.complete
 	r.mu.Unlock()
--- a/internal/jobstore/load.go
+++ b/internal/jobstore/load.go
@@ -45,11 +45,26 @@
 	r.s.mu.Unlock()
 	outcome, err := r.s.opts.Upstreams.Order(ctx, rollout.WeightOrder{
 		Address: l.Address, Instance: l.Engine, Model: l.Model, Version: l.Version,
-		Holder: r.s.opts.Host, Fencing: r.term, Accepted: l.Accepted,
+		Holder: r.s.opts.Host, Fencing: r.term, Accepted: l.Accepted, Drain: r.needsOneVersion(l.Model),
 	})
 	r.ordered(l, outcome, err)
 }
 
+// needsOneVersion tells whether an open job wants each sample of a model made
+// under one version.
+func (r *runner) needsOneVersion(model string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, works := range r.jobs {
+		for _, w := range works {
+			if w.spec.Model == model && w.route.SingleVersion && !w.done {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 func (r *runner) ordered(l dispatch.Load, o rollout.OrderOutcome, err error) {
 	r.s.opts.Log.Info("WeightsOrdered", zap.String("Upstream", l.Engine), zap.String("Model", l.Model),
 		zap.Uint64("Version", l.Version), zap.Uint64("Accepted", l.Accepted), zap.Uint64("Term", r.term),
--- a/internal/jobstore/runner_test.go
+++ b/internal/jobstore/runner_test.go
@@ -38,6 +38,8 @@
 	// misbehave is asked before each run. It may return nil.
 	misbehave func(x rollout.Exchange, run int) *behaviour
 	orders    []rollout.WeightOrder
+	// changeOnce lets the version change within the first run of each item.
+	changeOnce bool
 }
 
 // behaviour replaces that of a sound upstream.
@@ -54,6 +56,7 @@
 	io.ReadCloser
 	first, last int
 	broken      bool
+	changes     bool
 }
 
 func (f *fakeEngines) Open(_ context.Context, x rollout.Exchange) (rollout.ExchangeAnswer, error) {
@@ -81,13 +84,20 @@
 	if strings.HasPrefix(x.AttemptID, "score-") {
 		return rollout.ExchangeAnswer{Status: 200, Stamp: "signed " + x.AttemptID, Body: body}, nil
 	}
+	if f.changeOnce && f.runs[x.AttemptID] == 1 {
+		body.changes = true
+	}
 	return rollout.ExchangeAnswer{Status: 200, Streaming: true, WeightVersion: max(1, x.WeightVersion), Body: body}, nil
 }
 
 func (f *fakeEngines) Events(body io.Reader, take func(rollout.StreamEvent)) error {
 	s := body.(stream)
 	for id := s.first; id <= s.last; id++ {
-		take(rollout.StreamEvent{ID: uint64(id), Data: []byte(fmt.Sprintf("e%d", id))})
+		e := rollout.StreamEvent{ID: uint64(id), Data: []byte(fmt.Sprintf("e%d", id))}
+		if s.changes && id == s.last {
+			e.WeightVersion = 2
+		}
+		take(e)
 	}
 	if s.broken {
 		return errors.New("reset")
@@ -150,6 +160,7 @@
 		Pools:   []document.Pool{{Name: "engines", Models: []string{"m"}}, {Name: "scorers"}},
 		Routes: []document.Route{
 			{Name: "jobs", Host: "h", Prefix: "/j/", Kind: document.RouteJob, MaxAttempts: 2, ResultDeadlineMS: 60_000, MaxQueueMS: 120_000, Split: []document.Share{{Pool: "engines", Weight: 1}}},
+			{Name: "single", Host: "h", Prefix: "/o/", Kind: document.RouteJob, SingleVersion: true, MaxAttempts: 2, ResultDeadlineMS: 60_000, MaxQueueMS: 120_000, Split: []document.Share{{Pool: "engines", Weight: 1}}},
 			{Name: "scores", Host: "h", Prefix: "/s/", Kind: document.RouteIdempotent, MaxAttempts: 2, Split: []document.Share{{Pool: "scorers", Weight: 1}}},
 		},
 	})
@@ -307,6 +318,25 @@
 	assertRuns(t, f, "i1", 2)
 }
 
+func TestSampleOfTwoVersionsIsMadeAgainWhereOneIsAsked(t *testing.T) {
+	for route, runs := range map[string]int{"jobs": 1, "single": 2} {
+		t.Run(route, func(t *testing.T) {
+			s, f := newLeader(t, nil)
+			f.mu.Lock()
+			f.changeOnce = true
+			f.mu.Unlock()
+			spec := newSpec("j", 1, "i1")
+			spec.Route = route
+			r := results(t, s, spec)["i1"]
+			assertCompleted(t, r)
+			assertRuns(t, f, "i1", runs)
+			if route == "single" && len(r.Versions) != 1 {
+				t.Fatalf("versions %v", r.Versions)
+			}
+		})
+	}
+}
+
 func TestEndedJobRunsNoMore(t *testing.T) {
 	s, f := newLeader(t, func(x rollout.Exchange, _ int) *behaviour {
 		if x.AttemptID == "i1" {
