Let a store that lacks entries not answer for the newest state

A store host that comes back hears the leader's heartbeats at once, long before it has caught up, and said 'nothing yet' for a job that it knew in part. Ruled out: a result that was lost; the others show it. Change: a follower counts as having heard its leader only when it holds and has applied all that the leader has told to be committed. Before: TestFollowerThatLacksEntriesHasNotHeardTheLeader fails with 'heard at 1200 though entries are missing'; after: passes.

--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -214,8 +214,8 @@
 	return r.Status().Term, until > 0 && r.opts.Clock.Now()+spare < until
 }
 
-// Following tells whether the replica has heard its leader within a time, or
-// leads. What it has applied is then at most so old.
+// Following tells whether the replica leads, or has heard its leader within a
+// time and has applied all that was committed then.
 func (r *Replica) Following(within rollout.Millis) bool {
 	if _, leads := r.Leading(0); leads {
 		return true
@@ -373,7 +373,11 @@
 		until = 0
 	}
 	r.leaseUntil.Store(int64(until))
-	r.heardAt.Store(int64(r.node.HeardLeader()))
+	heard := r.node.HeardLeader()
+	if len(r.backlog) > 0 {
+		heard = 0
+	}
+	r.heardAt.Store(int64(heard))
 	r.publish()
 	leads := until > now
 	r.metrics.term.Set(float64(r.node.Term()))
--- a/pkg/rollout/quorum/node.go
+++ b/pkg/rollout/quorum/node.go
@@ -43,6 +43,9 @@
 	commit uint64
 	// taken is the last index handed out as committed. taken <= commit.
 	taken uint64
+	// leaderCommit is what the leader last told to be committed. It may exceed
+	// commit while entries are missing.
+	leaderCommit uint64
 	// persisted is the last index known to be on the own disk.
 	persisted uint64
 	// members is the newest in the log, committed or not.
@@ -373,9 +376,9 @@
 func (n *Node) MembersCommitted() bool { return n.membersIndex <= n.commit }
 
 // HeardLeader returns when a follower last heard its leader, or zero when it
-// follows none.
+// follows none or lacks entries that the leader has committed.
 func (n *Node) HeardLeader() rollout.Millis {
-	if n.role != follower || n.leader == "" {
+	if n.role != follower || n.leader == "" || n.commit < n.leaderCommit {
 		return 0
 	}
 	return n.holdUntil - n.cfg.ElectionMS
--- a/pkg/rollout/quorum/replication.go
+++ b/pkg/rollout/quorum/replication.go
@@ -52,6 +52,7 @@
 		return
 	}
 	n.hearLeader(now, m)
+	n.leaderCommit = m.Commit
 	if term, ok := n.log.term(m.PrevIndex); m.PrevIndex > n.log.snapIndex && (!ok || term != m.PrevTerm) {
 		reply.Reject = true
 		reply.Match = min(m.PrevIndex-1, n.log.lastIndex())
@@ -96,6 +97,7 @@
 	}
 	n.hearLeader(now, m)
 	s := m.Snapshot
+	n.leaderCommit = max(n.leaderCommit, s.Index)
 	if s.Index > n.commit {
 		n.log.reset(s.Index, s.Term)
 		n.snapshot = s
