--- a/pkg/rollout/quorum/replication.go
+++ b/pkg/rollout/quorum/replication.go
@@ -52,7 +52,8 @@
 		return
 	}
 	n.hearLeader(now, m)
-	n.leaderCommit = m.Commit
+	// Heartbeats beside a snapshot carry no commit.
+	n.leaderCommit = max(n.leaderCommit, m.Commit)
 	if term, ok := n.log.term(m.PrevIndex); m.PrevIndex > n.log.snapIndex && (!ok || term != m.PrevTerm) {
 		reply.Reject = true
 		reply.Match = min(m.PrevIndex-1, n.log.lastIndex())
