Confirm a suspect only when no other suspect ran beside it

Cause: a crash confirmed each request that its host called a suspect. Ruled out: the gate (one suspect an upstream, as far as it knows) and the union of broken connections (the second request was not marked at all). Change: the log decides. Requests that it already holds a crash against count as suspects too, and a crash confirms one only when it ran as the only suspect. Before: ledger.TestASuspectBesideAnotherIsNotConfirmed fails in both cases (refused [innocent], [boom innocent]). After: passes. Conclusion: one crash more may be needed for a poison whose suspect state was still on its way; no innocent request is refused for it.

--- a/pkg/rollout/ledger/ledger.go
+++ b/pkg/rollout/ledger/ledger.go
@@ -259,9 +259,9 @@
 }
 
 func (s *State) applyCrash(index uint64, c Command) {
+	confirmed := s.onlySuspect(c.Crash)
 	for _, f := range c.Crash.Fingerprints {
-		asSuspect := slices.Contains(c.Crash.Suspects, f)
-		p := s.Catalog.Poisons[f].WithCrash(c.Crash.ID, asSuspect, c.AtMS+poisonRetentionMS)
+		p := s.Catalog.Poisons[f].WithCrash(c.Crash.ID, f == confirmed, c.AtMS+poisonRetentionMS)
 		p.Fingerprint = f
 		s.Catalog.Put(index, catalog.KindPoison, f, p)
 	}
@@ -272,6 +272,20 @@
 	}
 }
 
+// onlySuspect returns the fingerprint that ran as the only suspect when an
+// upstream crashed, or nothing. The host that ran them may not have heard of
+// all suspects yet, so those in the log count too.
+func (s *State) onlySuspect(c *Crash) string {
+	suspects := slices.DeleteFunc(slices.Clone(c.Fingerprints), func(f string) bool {
+		_, known := s.Catalog.Poisons[f]
+		return !known && !slices.Contains(c.Suspects, f)
+	})
+	if len(suspects) != 1 || !slices.Contains(c.Suspects, suspects[0]) {
+		return ""
+	}
+	return suspects[0]
+}
+
 func (s *State) applyStream(c Command) (any, error) {
 	switch {
 	case c.OpenStep != nil:
--- a/pkg/rollout/ledger/ledger_test.go
+++ b/pkg/rollout/ledger/ledger_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"reflect"
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -134,3 +135,34 @@
 		t.Fatalf("account %+v", s.Catalog.Accounts["a"])
 	}
 }
+
+// crashOf applies a crash and returns which of the requests are refused then.
+func crashOf(s *State, index uint64, c Crash) []string {
+	s.Apply(index, []Command{{AtMS: rollout.Millis(index), Crash: &c}})
+	var refused []string
+	for _, f := range c.Fingerprints {
+		if s.Catalog.Poisons[f].IsCertain() {
+			refused = append(refused, f)
+		}
+	}
+	return refused
+}
+
+func TestASuspectBesideAnotherIsNotConfirmed(t *testing.T) {
+	for name, second := range map[string]Crash{
+		"both known to the host":    {ID: "2", Fingerprints: []string{"boom", "innocent"}, Suspects: []string{"boom", "innocent"}},
+		"one not known to the host": {ID: "2", Fingerprints: []string{"boom", "innocent"}, Suspects: []string{"innocent"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := New()
+			crashOf(s, 1, Crash{ID: "1", Fingerprints: []string{"boom", "innocent"}})
+			if refused := crashOf(s, 2, second); refused != nil {
+				t.Errorf("refused are %v", refused)
+			}
+			third := Crash{ID: "3", Fingerprints: []string{"boom", "fresh"}, Suspects: []string{"boom"}}
+			if refused := crashOf(s, 3, third); !slices.Equal(refused, []string{"boom"}) {
+				t.Errorf("refused are %v after it ran as the only suspect", refused)
+			}
+		})
+	}
+}
