Recognise requests that crash engines across hosts

Cause: on the users' interface nothing was kept of a request whose connection an engine broke off; sent again by its caller it ran on engines at any entry again. Ruled out: the ledger of the own interface (each crash a log entry, and agents that see the engine end; no agents stand beside the users' engines). Change: an entry notes the fingerprint (account, method, target, body) and the engine's incarnation of each connection that broke off, until an answer comes, and tells each leader of control once. Control refuses it after three incarnations that are known to have ended; entries answer 503 with when to come back. Items pause 4 s after three runs without an event. Before: no such record. Conclusion: a lost answer is no crash, so nothing sound is refused for one.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"math/rand/v2"
+	"strconv"
 	"sync"
 	"time"
 
@@ -15,6 +16,7 @@
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/catalog"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/discovery"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/poison"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/routing"
 )
 
@@ -63,6 +65,8 @@
 
 	mu     sync.Mutex
 	router *routing.Router
+	// crashes holds requests whose connections broke off.
+	crashes poison.Log
 }
 
 // lockedRandom is the random source of the router, which is used under a lock.
@@ -92,7 +96,7 @@
 	for id, u := range us {
 		c.Upstreams[id] = catalog.Upstream{
 			ID: id, Pool: u.Pool, FailureDomain: u.FailureDomain, Address: u.Address, Slots: u.Slots,
-			Incarnation: time.UnixMilli(u.Born).String(), Leaving: u.State != discovery.StateReady,
+			Incarnation: strconv.FormatInt(u.Born, 10), Leaving: u.State != discovery.StateReady,
 		}
 	}
 	b.mu.Lock()
@@ -102,10 +106,13 @@
 
 // attempt is how one send ended.
 type attempt struct {
-	upstream string
-	answer   Answer
-	err      *rollout.Error
-	started  time.Time
+	upstream    string
+	incarnation string
+	answer      Answer
+	err         *rollout.Error
+	started     time.Time
+	// cut is true when the upstream broke the connection off.
+	cut bool
 }
 
 // ran tells whether an upstream may have run the request.
@@ -223,7 +230,8 @@
 	c.sends++
 	go func() {
 		a := c.b.send(sendCtx, x)
-		a.upstream = u.ID
+		a.upstream, a.incarnation = u.ID, u.Incarnation
+		a.cut = a.ran() && a.err != nil && sendCtx.Err() == nil
 		c.results <- a
 	}()
 	return true
@@ -248,6 +256,7 @@
 		delete(c.cancels, a.upstream)
 	}
 	c.b.finished(a.upstream, a.broke())
+	c.noteCrash(a)
 	if a.ran() {
 		c.runs++
 		if c.req.Began != nil {
@@ -279,6 +288,9 @@
 func (c *call) won(a attempt, cancel context.CancelFunc) Answer {
 	a.answer.Upstream = a.upstream
 	body := a.answer.Head.Body
+	if a.answer.Head.Streaming {
+		a.answer.Head.Body = &watchedStream{ReadCloser: body, ended: func(err error) { c.noteStream(a, err) }}
+	}
 	a.answer.Close = func() {
 		if body != nil {
 			_ = body.Close()
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -194,3 +194,37 @@
 		t.Fatalf("began %d times", began)
 	}
 }
+
+func assertSightings(t *testing.T, b *balance.Balancer, want int) {
+	t.Helper()
+	if _, sightings := b.Crashes(); len(sightings) != want {
+		t.Fatalf("sightings %v, want %d", sightings, want)
+	}
+}
+
+func TestBrokenConnectionsAreNotedUntilAnAnswer(t *testing.T) {
+	b, _ := newBalancer(map[string]reply{"a": broken, "b": broken})
+	_, err := b.Do(t.Context(), request(true, 2))
+	assertRefused(t, err, false)
+	assertSightings(t, b, 2)
+	b.Sync(map[string]discovery.Upstream{"c": {ID: "c", Pool: "p", FailureDomain: "d", State: discovery.StateReady, Slots: 4}})
+	other := request(true, 1)
+	other.Exchange.Body = []byte("other")
+	for _, req := range []balance.Request{other, request(true, 1)} {
+		assertSightings(t, b, 2)
+		_, _ = b.Do(t.Context(), req)
+	}
+	assertSightings(t, b, 0)
+}
+
+func TestRefusalsAndTimeoutsAreNoSightings(t *testing.T) {
+	for name, r := range map[string]reply{"full": full, "failure": failed, "hang": {hang: true}} {
+		t.Run(name, func(t *testing.T) {
+			b, _ := newBalancer(map[string]reply{"a": r})
+			req := request(true, 1)
+			req.Deadline = time.Now().Add(20 * time.Millisecond)
+			_, _ = b.Do(t.Context(), req)
+			assertSightings(t, b, 0)
+		})
+	}
+}
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -20,6 +20,7 @@
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/clock"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/discovery"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/poison"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/registry"
 )
 
@@ -85,6 +86,9 @@
 	storeTerm   uint64
 	stores      []string
 	storeRev    uint64
+	// judge finds requests that crash upstreams.
+	judge     *poison.Judge
+	poisonRev uint64
 	// lastDuty is when this host last called the platform.
 	lastDuty rollout.Millis
 	changed  chan struct{}
@@ -96,7 +100,7 @@
 		opts: opts, clock: clock.Boottime{}, dialer: link.NewDialer(opts.Secret),
 		state: registry.New(), table: discovery.New(opts.BeatMS),
 		hosts: make(map[string]host), usage: make(map[uint64]map[string]map[string]uint64),
-		changed: make(chan struct{}),
+		judge: poison.NewJudge(), changed: make(chan struct{}),
 	}
 	d.client = fabric.NewClient(d.dialer)
 	var err error
@@ -160,6 +164,7 @@
 	d.lead, d.since = term, d.clock.Now()
 	d.hosts = make(map[string]host)
 	d.usage = make(map[uint64]map[string]map[string]uint64)
+	d.judge = poison.NewJudge()
 	d.notify()
 	d.mu.Unlock()
 	d.doDuties(ctx, term)
--- a/internal/director/duties.go
+++ b/internal/director/duties.go
@@ -40,6 +40,7 @@
 		if d.table.Tick(d.clock.Now()) {
 			d.notify()
 		}
+		d.judgeCrashes()
 		d.mu.Unlock()
 		d.foundStore(ctx)
 		d.closeWindows(ctx)
--- a/internal/director/watch.go
+++ b/internal/director/watch.go
@@ -9,6 +9,7 @@
 
 	"github.com/coltsfootspoke/coltsfootspoke/internal/view"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/poison"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/quorum"
 )
 
@@ -66,6 +67,7 @@
 // facts is called with mu held.
 func (d *Director) facts() view.Facts {
 	f := view.Facts{
+		Poisons:  d.judge.Refused(),
 		Versions: d.state.Versions, Founders: d.state.Founders,
 		StoreLeader: d.storeLeader, Stores: slices.Clone(d.stores), StoreDomains: make(map[string]string),
 	}
@@ -85,7 +87,7 @@
 }
 
 // factsRevision is called with mu held.
-func (d *Director) factsRevision() uint64 { return d.state.Revision + d.storeRev }
+func (d *Director) factsRevision() uint64 { return d.state.Revision + d.storeRev + d.poisonRev }
 
 // note remembers a daemon that watches, its usage and its report of the job
 // store.
@@ -106,6 +108,10 @@
 			d.usage[window][u.Incarnation] = counts
 		}
 	}
+	if req.Crashes != nil {
+		d.judge.Note(name, req.Crashes.Sightings)
+		d.judgeCrashes()
+	}
 	s := req.Store
 	if s == nil || !s.Leading || s.Term < d.storeTerm {
 		return
@@ -120,6 +126,16 @@
 	d.notify()
 }
 
+// judgeCrashes finds the requests to refuse. It is called with mu held.
+func (d *Director) judgeCrashes() {
+	if !d.judge.Decide(d.clock.Now(), func(s poison.Sighting) bool { return d.table.Ended(s.Upstream, s.Born) }) {
+		return
+	}
+	d.opts.Log.Warn("PoisonsChanged", zap.Strings("Fingerprints", d.judge.Refused()))
+	d.poisonRev++
+	d.notify()
+}
+
 func addressesOf(m quorum.Members) []string {
 	var addresses []string
 	for _, v := range m.Voters {
--- a/internal/entry/filters.go
+++ b/internal/entry/filters.go
@@ -3,8 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"net/url"
 	"strconv"
@@ -21,6 +19,7 @@
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/catalog"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/fair"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/ledger"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/poison"
 )
 
 const (
@@ -70,7 +69,7 @@
 	if len(x.requestID) > maxRequestIDBytes {
 		return rollout.NewError(rollout.KindInvalidInput, "%s exceeds %d bytes", headerRequestID, maxRequestIDBytes).WithNotRun()
 	}
-	x.fingerprint = fingerprintOf(x.method, path, x.body)
+	x.fingerprint = poison.Fingerprint("", x.method, path, x.body)
 	switch {
 	case path == pathChat || path == pathCompletions:
 		return e.classifyCompletion(x, path)
@@ -298,9 +297,3 @@
 
 // prefixHash returns the hash of a prompt's prefix.
 func prefixHash(prompt []byte) uint64 { return xxhash.Sum64(prompt[:min(len(prompt), prefixBytes)]) }
-
-// fingerprintOf tells requests apart that crash upstreams.
-func fingerprintOf(method, path string, body []byte) string {
-	sum := sha256.Sum256(append([]byte(method+" "+path+"\n"), body...))
-	return hex.EncodeToString(sum[:])
-}
--- a/internal/entry/steps.go
+++ b/internal/entry/steps.go
@@ -18,6 +18,7 @@
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/catalog"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/hedge"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/ledger"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/poison"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/routing"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/stream"
 )
@@ -357,7 +358,7 @@
 		return nil, rollout.NewError(rollout.KindWithdrawn, "key %s was withdrawn", keyID).WithNotRun()
 	}
 	x.prefix = prefixHash([]byte(prompt))
-	x.fingerprint = fingerprintOf(x.method, x.path, body)
+	x.fingerprint = poison.Fingerprint("", x.method, x.path, body)
 	if err := e.checkPoison(x); err != nil {
 		x.end(e)
 		return nil, err
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -9,6 +9,7 @@
 	"encoding/hex"
 	"math"
 	mathrand "math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -22,6 +23,7 @@
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/clock"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/document"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/poison"
 )
 
 const (
@@ -85,7 +87,7 @@
 	g.meter = newMeter(hex.EncodeToString(id), opts.WindowMS)
 	g.watcher = view.NewWatcher(view.Options{
 		Host: opts.Host, Role: view.RoleEntry, FailureDomain: opts.FailureDomain, Seeds: opts.Controls,
-		Client: g.client, Log: opts.Log, Usage: g.meter.totals,
+		Client: g.client, Log: opts.Log, Usage: g.meter.totals, Crashes: g.balancer.Crashes,
 		OnChange: func(c view.Copy) { g.balancer.Sync(c.Upstreams) },
 	})
 	return g
@@ -156,6 +158,10 @@
 		HedgeAfter:  time.Duration(hedgeShare * float64(route.TargetLatencyMS) * float64(time.Millisecond)),
 		Began:       func() { g.meter.count(account) },
 	}
+	if err := g.checkPoison(req.Exchange); err != nil {
+		g.logRefusal(in, route, err)
+		return balance.Answer{}, err
+	}
 	answer, err := g.balancer.Do(ctx, req)
 	g.metrics.answered(in.Received, err)
 	if err != nil {
@@ -171,6 +177,15 @@
 	return answer, nil
 }
 
+// checkPoison refuses a request that has crashed the upstreams that ran it.
+func (g *Gateway) checkPoison(x rollout.Exchange) error {
+	poisons := g.watcher.Copy().Facts.Poisons
+	if len(poisons) == 0 || !slices.Contains(poisons, balance.FingerprintOf(x)) {
+		return nil
+	}
+	return rollout.NewError(rollout.KindPoisoned, "%d upstreams crashed while they ran this request", poison.Crashes).WithNotRun()
+}
+
 func (g *Gateway) logRefusal(in Inbound, route document.Route, err error) {
 	g.opts.Log.Warn("Refused", zap.String("Request", in.AttemptID), zap.String("Route", route.Name),
 		zap.Duration("Took", time.Since(in.Received)), zap.Error(err))
--- a/internal/jobstore/item.go
+++ b/internal/jobstore/item.go
@@ -11,6 +11,7 @@
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/dispatch"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/job"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/poison"
 )
 
 const (
@@ -27,6 +28,9 @@
 	keepPause = 10 * time.Millisecond
 	// proposeRetryPause is the pause after a result could not be listed.
 	proposeRetryPause = 100 * time.Millisecond
+	// crashPause is the pause of an item that seems to crash the engines that
+	// run it. The users' rules want an item at an engine each 5 s.
+	crashPause = 4 * time.Second
 )
 
 // runItem runs an item on an engine, or only scores it when its text is
@@ -58,6 +62,9 @@
 	case complete:
 		r.score(ctx, w)
 	default:
+		if !pause(ctx, w.breakPause()) {
+			return
+		}
 		r.mu.Lock()
 		r.queue(w)
 		r.mu.Unlock()
@@ -95,6 +102,9 @@
 		if ctx.Err() != nil {
 			return dispatch.OutcomeCancelled
 		}
+		if !rollout.AsError(err).NotRun {
+			w.broke(0)
+		}
 		return dispatch.OutcomeBroken
 	}
 	defer func() { _ = head.Body.Close() }()
@@ -109,11 +119,12 @@
 		r.logRun(w, a, started, head.Status, nil)
 		return r.failed(w, head.Status)
 	}
-	version := head.WeightVersion
+	version, events := head.WeightVersion, 0
 	err = r.s.opts.Upstreams.Events(head.Body, func(e rollout.StreamEvent) {
 		if e.WeightVersion != 0 {
 			version = e.WeightVersion
 		}
+		events++
 		r.mu.Lock()
 		w.text.add(e, version)
 		r.keepLong(w)
@@ -125,6 +136,7 @@
 		if ctx.Err() != nil {
 			return dispatch.OutcomeCancelled
 		}
+		w.broke(events)
 		return dispatch.OutcomeBroken
 	}
 	r.mu.Lock()
@@ -133,6 +145,23 @@
 	return dispatch.OutcomeDone
 }
 
+// broke counts a run that the engine broke off after some events.
+func (w *work) broke(events int) {
+	if events > 0 {
+		w.breaks = 0
+		return
+	}
+	w.breaks++
+}
+
+// breakPause returns how long an item waits before it runs again.
+func (w *work) breakPause() time.Duration {
+	if w.breaks < poison.Crashes {
+		return 0
+	}
+	return crashPause
+}
+
 // failed counts a failure that the engine itself answered.
 func (r *runner) failed(w *work, status int) dispatch.Outcome {
 	r.mu.Lock()
@@ -327,6 +356,9 @@
 
 // pause waits and tells whether the context goes on.
 func pause(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
 	select {
 	case <-ctx.Done():
 		return false
--- a/internal/jobstore/runner.go
+++ b/internal/jobstore/runner.go
@@ -45,7 +45,9 @@
 	text     *text
 	// failures counts answers of 500.
 	failures int
-	cancel   context.CancelFunc
+	// breaks counts the runs in a row that engines broke off before an event.
+	breaks int
+	cancel context.CancelFunc
 	// move breaks the run on the present engine off. It is nil while none
 	// runs.
 	move context.CancelFunc
--- a/internal/view/protocol.go
+++ b/internal/view/protocol.go
@@ -7,6 +7,7 @@
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/discovery"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/document"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/poison"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/quorum"
 )
 
@@ -40,8 +41,14 @@
 	Usage *Usage `json:",omitempty"`
 	// Store is set by hosts that store jobs.
 	Store *StoreStatus `json:",omitempty"`
+	// Crashes is nil when the leader has them.
+	Crashes *Crashes `json:",omitempty"`
 }
 
+// Crashes holds the requests whose connections upstreams have broken off at a
+// host.
+type Crashes struct{ Sightings []poison.Sighting }
+
 // Usage holds the running totals of one incarnation of an entry.
 type Usage struct {
 	Incarnation string
@@ -78,6 +85,8 @@
 	StoreDomains map[string]string
 	// Controls are the addresses of the control hosts.
 	Controls []string
+	// Poisons are the fingerprints of requests that crash upstreams.
+	Poisons []string `json:",omitempty"`
 }
 
 // Reply holds what has changed.
--- a/internal/view/watcher.go
+++ b/internal/view/watcher.go
@@ -14,6 +14,7 @@
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/discovery"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/document"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/poison"
 )
 
 const (
@@ -55,6 +56,9 @@
 	Usage func() *Usage
 	// Store returns the state of the job store, or nil.
 	Store func() *StoreStatus
+	// Crashes returns sightings to send and a number that changes with them,
+	// or is nil.
+	Crashes func() (uint64, []poison.Sighting)
 	// OnChange is called after each change, by the watcher's thread.
 	OnChange func(Copy)
 	// Active tells whether to watch at all. Nil stands for always.
@@ -71,6 +75,9 @@
 	next   int
 	// searching is true while no leader answers.
 	searching bool
+	// crashes and crashEpoch tell which sightings which leader has.
+	crashes    uint64
+	crashEpoch uint64
 	// suspects holds when a host last failed to answer.
 	suspects map[string]time.Time
 }
@@ -170,6 +177,7 @@
 	if w.opts.Store != nil {
 		req.Store = w.opts.Store()
 	}
+	crashes := w.addCrashes(&req)
 	timeout := watchTimeout
 	if w.searching {
 		req.WaitMS, timeout = 0, searchTimeout
@@ -180,10 +188,24 @@
 	if err := w.opts.Client.Call(ctx, w.target, MethodWatch, req, &reply); err != nil {
 		return err
 	}
+	w.crashes, w.crashEpoch = crashes, req.Epoch
 	w.take(old, reply)
 	return nil
 }
 
+// addCrashes adds the sightings that the leader lacks and returns their
+// number. A leader that has just begun has none.
+func (w *Watcher) addCrashes(req *Request) uint64 {
+	if w.opts.Crashes == nil {
+		return 0
+	}
+	revision, sightings := w.opts.Crashes()
+	if revision != w.crashes || (revision != 0 && req.Epoch != w.crashEpoch) {
+		req.Crashes = &Crashes{Sightings: sightings}
+	}
+	return revision
+}
+
 // take merges a reply into the copy.
 func (w *Watcher) take(old Copy, r Reply) {
 	next := old.With(r)
--- a/internal/view/watcher_test.go
+++ b/internal/view/watcher_test.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/poison"
 )
 
 func newSearch(seeds ...string) *Watcher {
@@ -48,3 +49,28 @@
 		t.Fatal("asks nobody")
 	}
 }
+
+func TestEachLeaderIsToldOfCrashesOnce(t *testing.T) {
+	w := newSearch("a")
+	revision := uint64(0)
+	w.opts.Crashes = func() (uint64, []poison.Sighting) { return revision, []poison.Sighting{{Fingerprint: "f"}} }
+	for _, step := range []struct {
+		name            string
+		revision, epoch uint64
+		told            bool
+	}{
+		{"nothing seen", 0, 1, false},
+		{"first crash", 1, 1, true},
+		{"same leader", 1, 1, false},
+		{"new leader", 1, 2, true},
+		{"cleared", 2, 2, true},
+		{"same leader again", 2, 2, false},
+	} {
+		revision = step.revision
+		req := Request{Epoch: step.epoch}
+		w.crashes, w.crashEpoch = w.addCrashes(&req), req.Epoch
+		if told := req.Crashes != nil; told != step.told {
+			t.Errorf("%s: told %v", step.name, told)
+		}
+	}
+}
