Let a process that has just started let the gap of a holder pass

Cause: a host remembers its last order and its last call to the platform only in memory. Ruled out: keeping the last act on disk (a sync before each order). Change: a process counts as having acted when it starts. The rule of orders and that of calls to the platform were two copies; both are authority.Turns now. Conclusion: first acts come at the earliest one gap after the start.

--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -18,6 +18,7 @@
 	"github.com/coltsfootspoke/coltsfootspoke/internal/replica"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/view"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/authority"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/clock"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/discovery"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/poison"
@@ -89,9 +90,9 @@
 	// judge finds requests that crash upstreams.
 	judge     *poison.Judge
 	poisonRev uint64
-	// lastDuty is when this host last called the platform.
-	lastDuty rollout.Millis
-	changed  chan struct{}
+	// duties tells when this host may call the platform.
+	duties  authority.Turns
+	changed chan struct{}
 }
 
 // New opens a control host.
@@ -102,6 +103,7 @@
 		hosts: make(map[string]host), usage: make(map[uint64]map[string]map[string]uint64),
 		judge: poison.NewJudge(), changed: make(chan struct{}),
 	}
+	d.duties = authority.NewTurns(d.clock.Now(), opts.HolderGapMS)
 	d.client = fabric.NewClient(d.dialer)
 	var err error
 	d.replica, err = replica.Open(ctx, replica.Options{
--- a/internal/director/duties.go
+++ b/internal/director/duties.go
@@ -141,10 +141,9 @@
 		}
 	}
 	requests := d.state.Windows[window].Requests
-	// A holder that comes back lets HolderGapMS pass since its last call.
-	wait := d.since > d.lastDuty && d.lastDuty > 0 && d.clock.Now()-d.lastDuty < d.opts.HolderGapMS
+	mayCall := d.duties.May(d.clock.Now(), term)
 	d.mu.Unlock()
-	if !ok || wait || d.opts.Usage == nil {
+	if !ok || !mayCall || d.opts.Usage == nil {
 		return
 	}
 	sendCtx, cancel := context.WithTimeout(ctx, sendTimeout)
@@ -153,7 +152,7 @@
 		return
 	}
 	d.mu.Lock()
-	d.lastDuty = d.clock.Now()
+	d.duties.Acted(d.clock.Now(), term)
 	d.mu.Unlock()
 	err := d.opts.Usage.SendWindow(sendCtx, rollout.WindowReport{Window: window, Requests: requests, Holder: d.opts.Host, Fencing: term})
 	d.opts.Log.Info("WindowSent", zap.Uint64("Window", window), zap.Uint64("Term", term), zap.Error(err))
--- a/internal/jobstore/load.go
+++ b/internal/jobstore/load.go
@@ -9,13 +9,11 @@
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/dispatch"
 )
 
-// mayOrder tells whether this host may give orders: a host that leads again
-// lets HolderGapMS pass since its last order under an earlier lead, as the
-// host between may have given some. It is called with mu held.
+// mayOrder tells whether this host may give orders. It is called with mu held.
 func (r *runner) mayOrder(now rollout.Millis) bool {
 	r.s.mu.Lock()
 	defer r.s.mu.Unlock()
-	return r.s.lastOrderTerm == r.term || r.s.lastOrder == 0 || now-r.s.lastOrder > r.s.opts.HolderGapMS
+	return r.s.orders.May(now, r.term)
 }
 
 // load orders an engine to change its weights.
@@ -41,7 +39,7 @@
 		return
 	}
 	r.s.mu.Lock()
-	r.s.lastOrder, r.s.lastOrderTerm = r.s.clock.Now(), r.term
+	r.s.orders.Acted(r.s.clock.Now(), r.term)
 	r.s.mu.Unlock()
 	outcome, err := r.s.opts.Upstreams.Order(ctx, rollout.WeightOrder{
 		Address: l.Address, Instance: l.Engine, Model: l.Model, Version: l.Version,
--- a/internal/jobstore/store.go
+++ b/internal/jobstore/store.go
@@ -20,6 +20,7 @@
 	"github.com/coltsfootspoke/coltsfootspoke/internal/replica"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/view"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/authority"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/clock"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/job"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/quorum"
@@ -77,9 +78,8 @@
 	settled quorum.Members
 	// runner is not nil while the host leads.
 	runner *runner
-	// lastOrder is when this host last gave an order to an engine.
-	lastOrder     rollout.Millis
-	lastOrderTerm uint64
+	// orders tells when this host may give orders to engines.
+	orders authority.Turns
 }
 
 // New opens a store host.
@@ -89,6 +89,7 @@
 		book: job.NewBook(), changed: make(chan struct{}), packer: pack.New(),
 		metrics: newMetrics(opts.Registry),
 	}
+	s.orders = authority.NewTurns(s.clock.Now(), opts.HolderGapMS)
 	s.client = fabric.NewClient(s.dialer)
 	s.balancer = balance.New(opts.Upstreams, s.clock, opts.FailureDomain, opts.Log)
 	var err error
--- /dev/null
+++ b/pkg/rollout/authority/turns.go
@@ -0,0 +1,24 @@
+package authority
+
+import "github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
+
+// Turns keeps a host that leads again from acting too soon after its last act
+// under an earlier lead, since the leader between may have acted too.
+type Turns struct {
+	gapMS  rollout.Millis
+	lastMS rollout.Millis
+	// lead is the term of the last act.
+	lead uint64
+}
+
+// NewTurns returns turns of a process that starts now. What an earlier process
+// of the host has done is not known, so it counts as having acted just now.
+func NewTurns(now, gapMS rollout.Millis) Turns { return Turns{gapMS: gapMS, lastMS: now} }
+
+// Acted notes an act under a lead.
+func (t *Turns) Acted(now rollout.Millis, lead uint64) { t.lastMS, t.lead = now, lead }
+
+// May tells whether the host may act under a lead.
+func (t *Turns) May(now rollout.Millis, lead uint64) bool {
+	return t.lead == lead || now-t.lastMS > t.gapMS
+}
