Hand the lead over while the leader is busy, and before it is retired

Cause: a leader gave the lead only to a voter that held its whole log at that moment. Under load it always has sent something that nobody has answered, so a leader that got SIGTERM served on for 1.5 s without the right to, and an election followed. Ruled out: the election timeout (the gap is the price of not handing over), and a lost transfer message (none was sent). Change: Transfer takes no command until a voter holds the whole log, at most one election timeout long. The roster has a retiring leader hand over first, after the texts have been kept; the next leader removes it. Tests that failed before: quorum.TestBusyLeaderHandsOver, TestLeaderThatNobodyFollowsGoesOn (compile aside), roster.TestRetiringLeaderLeaves with the new check.

--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -130,6 +130,8 @@
 	candidates map[quorum.MemberID]roster.Candidate
 	retiring   map[string]bool
 	rosterAt   rollout.Millis
+	// leave asks for the lead to be given away.
+	leave chan struct{}
 
 	group      *errgroup.Group
 	leadTerm   uint64
@@ -154,6 +156,7 @@
 		waiters:    make(map[uint64]waiter),
 		candidates: make(map[quorum.MemberID]roster.Candidate),
 		retiring:   make(map[string]bool),
+		leave:      make(chan struct{}, 1),
 		peers:      peer.New(ctx, opts.Dialer, opts.Address),
 		compactAt:  opts.CompactBytes + rand.IntN(opts.CompactBytes/2+1),
 	}
@@ -356,6 +359,14 @@
 	if !ok {
 		return
 	}
+	if change.HandOver {
+		select {
+		case r.leave <- struct{}{}:
+			r.opts.Log.Info(change.Reason, zap.String("Member", string(change.Member.ID)), zap.String("Address", change.Member.Address))
+		default:
+		}
+		return
+	}
 	if err := r.node.ProposeMembers(now, change.Members); err != nil {
 		r.opts.Log.Debug("MemberChangeWaits", zap.Error(err))
 		return
--- a/internal/replica/serve.go
+++ b/internal/replica/serve.go
@@ -52,16 +52,11 @@
 	group.Go(func() error { return s.Beside(run) })
 	group.Go(func() error {
 		defer cancel()
-		select {
-		case <-run.Done():
+		if !r.stay(ctx, run, s.Leave) {
 			return nil
-		case <-ctx.Done():
 		}
 		r.opts.Log.Info("Leaving")
-		if s.Leave != nil {
-			s.Leave(run)
-		}
-		r.Transfer()
+		r.giveLead(run, s.Leave)
 		select {
 		case <-run.Done():
 		case <-time.After(transferWait):
@@ -70,3 +65,25 @@
 	})
 	return group.Wait()
 }
+
+// stay gives the lead away whenever the roster asks for it. It returns true
+// when the host is to leave and false when the replica has ended.
+func (r *Replica) stay(ctx, run context.Context, leave func(context.Context)) bool {
+	for {
+		select {
+		case <-run.Done():
+			return false
+		case <-ctx.Done():
+			return true
+		case <-r.leave:
+			r.giveLead(run, leave)
+		}
+	}
+}
+
+func (r *Replica) giveLead(ctx context.Context, leave func(context.Context)) {
+	if leave != nil {
+		leave(ctx)
+	}
+	r.Transfer()
+}
--- a/pkg/rollout/quorum/election.go
+++ b/pkg/rollout/quorum/election.go
@@ -41,6 +41,7 @@
 	n.leader = lead
 	n.peers = nil
 	n.roundSent = nil
+	n.handOverUntil = 0
 	n.resetElection(now)
 }
 
--- a/pkg/rollout/quorum/node.go
+++ b/pkg/rollout/quorum/node.go
@@ -72,6 +72,9 @@
 	// termStart is the index of the empty entry of the leader's term.
 	termStart uint64
 	leadSince rollout.Millis
+	// handOverUntil is until when no command is taken, so that a voter comes
+	// to hold the whole log and is given the lead.
+	handOverUntil rollout.Millis
 
 	out Output
 }
@@ -188,7 +191,7 @@
 
 // Propose appends a command. It returns the index and the term of the entry.
 func (n *Node) Propose(now rollout.Millis, data []byte) (index, term uint64, err error) {
-	if n.role != leader {
+	if n.role != leader || now < n.handOverUntil {
 		return 0, 0, rollout.NewError(rollout.KindNotLeader, "leader is %q", n.leader)
 	}
 	e := n.appendEntry(EntryCommand, data)
@@ -258,12 +261,19 @@
 }
 
 // Transfer gives the lead to a voter that holds the whole log. The lease is
-// given up before the message goes out. It returns false when there is no such
-// voter.
+// given up before the message goes out. While there is no such voter it
+// returns false, and takes no command until there is one or an election
+// timeout has passed.
 func (n *Node) Transfer(now rollout.Millis) bool {
 	if n.role != leader {
 		return false
 	}
+	n.handOverUntil = now + n.cfg.ElectionMS
+	return n.giveLead(now)
+}
+
+// giveLead gives the lead to a voter that holds the whole log.
+func (n *Node) giveLead(now rollout.Millis) bool {
 	for _, v := range n.members.Voters {
 		if v.ID == n.cfg.ID || n.matchOf(v.ID) != n.log.lastIndex() {
 			continue
--- a/pkg/rollout/quorum/node_test.go
+++ b/pkg/rollout/quorum/node_test.go
@@ -175,6 +175,40 @@
 	assertReply(t, n, false)
 }
 
+// A leader under load has always sent something that no voter has answered
+// yet.
+func TestBusyLeaderHandsOver(t *testing.T) {
+	n, now := newTestNode(Bootstrap(threeVoters))
+	now = lead(t, n, now)
+	index, term, err := n.Propose(now, []byte("x"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if n.Transfer(now) || !n.IsLeader() {
+		t.Fatal("gave the lead to a voter that lacks an entry")
+	}
+	_, _, err = n.Propose(now, []byte("y"))
+	assertKind(t, err, rollout.KindNotLeader)
+	n.Take()
+	n.Step(now, Message{Type: MessageAppendReply, From: "b", To: "a", Term: term, Match: index})
+	out := n.Take()
+	if n.IsLeader() || len(out.Messages) != 1 || out.Messages[0].Type != MessageTransfer || out.Messages[0].To != "b" {
+		t.Fatalf("leader %v, messages %+v", n.IsLeader(), out.Messages)
+	}
+}
+
+func TestLeaderThatNobodyFollowsGoesOn(t *testing.T) {
+	n, now := newTestNode(Bootstrap(threeVoters))
+	now = lead(t, n, now)
+	_, _, err := n.Propose(now, []byte("x"))
+	if err != nil || n.Transfer(now) {
+		t.Fatalf("error %v, or gave the lead away", err)
+	}
+	if _, _, err := n.Propose(now+n.cfg.ElectionMS, []byte("y")); err != nil {
+		t.Fatal(err)
+	}
+}
+
 func TestALateTransferIsIgnored(t *testing.T) {
 	n, now := newTestNode(Bootstrap(threeVoters))
 	n.Step(now, Message{Type: MessageAppend, From: "b", To: "a", Term: 5, PrevIndex: 1, PrevTerm: 1})
--- a/pkg/rollout/quorum/replication.go
+++ b/pkg/rollout/quorum/replication.go
@@ -84,6 +84,9 @@
 		p.next = max(p.next, m.Match+1)
 		n.advanceCommit(now)
 	}
+	if n.role == leader && now < n.handOverUntil && n.giveLead(now) {
+		return
+	}
 	if n.role == leader && p.next <= n.log.lastIndex() {
 		n.sendAppend(now, m.From, false)
 	}
--- a/pkg/rollout/roster/roster.go
+++ b/pkg/rollout/roster/roster.go
@@ -49,6 +49,9 @@
 	Reason  string
 	Member  quorum.Member
 	Members quorum.Members
+	// HandOver is true when the leader is to give the lead away; the members
+	// stay.
+	HandOver bool
 }
 
 // Next returns the next change and whether there is one.
@@ -66,12 +69,12 @@
 	}
 	for _, l := range v.Members.Learners {
 		if v.CaughtUp(l.ID) && now-v.Heard(l.ID) < SilentMS && !v.Retiring[l.Address] {
-			return Change{"MemberPromoted", l, v.Members.WithVoter(l)}, true
+			return Change{Reason: "MemberPromoted", Member: l, Members: v.Members.WithVoter(l)}, true
 		}
 	}
 	for _, l := range v.Members.Learners {
 		if now-v.Heard(l.ID) > CandidateExpiryMS || v.Retiring[l.Address] {
-			return Change{"LearnerRemoved", l, v.Members.Without(l.ID)}, true
+			return Change{Reason: "LearnerRemoved", Member: l, Members: v.Members.Without(l.ID)}, true
 		}
 	}
 	if len(v.Members.Learners) > 0 {
@@ -102,7 +105,7 @@
 	if best == nil {
 		return Change{}, false
 	}
-	return Change{"LearnerAdded", best.Member, v.Members.WithLearner(best.Member)}, true
+	return Change{Reason: "LearnerAdded", Member: best.Member, Members: v.Members.WithLearner(best.Member)}, true
 }
 
 // removeLearner drops a learner that nobody needs.
@@ -111,14 +114,18 @@
 		return Change{}, false
 	}
 	l := v.Members.Learners[0]
-	return Change{"LearnerRemoved", l, v.Members.Without(l.ID)}, true
+	return Change{Reason: "LearnerRemoved", Member: l, Members: v.Members.Without(l.ID)}, true
 }
 
 // removeVoter drops an unfit voter, or else one whose failure domain has
-// another voter.
+// another voter. A leader that is to go gives the lead away first, for its
+// removal would leave the quorum without one until an election.
 func (v View) removeVoter(unfit []quorum.Member) (Change, bool) {
+	if len(unfit) > 0 && unfit[0].ID == v.Self {
+		return Change{Reason: "LeadHandedOver", Member: unfit[0], Members: v.Members, HandOver: true}, true
+	}
 	if len(unfit) > 0 {
-		return Change{"VoterRemoved", unfit[0], v.Members.Without(unfit[0].ID)}, true
+		return Change{Reason: "VoterRemoved", Member: unfit[0], Members: v.Members.Without(unfit[0].ID)}, true
 	}
 	inDomain := make(map[string]int)
 	for _, m := range v.Members.Voters {
@@ -126,12 +133,12 @@
 	}
 	for _, m := range slices.Backward(v.Members.Voters) {
 		if m.ID != v.Self && inDomain[v.Candidates[m.ID].FailureDomain] > 1 {
-			return Change{"VoterRemoved", m, v.Members.Without(m.ID)}, true
+			return Change{Reason: "VoterRemoved", Member: m, Members: v.Members.Without(m.ID)}, true
 		}
 	}
 	for _, m := range slices.Backward(v.Members.Voters) {
 		if m.ID != v.Self {
-			return Change{"VoterRemoved", m, v.Members.Without(m.ID)}, true
+			return Change{Reason: "VoterRemoved", Member: m, Members: v.Members.Without(m.ID)}, true
 		}
 	}
 	return Change{}, false
--- a/pkg/rollout/roster/roster_test.go
+++ b/pkg/rollout/roster/roster_test.go
@@ -50,11 +50,28 @@
 			return
 		}
 		c.steps = append(c.steps, change.Reason)
+		if change.HandOver {
+			c.Self = c.successor()
+			continue
+		}
+		if !change.Members.IsVoter(c.Self) {
+			t.Fatalf("the leader removes itself: %v", c.steps)
+		}
 		c.Members = change.Members
 	}
 	t.Fatalf("never settles: %v", c.steps)
 }
 
+// successor returns the voter that the leader gives the lead to.
+func (c *cluster) successor() quorum.MemberID {
+	for _, m := range c.Members.Voters {
+		if m.ID != c.Self && !c.Retiring[m.Address] {
+			return m.ID
+		}
+	}
+	return c.Self
+}
+
 func assertVoters(t *testing.T, c *cluster, want ...string) {
 	t.Helper()
 	var got []string
