Run long items on fast engines

The longest item of a step, 121 events, took 7.4 s on a slow one; the step waited for it. Ruled out: moving runs off engines that are 1.3 times slower than most (a full engine is as slow; runs would go to and fro). Change: the choice of an engine adds the delay by its pace, weighed by the expected length of the item. Test that failed before: dispatch.TestLongItemsGoToFastEngines.

--- a/pkg/rollout/dispatch/dispatch.go
+++ b/pkg/rollout/dispatch/dispatch.go
@@ -74,8 +74,11 @@
 const (
 	// The costs that the choice of an engine weighs, in running requests.
 	costOtherDomain = 1.0
-	costSilent      = 6.0
-	gainSameGroup   = 3.0
+	// costPace is that of an item of mean length on an engine which takes
+	// twice the median time for an event. It grows with the length.
+	costPace      = 3.0
+	costSilent    = 6.0
+	gainSameGroup = 3.0
 	// backoffMS is the pause after an engine has turned a task away, and
 	// maxBackoffMS the longest after repeated failures.
 	backoffMS    rollout.Millis = 120
@@ -125,6 +128,8 @@
 	moveAt  rollout.Millis
 	waiting []Task
 	running map[key]*run
+	// meanTokens is the smoothed ExpectedTokens of the tasks.
+	meanTokens float64
 	// medians holds the median pace of each pool at mediansAt.
 	medians   map[string]float64
 	mediansAt rollout.Millis
@@ -141,6 +146,7 @@
 
 // Add queues a task.
 func (s *Scheduler) Add(t Task) {
+	s.noteLength(t)
 	i, _ := slices.BinarySearchFunc(s.waiting, t, compareTasks)
 	s.waiting = slices.Insert(s.waiting, i, t)
 }
@@ -262,7 +268,7 @@
 			continue
 		}
 		slowness := s.slowness(now, e)
-		cost := float64(e.running+1) * slowness
+		cost := float64(e.running+1)*slowness + s.delay(now, e, t)
 		if e.FailureDomain != s.cfg.FailureDomain {
 			cost += costOtherDomain
 		}
--- a/pkg/rollout/dispatch/dispatch_test.go
+++ b/pkg/rollout/dispatch/dispatch_test.go
@@ -132,6 +132,30 @@
 	}
 }
 
+// A third of the engines is of an older make.
+func TestLongItemsGoToFastEngines(t *testing.T) {
+	f := newFixture(3, 8, "m")
+	f.add(12, dispatch.Task{Model: "m", ExpectedTokens: 100})
+	as := f.Next(f.now)
+	for start := f.now; f.now < start+fewEvents*slowGap; f.now++ {
+		for _, a := range as {
+			gap := rollout.Millis(eventGap)
+			if a.Engine == "e0" {
+				gap = 1.35 * eventGap
+			}
+			if (f.now-start)%gap == 0 {
+				f.Progress(f.now, a.Task)
+			}
+		}
+	}
+	f.add(6, dispatch.Task{Model: "m", ExpectedTokens: 400})
+	for _, a := range f.Next(f.now) {
+		if a.Engine == "e0" {
+			t.Fatalf("item %s begins on the slow engine", a.Task.ItemID)
+		}
+	}
+}
+
 func TestUrgentTasksStartFirst(t *testing.T) {
 	f := newFixture(1, 1, "m")
 	f.Add(dispatch.Task{JobID: "late", ItemID: "a", Pool: pool, Model: "m", DueMS: 9})
--- a/pkg/rollout/dispatch/pace.go
+++ b/pkg/rollout/dispatch/pace.go
@@ -18,6 +18,11 @@
 	// as slow; a full batch is about a third slower than a single request.
 	slowFactor = 1.6
 	maxSlow    = 6.0
+	// lengthWeight is the weight of the newest task in the mean length, and
+	// maxLength the largest length in means that counts: estimates are often
+	// far off.
+	lengthWeight = 0.02
+	maxLength    = 4.0
 	// stallMS is the longest silence of a run that is not explained by a
 	// change of weights.
 	stallMS rollout.Millis = 1_500
@@ -130,6 +135,30 @@
 	return min(ratio, maxSlow)
 }
 
+// noteLength takes the length of a task into the mean.
+func (s *Scheduler) noteLength(t Task) {
+	if t.ExpectedTokens <= 0 {
+		return
+	}
+	if s.meanTokens == 0 {
+		s.meanTokens = float64(t.ExpectedTokens)
+	}
+	s.meanTokens += lengthWeight * (float64(t.ExpectedTokens) - s.meanTokens)
+}
+
+// delay returns the cost of the time that a task takes longer on an engine
+// than on most others. Engines of a pool may differ in their make; the longest
+// items, which a step waits for in the end, belong on the fast ones.
+func (s *Scheduler) delay(now rollout.Millis, e *engine, t Task) float64 {
+	median := s.medianPace(now, e.Pool)
+	if e.pace.ms == 0 || median == 0 || s.meanTokens == 0 {
+		return 0
+	}
+	length := min(float64(t.ExpectedTokens)/s.meanTokens, maxLength)
+	ratio := min(e.pace.ms/median, slowFactor)
+	return costPace * length * (ratio - 1)
+}
+
 // medianPace returns the median pace of the engines of a pool.
 func (s *Scheduler) medianPace(now rollout.Millis, pool string) float64 {
 	if s.mediansAt != now {
