Found the store also after its first processes were killed

Cause: only a process of the first start of the whole system could found the store. Change: the log of control names the founders once; a blank store whose ID is among them founds, whatever process it is, and control takes any blank store as founder. Test that failed before: all of jobstore that begin with newLeader (no store led). Conclusion: a host that lost its disk has another ID and is still no founder.

--- a/internal/director/duties.go
+++ b/internal/director/duties.go
@@ -59,7 +59,7 @@
 	if founded {
 		return
 	}
-	hosts = slices.DeleteFunc(hosts, func(r view.Request) bool { return r.Store == nil || !r.Store.Founding })
+	hosts = slices.DeleteFunc(hosts, func(r view.Request) bool { return r.Store == nil || !r.Store.Blank })
 	if len(hosts) < want {
 		return
 	}
--- a/internal/jobstore/runner_test.go
+++ b/internal/jobstore/runner_test.go
@@ -140,7 +140,9 @@
 		cancel()
 		wait.Wait()
 	})
-	s.replica.Found(quorum.Members{Voters: []quorum.Member{{ID: s.replica.Status().Member, Address: l.Addr().String()}}})
+	// A store founds whatever process it is, also one that was killed before it
+	// heard of its founding.
+	s.follow(view.Copy{Facts: view.Facts{Founders: []quorum.Member{{ID: s.replica.Status().Member, Address: l.Addr().String()}}}})
 	// The watcher knows nothing here, so what follow brings must find a lead
 	// that has begun to write.
 	eventually(t, "the store leads and writes", func() bool {
--- a/internal/jobstore/store.go
+++ b/internal/jobstore/store.go
@@ -42,8 +42,6 @@
 	FailureDomain string
 	// Controls returns addresses of control hosts. They may change.
 	Controls func() []string
-	// Founding is true when the whole system starts for the first time.
-	Founding bool
 	// Losses is the number of hosts that may be lost at once.
 	Losses int
 	// KeepMS is how long a job is kept after its submission.
@@ -120,7 +118,9 @@
 // follow takes what control has decided.
 func (s *Store) follow(c view.Copy) {
 	self := s.replica.Status()
-	if s.opts.Founding && self.Blank() {
+	// The log of control names the founders once. A blank host with the ID of
+	// one has not lost a disk, only the time of the founding.
+	if self.Blank() {
 		for _, m := range c.Facts.Founders {
 			if m.ID == self.Member {
 				s.replica.Found(quorum.Members{Voters: c.Facts.Founders})
@@ -174,7 +174,7 @@
 		s.settled = st.Members
 	}
 	return &view.StoreStatus{
-		Member: st.Member, Founding: s.opts.Founding && st.Blank(), Leading: leads, Term: st.Term,
+		Member: st.Member, Blank: st.Blank(), Leading: leads, Term: st.Term,
 		Members: s.settled, Settled: st.Settled, FactsRevision: s.watcher.Copy().FactsRevision,
 	}
 }
--- a/internal/view/protocol.go
+++ b/internal/view/protocol.go
@@ -59,11 +59,11 @@
 // StoreStatus is what a host that stores jobs says of its quorum.
 type StoreStatus struct {
 	Member quorum.MemberID
-	// Founding is true while the host may found the first quorum.
-	Founding bool
-	Leading  bool
-	Term     uint64
-	Members  quorum.Members
+	// Blank is true while the host has never been a member of a quorum.
+	Blank   bool
+	Leading bool
+	Term    uint64
+	Members quorum.Members
 	// Settled is true when Members is committed.
 	Settled bool
 	// FactsRevision is that of the facts which the host acts on.
