Add a fault soak of the users' interface

Real processes on loopback addresses under faults from a seed; checkers look on from what callers, upstreams and the platform see. Logging's processor time and the bytes between failure domains are measured.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 LINT_VERSION := v2.15.0
 LINT := .tools/golangci-lint-$(LINT_VERSION)
 
-.PHONY: build check demo format fuzz idle latency lint measure slopes smoke-test test
+.PHONY: build check demo format fuzz idle latency lint measure slopes smoke-test soak test
 
 build:
 	$(GO) build -o bin/coltsfootspoke .
@@ -39,6 +39,12 @@
 	-$(GO) test -count=1 -run '^($(KNOWN_RED))$$' ./internal/e2e
 endif
 
+# Runs real processes under faults; docs/developer/soak.md tells how to read it.
+SEED ?= 1
+SECONDS ?= 15
+soak:
+	$(GO) test ./platform -count=1 -v -timeout 20m -run '^TestSoak$$' -soak.seed=$(SEED) -soak.seconds=$(SECONDS) -soak.bounds -soak.logs=$(CURDIR)/target/soak.log
+
 # Compares calls through an entry and an agent with direct calls.
 latency: build
 	sh scripts/demo.sh latency
