--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -178,7 +178,7 @@
 	r.do(func(now rollout.Millis) {
 		for _, m := range ms {
 			r.peers.Learn(m.From, address)
-			if m.Type == quorum.MessageSnapshot && m.Snapshot != nil {
+			if m.Type == quorum.MessageSnapshot && m.Snapshot != nil && r.lacks(m) {
 				r.fetch(address, m)
 				continue
 			}
--- a/internal/replica/snapshot.go
+++ b/internal/replica/snapshot.go
@@ -103,14 +103,17 @@
 	return piece{Index: index, Total: total, Bytes: data}, err
 }
 
+// lacks tells whether a snapshot is worth fetching. A host that has lost its
+// disk still gets those for the member that it was; they would be fetched for
+// nothing, and in the way of the one that it waits for.
+func (r *Replica) lacks(m quorum.Message) bool {
+	return m.To == r.node.ID() && m.Term >= r.node.Term() && m.Snapshot.Index > r.node.Commit()
+}
+
 // fetch brings the snapshot that a leader has announced to the own disk and
 // then hands the message to the node. One snapshot is fetched at a time; the
 // leader announces it again.
 func (r *Replica) fetch(address string, m quorum.Message) {
-	if m.Snapshot.Index <= r.node.Commit() {
-		r.node.Step(r.opts.Clock.Now(), m)
-		return
-	}
 	if r.fetching {
 		return
 	}
--- /dev/null
+++ b/internal/replica/snapshot_test.go
@@ -0,0 +1,28 @@
+package replica
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/quorum"
+)
+
+func TestOnlyOwnAndNewerSnapshotsAreFetched(t *testing.T) {
+	saved := quorum.Saved{HardState: quorum.HardState{Term: 4}, Snapshot: &quorum.Snapshot{Index: 10, Term: 3}}
+	r := &Replica{node: quorum.New(quorum.DefaultConfig("b"), saved, 0, rand.New(rand.NewPCG(1, 1)))}
+	for name, c := range map[string]struct {
+		m    quorum.Message
+		want bool
+	}{
+		"newer":                        {quorum.Message{To: "b", Term: 4, Snapshot: &quorum.Snapshot{Index: 11}}, true},
+		"for the member before a wipe": {quorum.Message{To: "a", Term: 4, Snapshot: &quorum.Snapshot{Index: 11}}, false},
+		"of an earlier leader":         {quorum.Message{To: "b", Term: 3, Snapshot: &quorum.Snapshot{Index: 11}}, false},
+		"held already":                 {quorum.Message{To: "b", Term: 4, Snapshot: &quorum.Snapshot{Index: 10}}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if got := r.lacks(c.m); got != c.want {
+				t.Fatalf("lacks = %v, want %v", got, c.want)
+			}
+		})
+	}
+}
--- a/pkg/rollout/quorum/election.go
+++ b/pkg/rollout/quorum/election.go
@@ -116,6 +116,9 @@
 		n.hard.Vote = m.From
 		n.saveHard()
 		n.resetElection(now)
+	} else {
+		// The other is about to stand; two at a time would split the votes.
+		n.electionAt = max(n.electionAt, now+n.cfg.ElectionMS/preVoteSpread)
 	}
 	n.send(reply)
 }
@@ -177,7 +180,9 @@
 func (n *Node) startPreVote(now rollout.Millis) {
 	n.role = preCandidate
 	n.leader = ""
-	n.resetElection(now)
+	// A pre-vote binds nobody, so the next may follow soon: voters that have
+	// just started withhold theirs until their wait is over.
+	n.electionAt = now + n.cfg.ElectionMS/preVoteSpread + n.spread(preVoteSpread)
 	n.requestVotes(now, MessagePreVote, n.hard.Term+1, false)
 }
 
--- a/pkg/rollout/quorum/node.go
+++ b/pkg/rollout/quorum/node.go
@@ -107,7 +107,7 @@
 	}
 	n.persisted = n.log.lastIndex()
 	n.holdUntil = now + cfg.ElectionMS
-	n.resetElection(now)
+	n.electionAt = n.holdUntil + n.spread(restartSpread)
 	return n
 }
 
@@ -328,8 +328,23 @@
 	return n.members
 }
 
+const (
+	// The spread of elections over voters, in parts of ElectionMS: that of
+	// voters which have heard the same leader, that of voters which have just
+	// started, and that of the next try after a pre-vote that failed.
+	leaderSpread  = 2
+	restartSpread = 2
+	preVoteSpread = 4
+)
+
 func (n *Node) resetElection(now rollout.Millis) {
-	n.electionAt = now + n.cfg.ElectionMS + rollout.Millis(n.rand.Int64N(int64(n.cfg.ElectionMS)))
+	n.electionAt = now + n.cfg.ElectionMS + n.spread(leaderSpread)
+}
+
+// spread returns a random part of ElectionMS, so that voters seldom stand at
+// the same time.
+func (n *Node) spread(parts rollout.Millis) rollout.Millis {
+	return rollout.Millis(n.rand.Int64N(int64(n.cfg.ElectionMS / parts)))
 }
 
 func (n *Node) saveHard() {
--- a/pkg/rollout/quorum/node_test.go
+++ b/pkg/rollout/quorum/node_test.go
@@ -74,6 +74,37 @@
 	}
 }
 
+// preVotes lets time pass and returns when pre-votes were asked for.
+func preVotes(n *Node, from, to rollout.Millis) []rollout.Millis {
+	var at []rollout.Millis
+	for now := from; now < to; now += 10 {
+		n.Tick(now)
+		if len(n.Take().Messages) > 0 {
+			at = append(at, now)
+		}
+	}
+	return at
+}
+
+func TestRestartedVotersElectSoonAfterTheirWait(t *testing.T) {
+	n, wait := newTestNode(Bootstrap(threeVoters))
+	at := preVotes(n, 0, 2*wait)
+	if len(at) < 2 || at[0] < wait || at[0] > wait+wait/2+10 || at[1] > at[0]+wait/2+10 {
+		t.Fatalf("pre-votes at %v, the wait is over at %d", at, wait)
+	}
+}
+
+func TestVoterMakesWayForOneThatIsAboutToStand(t *testing.T) {
+	n, wait := newTestNode(Bootstrap(threeVoters))
+	first := preVotes(n, 0, 2*wait)[0]
+	n, _ = newTestNode(Bootstrap(threeVoters))
+	n.Step(first-10, Message{Type: MessagePreVote, From: "b", To: "a", Term: 2, PrevIndex: 1, PrevTerm: 1})
+	assertReply(t, n, false)
+	if at := preVotes(n, first-10, first+100); len(at) > 0 {
+		t.Fatalf("stands at %v beside b", at)
+	}
+}
+
 // lead makes a node leader of three and commits the entry of its term.
 func lead(t *testing.T, n *Node, now rollout.Millis) rollout.Millis {
 	t.Helper()
