--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -123,6 +123,8 @@
 	// backlog holds committed entries that are not yet applied.
 	backlog  []quorum.Entry
 	logBytes int
+	// servedAt is when another member last fetched a piece of the snapshot.
+	servedAt atomic.Int64
 	// compactAt is the size of the log at which this replica begins a
 	// snapshot. Replicas differ, so that they do not all write at once.
 	compactAt int
--- a/internal/replica/snapshot.go
+++ b/internal/replica/snapshot.go
@@ -20,6 +20,9 @@
 	// heartbeats and requests go on.
 	paceBytes = 256 << 10
 	pacePause = 4 * time.Millisecond
+	// servedWithinMS is how long after a piece the rest of a snapshot may still
+	// be fetched.
+	servedWithinMS rollout.Millis = 1_000
 	// pieceBytes is how much of a snapshot a member fetches with one call.
 	pieceBytes   = 1 << 20
 	pieceTimeout = 2 * time.Second
@@ -45,7 +48,7 @@
 // compact begins to replace a long log by a snapshot. Another thread writes
 // it, so that heartbeats go on. Its data stays on the disk.
 func (r *Replica) compact(applied uint64) {
-	if r.logBytes < r.compactAt || r.freezing {
+	if !r.compactDue(r.opts.Clock.Now()) {
 		return
 	}
 	r.freezing = true
@@ -58,6 +61,17 @@
 	})
 }
 
+// compactDue tells whether to begin a snapshot. While a member fetches the
+// present one a new one waits, for the member would have to begin anew; a log
+// of twice the size waits no longer.
+func (r *Replica) compactDue(now rollout.Millis) bool {
+	if r.logBytes < r.compactAt || r.freezing {
+		return false
+	}
+	fetched := now-rollout.Millis(r.servedAt.Load()) < servedWithinMS
+	return !fetched || r.logBytes >= 2*r.compactAt
+}
+
 // shorten drops the log that a stored snapshot covers.
 func (r *Replica) shorten(index uint64, err error) {
 	r.freezing = false
@@ -99,6 +113,7 @@
 
 // pieceOf answers another member that fetches the snapshot.
 func (r *Replica) pieceOf(_ context.Context, req pieceRequest) (piece, error) {
+	r.servedAt.Store(int64(r.opts.Clock.Now()))
 	data, index, total, err := r.store.ReadPiece(req.Offset, pieceBytes)
 	return piece{Index: index, Total: total, Bytes: data}, err
 }
--- a/internal/replica/snapshot_test.go
+++ b/internal/replica/snapshot_test.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"testing"
 
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/quorum"
 )
 
@@ -26,3 +27,26 @@
 		})
 	}
 }
+
+func TestSnapshotThatIsBeingFetchedStays(t *testing.T) {
+	const now = rollout.Millis(100_000)
+	for name, c := range map[string]struct {
+		logBytes int
+		servedAt rollout.Millis
+		want     bool
+	}{
+		"short log":                       {99, 0, false},
+		"long log":                        {100, 0, true},
+		"long log, piece served":          {100, now - 10, false},
+		"long log, piece served long ago": {100, now - servedWithinMS, true},
+		"log of twice the size":           {200, now - 10, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := &Replica{logBytes: c.logBytes, compactAt: 100}
+			r.servedAt.Store(int64(c.servedAt))
+			if got := r.compactDue(now); got != c.want {
+				t.Fatalf("compactDue = %v, want %v", got, c.want)
+			}
+		})
+	}
+}
