--- a/internal/replica/snapshot.go
+++ b/internal/replica/snapshot.go
@@ -20,9 +20,13 @@
 	// heartbeats and requests go on.
 	paceBytes = 256 << 10
 	pacePause = 4 * time.Millisecond
-	// servedWithinMS is how long after a piece the rest of a snapshot may still
-	// be fetched.
-	servedWithinMS rollout.Millis = 1_000
+	// servedWithinMS is how long after a piece the rest of a snapshot, or of
+	// the log behind it, may still be asked for.
+	servedWithinMS rollout.Millis = 2_000
+	// holdMS bounds how long a new snapshot waits for members that fetch the
+	// present one; they have 6 s to catch up.
+	holdMS    rollout.Millis = 6_000
+	holdPause                = 100 * time.Millisecond
 	// pieceBytes is how much of a snapshot a member fetches with one call.
 	pieceBytes   = 1 << 20
 	pieceTimeout = 2 * time.Second
@@ -48,28 +52,44 @@
 // compact begins to replace a long log by a snapshot. Another thread writes
 // it, so that heartbeats go on. Its data stays on the disk.
 func (r *Replica) compact(applied uint64) {
-	if !r.compactDue(r.opts.Clock.Now()) {
+	if r.logBytes < r.compactAt || r.freezing {
 		return
 	}
 	r.freezing = true
 	frozen := r.machine.Freeze()
 	snap := r.node.SnapshotAt(applied)
+	ctx := r.ctx
 	r.group.Go(func() error {
-		err := r.store.SaveSnapshot(snap, func(w io.Writer) error { return packState(&pacedWriter{w: w, left: paceBytes}, frozen) })
+		err := r.store.SaveSnapshot(snap, func(w io.Writer) error {
+			err := packState(&pacedWriter{w: w, left: paceBytes}, frozen)
+			r.letFetchEnd(ctx)
+			return err
+		})
 		r.do(func(rollout.Millis) { r.shorten(applied, err) })
 		return nil
 	})
 }
 
-// compactDue tells whether to begin a snapshot. While a member fetches the
-// present one a new one waits, for the member would have to begin anew; a log
-// of twice the size waits no longer.
-func (r *Replica) compactDue(now rollout.Millis) bool {
-	if r.logBytes < r.compactAt || r.freezing {
-		return false
+// letFetchEnd waits while another member fetches the present snapshot, for it
+// would have to begin anew.
+func (r *Replica) letFetchEnd(ctx context.Context) {
+	for end := r.opts.Clock.Now() + holdMS; ctx.Err() == nil; {
+		now := r.opts.Clock.Now()
+		if now >= end || !r.beingFetched(now) {
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(holdPause):
+		}
 	}
-	fetched := now-rollout.Millis(r.servedAt.Load()) < servedWithinMS
-	return !fetched || r.logBytes >= 2*r.compactAt
+}
+
+// beingFetched tells whether another member may still need the present
+// snapshot, or the log behind it.
+func (r *Replica) beingFetched(now rollout.Millis) bool {
+	at := rollout.Millis(r.servedAt.Load())
+	return at > 0 && now-at < servedWithinMS
 }
 
 // shorten drops the log that a stored snapshot covers.
--- a/pkg/rollout/poison/poison.go
+++ b/pkg/rollout/poison/poison.go
@@ -32,7 +32,8 @@
 }
 
 // Fingerprint returns what a request keeps when it is sent again: its client
-// account, method, target and body.
+// account, method, target and body. The account is empty where requests of all
+// accounts count together.
 func Fingerprint(account, method, target string, body []byte) string {
 	h := sha256.New()
 	for _, part := range []string{account, method, target} {
