--- a/Makefile
+++ b/Makefile
@@ -42,7 +42,8 @@
 # Runs real processes under faults; docs/developer/soak.md tells how to read it.
 SEED ?= 1
 SECONDS ?= 15
-soak:
+soak: build
+	$(GO) test ./internal/e2e -count=1 -v -timeout 20m -run '^TestSoak$$' -soak.seed=$(SEED) -soak.seconds=$(SECONDS) -soak.bounds
 	$(GO) test ./platform -count=1 -v -timeout 20m -run '^TestSoak$$' -soak.seed=$(SEED) -soak.seconds=$(SECONDS) -soak.bounds -soak.logs=$(CURDIR)/target/soak.log
 
 # Compares calls through an entry and an agent with direct calls.
