--- a/internal/e2e/soak_test.go
+++ b/internal/e2e/soak_test.go
@@ -159,7 +159,7 @@
 		time.Sleep(time.Duration(r.Int64N(int64(longestFault))))
 		d.signal(name, syscall.SIGCONT)
 	}},
-	{"kill all control hosts", func(d *deployment, r *rand.Rand) {
+	{"kill all control hosts", func(d *deployment, _ *rand.Rand) {
 		for i := range 3 {
 			d.kill(fmt.Sprintf("control-%d", i+1))
 		}
