--- a/internal/e2e/soak_test.go
+++ b/internal/e2e/soak_test.go
@@ -184,7 +184,11 @@
 // TestSoak runs a deployment under faults from a seed and checks what callers,
 // a trainer and the platform see.
 func TestSoak(t *testing.T) {
-	d := deploy(t, demo.DefaultOptions())
+	o := demo.DefaultOptions()
+	o.Upstreams = append([]demo.Upstream(nil), o.Upstreams...)
+	// Orders are under way when processes end.
+	o.Upstreams[3].Args = []string{"--delay=60ms"}
+	d := deploy(t, o)
 	r := rand.New(rand.NewPCG(*soakSeed, 1))
 	seen := &ordersSeen{orders: make(map[string]sentOrder), withdrawn: make(map[string]time.Time), key: key}
 	ctx, cancel := context.WithCancel(t.Context())
