--- a/internal/e2e/soak_test.go
+++ b/internal/e2e/soak_test.go
@@ -159,6 +159,7 @@
 		time.Sleep(time.Duration(r.Int64N(int64(longestFault))))
 		d.signal(name, syscall.SIGCONT)
 	}},
+	{"kill an entry", func(d *deployment, r *rand.Rand) { d.again(r, fmt.Sprintf("entry-%d", 1+r.IntN(2)), d.kill) }},
 	{"kill all control hosts", func(d *deployment, _ *rand.Rand) {
 		for i := range 3 {
 			d.kill(fmt.Sprintf("control-%d", i+1))
