Found the store with the hosts that there are

Control waits for 2f+1 store hosts, five there, and the deployment has fewer. Ruled out: a larger share of the storage hosts in deploy/system.toml (a site may have fewer than 2f+1 altogether). Change: after 5 s three hosts or more are enough; the roster adds voters as more come, up to 2f+1. Test that failed before: director.TestStoreIsFoundedWithTheHostsThatThereAre (too few for long: none, want 4).

--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -1,12 +1,14 @@
 package director
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 
 	"go.uber.org/zap"
 
 	"github.com/coltsfootspoke/coltsfootspoke/internal/view"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/clock"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/discovery"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/poison"
@@ -45,3 +47,30 @@
 		t.Fatalf("refused are %v at revision %d, before %d", got, d.factsRevision(), before)
 	}
 }
+
+func TestStoreIsFoundedWithTheHostsThatThereAre(t *testing.T) {
+	const want = 5
+	for name, c := range map[string]struct {
+		hosts, blank int
+		waited       rollout.Millis
+		members      int
+	}{
+		"enough at once":       {7, 7, 0, 5},
+		"too few at once":      {4, 4, foundWaitMS - 1, 0},
+		"too few for long":     {4, 4, foundWaitMS, 4},
+		"one alone":            {1, 1, foundWaitMS, 0},
+		"most are no founders": {5, 2, foundWaitMS, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var hosts []view.Request
+			for i := range c.hosts {
+				hosts = append(hosts, view.Request{
+					Host: fmt.Sprint(i), FailureDomain: fmt.Sprint(i % 3), Store: &view.StoreStatus{Blank: i < c.blank},
+				})
+			}
+			if got := founders(hosts, want, c.waited); len(got) != c.members {
+				t.Fatalf("%d founders, want %d", len(got), c.members)
+			}
+		})
+	}
+}
--- a/internal/director/duties.go
+++ b/internal/director/duties.go
@@ -18,6 +18,11 @@
 	// closeDelayMS is the time from the end of a usage window to its close:
 	// entries report once a second, and a lost leader is replaced within two.
 	closeDelayMS rollout.Millis = 4_000
+	// foundWaitMS is how long a new leader waits for as many hosts as it wants
+	// for the job store: hosts that start together come within 2 s.
+	foundWaitMS rollout.Millis = 5_000
+	// leastFounders bear the loss of one.
+	leastFounders = 3
 	// sendTimeout ends a report that gets no answer.
 	sendTimeout = time.Second
 	// sendSpareMS must be left of the lease when a report is sent.
@@ -54,22 +59,32 @@
 	d.mu.Lock()
 	founded := len(d.state.Founders) > 0
 	hosts := d.alive(view.RoleStore)
+	waited := d.clock.Now() - d.since
 	d.mu.Unlock()
-	want := 2*d.opts.Losses + 1
 	if founded {
 		return
 	}
-	hosts = slices.DeleteFunc(hosts, func(r view.Request) bool { return r.Store == nil || !r.Store.Blank })
-	if len(hosts) < want {
+	members := founders(hosts, 2*d.opts.Losses+1, waited)
+	if len(members) == 0 {
 		return
 	}
-	members := spread(hosts, want)
 	d.opts.Log.Info("StoreFounded", zap.Int("Members", len(members)))
 	if err := d.propose(ctx, registry.Command{Found: &registry.Found{Members: members}}); err != nil {
 		d.opts.Log.Warn("StoreNotFounded", zap.Error(err))
 	}
 }
 
+// founders returns the first members of the job store, or none while more are
+// awaited. A deployment may have fewer hosts than it wants members; the quorum
+// grows when more come.
+func founders(hosts []view.Request, want int, waited rollout.Millis) []quorum.Member {
+	hosts = slices.DeleteFunc(hosts, func(r view.Request) bool { return r.Store == nil || !r.Store.Blank })
+	if len(hosts) < want && (waited < foundWaitMS || len(hosts) < leastFounders) {
+		return nil
+	}
+	return spread(hosts, min(want, len(hosts)))
+}
+
 // spread takes hosts from the failure domains in turn.
 func spread(hosts []view.Request, want int) []quorum.Member {
 	byDomain := make(map[string][]view.Request)
