Tell the pieces of a discarded text from those of the new one

Cause: markSaved recognised a piece of a discarded text only if it had more events than the new text. With as many new events, the old version's piece counted as the new text and rewrite stayed false. Discarding also cleared saving, so a second piece could be committed beside the first. Ruled out: comparing versions, as two texts of one version can follow each other. Change: textBuffer counts its discards and a piece carries that count; saving survives a discard, and a discard during a save asks for a rewrite. Before: TestPieceOfDiscardedTextNeverCountsAsNewText "saving is false while the old piece is being committed", TestTextDiscardedDuringSaveIsRewrittenIfSaveFails "rewrite is false although the outcome of the save is unknown". After: both pass.

--- a/internal/jobstore/item.go
+++ b/internal/jobstore/item.go
@@ -280,8 +280,9 @@
 	for {
 		f := job.FinishItem{Writer: r.writer, JobID: w.spec.ID, Result: result}
 		if result.State == job.StateCompleted {
-			var err error
-			if f.Piece, _, err = r.unsavedPiece(w); err != nil {
+			p, err := r.unsavedPiece(w)
+			f.Piece = p.TextPiece
+			if err != nil {
 				r.store.opts.Log.Error("TextDecodeFailed", zap.String("Request", w.item.ID), zap.Error(err))
 				return
 			}
@@ -330,16 +331,16 @@
 
 // saveText stores the unsaved text of an item.
 func (r *runner) saveText(ctx context.Context, w *workItem) {
-	piece, events, err := r.unsavedPiece(w)
+	p, err := r.unsavedPiece(w)
 	if err == nil {
-		err = r.store.propose(ctx, job.Command{Extend: &job.ExtendText{Writer: r.writer, JobID: w.spec.ID, ItemID: w.item.ID, Piece: piece}})
+		err = r.store.propose(ctx, job.Command{Extend: &job.ExtendText{Writer: r.writer, JobID: w.spec.ID, ItemID: w.item.ID, Piece: p.TextPiece}})
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	w.text.saving = false
 	switch {
 	case err == nil:
-		w.text.markSaved(piece, events)
+		w.text.markSaved(p)
 	case rollout.AsError(err).Kind == rollout.KindConflict:
 		w.text.rewrite = true
 	default:
@@ -348,13 +349,12 @@
 }
 
 // unsavedPiece returns the piece that brings the stored text of an item up to
-// date, and the number of unsaved events in it.
-func (r *runner) unsavedPiece(w *workItem) (job.TextPiece, int, error) {
+// date.
+func (r *runner) unsavedPiece(w *workItem) (unsavedPiece, error) {
 	r.mu.Lock()
 	t := *w.text
 	r.mu.Unlock()
-	p, err := t.unsavedPiece(r.store.packer)
-	return p, len(t.unsaved), err
+	return t.unsavedPiece(r.store.packer)
 }
 
 func (r *runner) logRun(w *workItem, a dispatch.Assignment, started time.Time, status int, err error) {
--- a/internal/jobstore/text.go
+++ b/internal/jobstore/text.go
@@ -29,6 +29,18 @@
 	// rewrite is true if the state holds a text other than chunks, so that the next
 	// piece must replace it.
 	rewrite bool
+	// discards counts how often the text was discarded. It tells the pieces of an
+	// earlier text from those of the current one.
+	discards int
+}
+
+// unsavedPiece is a piece that is to be stored.
+type unsavedPiece struct {
+	job.TextPiece
+	// events is the number of unsaved events in the piece.
+	events int
+	// discards is the value of textBuffer.discards when the piece was taken.
+	discards int
 }
 
 // newTextBuffer returns a buffer that continues a stored text.
@@ -55,14 +67,13 @@
 // versions that generated it.
 func (t *textBuffer) discardUnlessAllowed(minVersion uint64, single bool) {
 	if !job.VersionsAllowed(t.versions, minVersion, single) {
-		*t = textBuffer{rewrite: len(t.chunks) > 0 || t.rewrite}
+		*t = textBuffer{rewrite: len(t.chunks) > 0 || t.rewrite || t.saving, saving: t.saving, discards: t.discards + 1}
 	}
 }
 
-// markSaved records that a piece with the first unsaved events has been stored.
-func (t *textBuffer) markSaved(p job.TextPiece, events int) {
-	if events > len(t.unsaved) {
-		// The text was discarded while the piece was being committed.
+// markSaved records that a piece has been stored.
+func (t *textBuffer) markSaved(p unsavedPiece) {
+	if p.discards != t.discards {
 		t.rewrite = true
 		return
 	}
@@ -72,12 +83,15 @@
 	if len(p.Chunk) > 0 {
 		t.chunks = append(slices.Clip(t.chunks), p.Chunk)
 	}
-	t.unsaved, t.rewrite = t.unsaved[events:], false
+	t.unsaved, t.rewrite = t.unsaved[p.events:], false
 }
 
 // unsavedPiece returns the piece that brings the stored text up to date.
-func (t textBuffer) unsavedPiece(packer *pack.Packer) (job.TextPiece, error) {
-	p := job.TextPiece{From: len(t.chunks), LastID: t.lastID, Versions: t.versions}
+func (t textBuffer) unsavedPiece(packer *pack.Packer) (unsavedPiece, error) {
+	p := unsavedPiece{
+		TextPiece: job.TextPiece{From: len(t.chunks), LastID: t.lastID, Versions: t.versions},
+		events:    len(t.unsaved), discards: t.discards,
+	}
 	events := t.unsaved
 	if t.rewrite {
 		p.From = 0
--- a/internal/jobstore/text_test.go
+++ b/internal/jobstore/text_test.go
@@ -1,6 +1,7 @@
 package jobstore
 
 import (
+	"slices"
 	"testing"
 
 	"github.com/coltsfootspoke/coltsfootspoke/internal/pack"
@@ -21,9 +22,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	next, err := stored.With(p)
+	next, err := stored.With(p.TextPiece)
 	if err == nil {
-		tx.markSaved(p, len(tx.unsaved))
+		tx.markSaved(p)
 	}
 	return next, err
 }
@@ -98,8 +99,49 @@
 		t.Fatal(err)
 	}
 	tx.discardUnlessAllowed(4, false)
-	tx.markSaved(p, 3)
+	tx.markSaved(p)
 	if !tx.rewrite {
 		t.Fatal("rewrite is false after the discarded text was stored")
 	}
 }
+
+func TestPieceOfDiscardedTextNeverCountsAsNewText(t *testing.T) {
+	tx := newTextBuffer(job.GeneratedText{})
+	addEvents(tx, 1, 3, 3)
+	tx.saving = true
+	old, err := tx.unsavedPiece(pack.New())
+	if err != nil {
+		t.Fatal(err)
+	}
+	tx.discardUnlessAllowed(4, false)
+	if !tx.saving {
+		t.Fatal("saving is false while the old piece is being committed")
+	}
+	addEvents(tx, 1, 3, 4)
+	stored, err := job.GeneratedText{}.With(old.TextPiece)
+	if err != nil {
+		t.Fatal(err)
+	}
+	tx.markSaved(old)
+	if !tx.rewrite || len(tx.unsaved) != 3 {
+		t.Fatalf("rewrite %v, %d unsaved events, want true, 3", tx.rewrite, len(tx.unsaved))
+	}
+	addEvents(tx, 4, 4, 4)
+	if stored, err = saveTo(t, tx, stored); err != nil {
+		t.Fatal(err)
+	}
+	assertOutput(t, stored, "b\nc\nd\ne")
+	if !slices.Equal(stored.Versions, []uint64{4}) {
+		t.Fatalf("versions %v, want [4]", stored.Versions)
+	}
+}
+
+func TestTextDiscardedDuringSaveIsRewrittenIfSaveFails(t *testing.T) {
+	tx := newTextBuffer(job.GeneratedText{})
+	addEvents(tx, 1, 3, 3)
+	tx.saving = true
+	tx.discardUnlessAllowed(4, false)
+	if !tx.rewrite {
+		t.Fatal("rewrite is false although the outcome of the save is unknown")
+	}
+}
