Refuse a staleness bound out of range

Ruled out: a check in the language alone, as other clients propose commands too. A group that already holds a larger bound keeps it until it is set again. Before: TestErrorsReportColumn with staleness "-1": "error <nil>".

--- a/internal/language/build.go
+++ b/internal/language/build.go
@@ -99,7 +99,7 @@
 		Name:           ch.Name,
 		Account:        p.text("account", g.Account),
 		Pool:           p.text("pool", g.Pool),
-		StalenessBound: uint64(p.integer("staleness", int(g.StalenessBound))),
+		StalenessBound: p.unsigned("staleness", g.StalenessBound, ledger.MaxStalenessBound),
 	}
 	return ledger.Command{PutGroup: &put}, p.requireNew(ok, "account", "pool", "staleness")
 }
@@ -194,6 +194,19 @@
 	return int(n)
 }
 
+// unsigned returns a property between 0 and limit.
+func (p *propertyReader) unsigned(key string, fallback, limit uint64) uint64 {
+	prop := p.find(key)
+	if prop == nil {
+		return fallback
+	}
+	n, err := strconv.ParseUint(prop.Value, 10, 64)
+	if err != nil || n > limit {
+		p.fail(errorAt(prop.Pos, "%s %s: must be 0 to %d", key, prop.Value, limit))
+	}
+	return n
+}
+
 func (p *propertyReader) fail(err error) {
 	if p.err == nil {
 		p.err = err
--- a/internal/language/language_test.go
+++ b/internal/language/language_test.go
@@ -26,6 +26,7 @@
 		{"create account x colour red", `column 18: unknown property "colour"; want weight, priority, queue`},
 		{"create account x weight 2 weight 3", `column 27: duplicate property "weight"`},
 		{"create account x weight many", `column 18: weight "many": must be a 32-bit integer`},
+		{`create group g account a pool p staleness "-1"`, `column 33: staleness -1: must be 0 to 2147483647`},
 		{"create route r pool p open perhaps", `column 23: open "perhaps": must be yes or no`},
 		{"create route r", "column 1: create route requires pool"},
 		{"set target paraiso min 1", "must have the form FAILUREDOMAIN/POOL"},
--- a/pkg/rollout/ledger/validate.go
+++ b/pkg/rollout/ledger/validate.go
@@ -1,10 +1,16 @@
 package ledger
 
 import (
+	"math"
+
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/catalog"
 )
 
+// MaxStalenessBound is the largest staleness bound of a trainer group, in weight
+// versions. It is what a statement of the command language can express.
+const MaxStalenessBound = math.MaxInt32
+
 // validate checks a command of an operator against the current state.
 func (s *State) validate(c Command) error {
 	cat := s.Catalog
@@ -19,7 +25,7 @@
 	case c.WithdrawKey != nil:
 		return requireExists(cat.Keys, "key", c.WithdrawKey.ID)
 	case c.PutGroup != nil:
-		return requireExists(cat.Accounts, "account", c.PutGroup.Account)
+		return s.validatePutGroup(*c.PutGroup)
 	case c.PutTarget != nil:
 		if t := c.PutTarget; t.Min < 0 || t.Max < t.Min {
 			return rollout.NewError(rollout.KindInvalidInput, "target %s needs 0 <= min <= max", t.Name())
@@ -70,6 +76,16 @@
 	return nil
 }
 
+// validatePutGroup checks that the account of a group exists and that its
+// staleness bound is in range.
+func (s *State) validatePutGroup(g PutGroup) error {
+	if g.StalenessBound > MaxStalenessBound {
+		return rollout.NewError(rollout.KindInvalidInput, "staleness of group %q is %d, must be at most %d",
+			g.Name, g.StalenessBound, MaxStalenessBound)
+	}
+	return requireExists(s.Catalog.Accounts, "account", g.Account)
+}
+
 // requireExists returns a not-found error if the table has no such entity.
 func requireExists[V any](table map[string]V, kind, name string) error {
 	if _, ok := table[name]; !ok {
