Refuse text after the settings of a daemon

Cause: loadFile decoded one JSON value and ignored what followed, so a file with two objects, or with a half-done edit behind the first, loaded without an error. Ruled out: json.Unmarshal, which would drop the check for unknown fields. Change: what follows the value is refused with line and column. Before: TestTextAfterSettingsIsRefused "error <nil>" for a second object, a letter and a bracket. After: passes; white space is still allowed.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -163,6 +163,10 @@
 	if err := dec.Decode(dst); err != nil {
 		return decodeError(path, data, dec.InputOffset(), err)
 	}
+	if rest := bytes.TrimLeft(data[dec.InputOffset():], " \t\r\n"); len(rest) > 0 {
+		return rollout.NewError(rollout.KindInvalidInput, "%s: unexpected text after the settings",
+			position(path, data, int64(len(data)-len(rest))))
+	}
 	v := &validator{path: path}
 	validate(v)
 	return v.err
