Keep acknowledged records through failed truncations and compactions

Cause: three faults of package disk, seen while reading and now reproduced. After a failed write whose truncation failed too, the next records were acknowledged behind torn bytes, so the log could not be opened again. CompactLog that failed after its rename went on appending to the unlinked file, so all that was acknowledged later was gone at the next start. A gap in the indexes was filled with empty entries. Ruled out: ending the process at each failed write; a full disk heals, and the members already step down and retry what was not stored. The record is rewritten whole after a truncation, so a failed sync leaves nothing that counts as stored. Change: a failed write stays known until the log is truncated; a replaced log is opened and its directory synced before the next record; a gap is a CorruptError with file, offset and both indexes; a failed replacement removes its temporary file. Writes go through disk.FileSystem, which tests make fail.

--- a/internal/control/event_loop_test.go
+++ b/internal/control/event_loop_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"os"
 	"testing"
 
 	"go.uber.org/zap"
@@ -33,6 +32,17 @@
 	return f.File.Write(p)
 }
 
+// limitedFileSystem opens logs as limitedFile.
+type limitedFileSystem struct {
+	disk.FileSystem
+	diskFull *bool
+}
+
+func (l limitedFileSystem) OpenAppend(path string) (disk.File, error) {
+	f, err := l.FileSystem.OpenAppend(path)
+	return limitedFile{f, l.diskFull}, err
+}
+
 // testHost is a control host as the only member of its quorum, on a manual clock.
 type testHost struct {
 	*eventLoop
@@ -43,10 +53,7 @@
 func newTestHost(t *testing.T) *testHost {
 	t.Helper()
 	h := &testHost{clk: clock.NewManual(1_000_000)}
-	store, _, err := disk.Open(t.TempDir(), disk.WithOpenLog(func(path string) (disk.File, error) {
-		f, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-		return limitedFile{f, &h.diskFull}, err
-	}))
+	store, _, err := disk.Open(t.TempDir(), disk.WithFileSystem(limitedFileSystem{disk.OSFileSystem{}, &h.diskFull}))
 	must(t, err)
 	saved, err := saveBootstrapState(store, quorum.Members{Voters: []quorum.Member{{ID: store.Member(), Address: "here"}}})
 	must(t, err)
--- a/internal/disk/record.go
+++ b/internal/disk/record.go
@@ -33,6 +33,8 @@
 	// Entries replace all earlier entries whose index is equal to or above that
 	// of the first one.
 	Entries []quorum.Entry `json:",omitempty"`
+	// offset is the position of the record in the log that it was read from.
+	offset int64
 }
 
 // CorruptError reports a corrupt file. A record that was only partly written at
@@ -100,6 +102,7 @@
 			corrupt.Reason = err.Error()
 			return nil, 0, corrupt
 		}
+		r.offset = int64(offset)
 		records = append(records, r)
 		offset += headerBytes + size
 	}
--- a/internal/disk/snapshot.go
+++ b/internal/disk/snapshot.go
@@ -41,17 +41,29 @@
 	s.snapshotMu.Lock()
 	defer s.snapshotMu.Unlock()
 	if snap.Index < s.snapshotIndex {
-		return nil
+		return s.syncSnapshotName()
 	}
 	header, err := snapshotHeader(snap)
 	if err != nil {
 		return storageError("encode snapshot", err)
 	}
-	err = s.replaceFileWith(snapshotFileName, func(f *os.File) error { return writeSnapshot(f, header, write) })
-	if err != nil {
-		return err
+	renamed, err := s.replaceFileWith(snapshotFileName, func(f File) error { return writeSnapshot(f, header, write) })
+	if renamed {
+		s.snapshotIndex, s.snapshotNameUnsynced = snap.Index, err != nil
+	}
+	return err
+}
+
+// syncSnapshotName makes the name of the stored snapshot durable if an earlier
+// attempt failed. The caller holds snapshotMu.
+func (s *Store) syncSnapshotName() error {
+	if !s.snapshotNameUnsynced {
+		return nil
+	}
+	if err := s.fs.SyncDir(s.dir); err != nil {
+		return storageError("sync directory of snapshot", err)
 	}
-	s.snapshotIndex = snap.Index
+	s.snapshotNameUnsynced = false
 	return nil
 }
 
@@ -100,24 +112,23 @@
 	s.snapshotMu.Lock()
 	defer s.snapshotMu.Unlock()
 	if index < s.snapshotIndex {
-		return nil
+		return s.syncSnapshotName()
 	}
-	err := s.replaceFileWith(snapshotFileName, func(f *os.File) error {
+	renamed, err := s.replaceFileWith(snapshotFileName, func(f File) error {
 		if err := write(f); err != nil {
 			return err
 		}
 		return verifyChecksum(f)
 	})
-	if err != nil {
-		return err
+	if renamed {
+		s.snapshotIndex, s.snapshotNameUnsynced = index, err != nil
 	}
-	s.snapshotIndex = index
-	return nil
+	return err
 }
 
 // verifyChecksum checks the checksum at the start of a snapshot file against the
 // remaining bytes.
-func verifyChecksum(f *os.File) error {
+func verifyChecksum(f File) error {
 	if _, err := f.Seek(0, io.SeekStart); err != nil {
 		return err
 	}
@@ -192,7 +203,7 @@
 
 // writeSnapshot writes a snapshot file. It reserves space for the checksum and
 // fills it in last.
-func writeSnapshot(f *os.File, header []byte, write WriteFunc) error {
+func writeSnapshot(f File, header []byte, write WriteFunc) error {
 	if _, err := f.Write(make([]byte, checksumBytes)); err != nil {
 		return err
 	}
--- a/internal/disk/store.go
+++ b/internal/disk/store.go
@@ -6,6 +6,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"errors"
+	"fmt"
 	"io"
 	"io/fs"
 	"os"
@@ -24,48 +25,48 @@
 	memberIDBytes    = 8
 )
 
-// File is the subset of *os.File that a Store needs to write its log.
-type File interface {
-	Write(p []byte) (int, error)
-	Sync() error
-	Truncate(size int64) error
-	Close() error
-}
-
 // Store is the durable state of one member. Its methods must be called from one
 // goroutine; only SaveSnapshot, InstallSnapshot, OpenSnapshot, ReadSnapshotPiece
 // and LoadSnapshot may be called concurrently.
 type Store struct {
 	dir    string
-	log    File
-	size   int64
+	fs     FileSystem
 	member quorum.MemberID
+	// log is nil if it must be opened again before the next write.
+	log File
+	// size is the length of the valid records of the log.
+	size int64
+	// logTorn is true if the log may hold part of a failed write after size.
+	logTorn bool
+	// logNameUnsynced is true if the log was replaced and the directory could not
+	// be synced. After a power loss the old log may be back.
+	logNameUnsynced bool
 	// hardState is the hard state last stored.
 	hardState quorum.HardState
 	// TruncatedBytes is the length of the torn record that Open removed from
 	// the end of the log.
 	TruncatedBytes int64
-	// snapshotMu guards the snapshot file and snapshotIndex, the index of the
-	// newest stored snapshot.
-	snapshotMu    sync.Mutex
+	// snapshotMu guards the snapshot file and the fields below.
+	snapshotMu sync.Mutex
+	// snapshotIndex is the index of the newest stored snapshot.
 	snapshotIndex uint64
-	// openLog opens the log for appending; tests replace it to inject write
-	// errors.
-	openLog func(path string) (File, error)
+	// snapshotNameUnsynced is true if the snapshot was replaced and the directory
+	// could not be synced.
+	snapshotNameUnsynced bool
 }
 
 // Option configures a Store.
 type Option func(*Store)
 
-// WithOpenLog sets the function that opens the log for appending.
-func WithOpenLog(open func(path string) (File, error)) Option {
-	return func(s *Store) { s.openLog = open }
+// WithFileSystem sets the file system through which the store writes.
+func WithFileSystem(fs FileSystem) Option {
+	return func(s *Store) { s.fs = fs }
 }
 
 // Open opens the data directory and returns the state stored in it. If the
 // directory has no member ID, Open generates and stores one.
 func Open(dir string, opts ...Option) (*Store, quorum.SavedState, error) {
-	s := &Store{dir: dir, openLog: openAppend}
+	s := &Store{dir: dir, fs: OSFileSystem{}}
 	for _, o := range opts {
 		o(s)
 	}
@@ -77,16 +78,19 @@
 		return nil, quorum.SavedState{}, err
 	}
 	s.hardState = saved.HardState
-	s.log, err = s.openLog(s.path(logFileName))
-	if err != nil {
-		return nil, quorum.SavedState{}, storageError("open log", err)
+	if err := s.prepareLog(); err != nil {
+		return nil, quorum.SavedState{}, err
 	}
 	return s, saved, nil
 }
 
 // Append appends entries and, unless hard is nil, a hard state to the log as one
-// record.
+// record. After an error nothing counts as stored, and the same record may be
+// appended again.
 func (s *Store) Append(hard *quorum.HardState, entries []quorum.Entry) error {
+	if err := s.prepareLog(); err != nil {
+		return err
+	}
 	data, err := encodeRecord(record{HardState: hard, Entries: entries})
 	if err != nil {
 		return err
@@ -105,7 +109,12 @@
 }
 
 // Close closes the log file.
-func (s *Store) Close() error { return s.log.Close() }
+func (s *Store) Close() error {
+	if s.log == nil {
+		return nil
+	}
+	return s.log.Close()
+}
 
 // Member returns the member ID stored in the data directory.
 func (s *Store) Member() quorum.MemberID { return s.member }
@@ -124,21 +133,48 @@
 }
 
 // CompactLog replaces the log with a hard state and the entries that follow the
-// stored snapshot.
+// stored snapshot. After an error either log may be in place; the next write
+// goes to the one that is.
 func (s *Store) CompactLog(hard quorum.HardState, entries []quorum.Entry) error {
 	rec, err := encodeRecord(record{HardState: &hard, Entries: entries})
 	if err != nil {
 		return err
 	}
-	if err := s.replaceFile(logFileName, rec); err != nil {
-		return err
+	renamed, err := s.replaceFile(logFileName, rec)
+	if renamed {
+		// The open file is the old log, which has no name any more.
+		_ = s.log.Close()
+		s.log, s.logTorn, s.logNameUnsynced = nil, false, err != nil
+		s.hardState, s.size = hard, int64(len(rec))
 	}
-	_ = s.log.Close()
-	s.log, err = s.openLog(s.path(logFileName))
 	if err != nil {
-		return storageError("open log", err)
+		return err
+	}
+	return s.prepareLog()
+}
+
+// prepareLog makes the log ready for the next record. It finishes what an earlier
+// failure left undone.
+func (s *Store) prepareLog() error {
+	if s.logNameUnsynced {
+		if err := s.fs.SyncDir(s.dir); err != nil {
+			return storageError("sync directory of log", err)
+		}
+		s.logNameUnsynced = false
+	}
+	if s.log == nil {
+		log, err := s.fs.OpenAppend(s.path(logFileName))
+		if err != nil {
+			return storageError("open log", err)
+		}
+		s.log = log
+	}
+	if s.logTorn {
+		if err := s.log.Truncate(s.size); err != nil {
+			return storageError("truncate failed write of log", err)
+		}
+		s.logTorn = false
 	}
-	s.hardState, s.size = hard, int64(len(rec))
 	return nil
 }
 
@@ -167,7 +203,7 @@
 			return saved, storageError("truncate torn record", err)
 		}
 	}
-	return mergeRecords(saved, records), nil
+	return mergeRecords(s.path(logFileName), saved, records)
 }
 
 func (s *Store) loadOrCreateMemberID() error {
@@ -184,14 +220,16 @@
 		return storageError("generate member ID", err)
 	}
 	s.member = quorum.MemberID(hex.EncodeToString(id))
-	return s.replaceFile(memberFileName, []byte(s.member))
+	_, err = s.replaceFile(memberFileName, []byte(s.member))
+	return err
 }
 
 func (s *Store) path(name string) string { return filepath.Join(s.dir, name) }
 
-// replaceFile atomically replaces the contents of a file.
-func (s *Store) replaceFile(name string, data []byte) error {
-	return s.replaceFileWith(name, func(f *os.File) error {
+// replaceFile atomically replaces the contents of a file. It reports whether the
+// new file has the name, which may be so after an error too.
+func (s *Store) replaceFile(name string, data []byte) (renamed bool, err error) {
+	return s.replaceFileWith(name, func(f File) error {
 		_, err := f.Write(data)
 		return err
 	})
@@ -199,12 +237,12 @@
 
 // replaceFileWith atomically replaces a file with the contents that write
 // produces: it writes and syncs a temporary file, renames it and syncs the
-// directory.
-func (s *Store) replaceFileWith(name string, write func(f *os.File) error) error {
+// directory. It reports whether the new file has the name.
+func (s *Store) replaceFileWith(name string, write func(f File) error) (renamed bool, err error) {
 	tmp := s.path(name + ".tmp")
-	f, err := os.OpenFile(tmp, os.O_CREATE|os.O_TRUNC|os.O_RDWR, filePerm)
+	f, err := s.fs.Create(tmp)
 	if err != nil {
-		return storageError("create "+name, err)
+		return false, storageError("create "+name, err)
 	}
 	err = write(f)
 	if err == nil {
@@ -212,26 +250,29 @@
 	}
 	err = errors.Join(err, f.Close())
 	if err == nil {
-		err = os.Rename(tmp, s.path(name))
-	}
-	if err == nil {
-		err = syncDir(s.dir)
+		err = s.fs.Rename(tmp, s.path(name))
 	}
 	if err != nil {
-		return storageError("write "+name, err)
+		// Without the remains a full disk may have space for the log again.
+		return false, storageError("write "+name, errors.Join(err, s.fs.Remove(tmp)))
 	}
-	return nil
+	if err := s.fs.SyncDir(s.dir); err != nil {
+		return true, storageError("write "+name, err)
+	}
+	return true, nil
 }
 
 // rollbackWrite truncates the log to its length before a failed write, so that
-// later records follow a complete one.
+// later records follow a complete one. If that fails too, the next write tries
+// it again first.
 func (s *Store) rollbackWrite(operation string, err error) error {
-	return storageError(operation, errors.Join(err, s.log.Truncate(s.size)))
+	s.logTorn = true
+	return storageError(operation, errors.Join(err, s.prepareLog()))
 }
 
 // mergeRecords appends the log entries that the snapshot does not cover to the
-// saved state.
-func mergeRecords(saved quorum.SavedState, records []record) quorum.SavedState {
+// saved state. It returns an error if an entry is missing in between.
+func mergeRecords(path string, saved quorum.SavedState, records []record) (quorum.SavedState, error) {
 	var from uint64
 	if saved.Snapshot != nil {
 		from = saved.Snapshot.Index
@@ -244,27 +285,18 @@
 			if e.Index <= from {
 				continue
 			}
+			if next := from + uint64(len(saved.Entries)) + 1; e.Index > next {
+				return saved, &CorruptError{Path: path, Offset: r.offset, Reason: fmt.Sprintf("entry %d follows entry %d", e.Index, next-1)}
+			}
 			saved.Entries = append(saved.Entries[:e.Index-from-1], e)
 		}
 	}
-	return saved
-}
-
-func openAppend(path string) (File, error) {
-	return os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, filePerm)
+	return saved, nil
 }
 
 func storageError(operation string, err error) error {
 	return rollout.NewError(rollout.KindStorage, "%s", operation).WithCause(err)
 }
 
-func syncDir(dir string) error {
-	d, err := os.Open(dir)
-	if err != nil {
-		return err
-	}
-	return errors.Join(d.Sync(), d.Close())
-}
-
 // HardState returns the hard state last stored.
 func (s *Store) HardState() quorum.HardState { return s.hardState }
--- a/internal/disk/store_test.go
+++ b/internal/disk/store_test.go
@@ -7,7 +7,6 @@
 	"path/filepath"
 	"testing"
 
-	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/quorum"
 )
 
@@ -110,36 +109,13 @@
 	}
 }
 
-// fullDisk is a file that writes only half of the data and fails while the disk
-// is full.
-type fullDisk struct {
-	File
-	full *bool
-}
-
-func (f fullDisk) Write(p []byte) (int, error) {
-	if !*f.full {
-		return f.File.Write(p)
-	}
-	n, _ := f.File.Write(p[:len(p)/2])
-	return n, errors.New("no space left on device")
-}
-
 func TestFailedWriteIsRolledBack(t *testing.T) {
 	dir := t.TempDir()
-	full := false
-	s, _ := open(t, dir, WithOpenLog(func(path string) (File, error) {
-		f, err := openAppend(path)
-		return fullDisk{f, &full}, err
-	}))
+	fs := newFaultyFileSystem()
+	s, _ := open(t, dir, WithFileSystem(fs))
 	appendAll(t, s, entries(1, 2)...)
-	full = true
-	err := s.Append(nil, entries(3, 3))
-	var e *rollout.Error
-	if !errors.As(err, &e) || e.Kind != rollout.KindStorage {
-		t.Fatalf("error %v, want Storage", err)
-	}
-	full = false
+	fs.failNext(opWrite)
+	assertStorageError(t, s.Append(nil, entries(3, 3)))
 	appendAll(t, s, entries(3, 4)...)
 	_, saved := open(t, dir)
 	assertLast(t, saved, 4)
