--- a/internal/disk/filesystem_test.go
+++ b/internal/disk/filesystem_test.go
@@ -36,6 +36,9 @@
 	// replaced holds the former contents of replaced files by path; nil if there
 	// was no file.
 	replaced map[string][]byte
+	// unsynced is the number of bytes written to the file in use since its last
+	// sync, and mostUnsynced the largest such number.
+	unsynced, mostUnsynced int
 	// count numbers all operations, and failFrom to failTo is the range of those
 	// that fail.
 	count, failFrom, failTo int
@@ -128,6 +131,8 @@
 
 func (f *faultyFile) Write(p []byte) (int, error) {
 	if !f.fs.fails(opWrite) {
+		f.fs.unsynced += len(p)
+		f.fs.mostUnsynced = max(f.fs.mostUnsynced, f.fs.unsynced)
 		return f.File.Write(p)
 	}
 	n, _ := f.File.Write(p[:len(p)/2])
@@ -138,6 +143,7 @@
 	if f.fs.fails(opSync) {
 		return errInjected
 	}
+	f.fs.unsynced = 0
 	return f.File.Sync()
 }
 
@@ -277,3 +283,36 @@
 		}
 	}
 }
+
+// A log record that is synced while a snapshot is written waits for what the
+// disk still has to write of the snapshot.
+func TestLongSnapshotIsSyncedInParts(t *testing.T) {
+	const size = 20 * syncBytes
+	write := func(w io.Writer) error {
+		for range size / 1_000 {
+			if _, err := w.Write(make([]byte, 1_000)); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+	from := newFaultyFileSystem()
+	s, _ := open(t, t.TempDir(), WithFileSystem(from))
+	if err := s.SaveSnapshot(quorum.Snapshot{Index: 1}, write); err != nil {
+		t.Fatal(err)
+	}
+	assertSyncedInParts(t, from)
+	to := newFaultyFileSystem()
+	other, _ := open(t, t.TempDir(), WithFileSystem(to))
+	if err := other.InstallSnapshot(1, copyPieces(s, syncBytes/4, false)); err != nil {
+		t.Fatal(err)
+	}
+	assertSyncedInParts(t, to)
+}
+
+func assertSyncedInParts(t *testing.T, fs *faultyFileSystem) {
+	t.Helper()
+	if limit := syncBytes + writeBufferBytes + syncBytes/4; fs.mostUnsynced > limit {
+		t.Fatalf("%d bytes were unsynced at a time, want at most %d", fs.mostUnsynced, limit)
+	}
+}
--- a/internal/disk/snapshot.go
+++ b/internal/disk/snapshot.go
@@ -28,8 +28,28 @@
 	// writeBufferBytes is the buffer size for writes to the file.
 	writeBufferBytes = 128 << 10
 	maxHeaderBytes   = 1 << 20
+	// syncBytes is how much of a snapshot is written between two syncs. The disk
+	// syncs the log in between; one sync of a whole snapshot would delay it by the
+	// time that the disk takes to write all of it.
+	syncBytes = 1 << 20
 )
 
+// syncingWriter syncs a file after every syncBytes.
+type syncingWriter struct {
+	file     File
+	unsynced int
+}
+
+// Write implements io.Writer.
+func (w *syncingWriter) Write(p []byte) (int, error) {
+	n, err := w.file.Write(p)
+	if w.unsynced += n; err != nil || w.unsynced < syncBytes {
+		return n, err
+	}
+	w.unsynced = 0
+	return n, w.file.Sync()
+}
+
 // WriteFunc writes the contents of a snapshot to w.
 type WriteFunc func(w io.Writer) error
 
@@ -115,7 +135,7 @@
 		return s.syncSnapshotName()
 	}
 	renamed, err := s.replaceFileWith(snapshotFileName, func(f File) error {
-		if err := write(f); err != nil {
+		if err := write(&syncingWriter{file: f}); err != nil {
 			return err
 		}
 		return verifyChecksum(f)
@@ -208,7 +228,7 @@
 		return err
 	}
 	sum := crc32.New(castagnoli)
-	out := bufio.NewWriterSize(io.MultiWriter(f, sum), writeBufferBytes)
+	out := bufio.NewWriterSize(io.MultiWriter(&syncingWriter{file: f}, sum), writeBufferBytes)
 	if _, err := out.Write(header); err != nil {
 		return err
 	}
--- a/internal/disk/store_test.go
+++ b/internal/disk/store_test.go
@@ -171,12 +171,12 @@
 }
 
 // copyPieces returns a WriteFunc that copies the snapshot file of a store in
-// pieces of five bytes. With corrupt set, it flips a bit in each piece past
+// pieces of a size. With corrupt set, it flips a bit in each piece past
 // offset 20.
-func copyPieces(from *Store, corrupt bool) WriteFunc {
+func copyPieces(from *Store, size int, corrupt bool) WriteFunc {
 	return func(w io.Writer) error {
 		for offset := int64(0); ; {
-			piece, _, total, err := from.ReadSnapshotPiece(offset, 5)
+			piece, _, total, err := from.ReadSnapshotPiece(offset, size)
 			if err != nil {
 				return err
 			}
@@ -226,7 +226,7 @@
 func TestSnapshotIsInstalledFromPieces(t *testing.T) {
 	from, to := openStore(t), openStore(t)
 	saveState(t, from, 7, "the whole state of a member")
-	if err := to.InstallSnapshot(7, copyPieces(from, false)); err != nil {
+	if err := to.InstallSnapshot(7, copyPieces(from, 5, false)); err != nil {
 		t.Fatal(err)
 	}
 	assertState(t, to, "the whole state of a member")
@@ -236,7 +236,7 @@
 	from, to := openStore(t), openStore(t)
 	saveState(t, from, 7, "the whole state of a member")
 	saveState(t, to, 3, "older state")
-	if err := to.InstallSnapshot(7, copyPieces(from, true)); err == nil {
+	if err := to.InstallSnapshot(7, copyPieces(from, 5, true)); err == nil {
 		t.Fatal("installed a corrupt snapshot")
 	}
 	assertState(t, to, "older state")
--- a/internal/jobstore/store.go
+++ b/internal/jobstore/store.go
@@ -32,6 +32,9 @@
 	compactBytes = 12 << 20
 	// beforeTransferTimeout limits the last write of a leader that shuts down.
 	beforeTransferTimeout = 400 * time.Millisecond
+	// leaseLapseMS is how long runs go on after the lease has lapsed while this
+	// host still leads the term. New runs, orders and answers need the lease.
+	leaseLapseMS rollout.Millis = 1_000
 )
 
 // Options configures a Store.
@@ -95,7 +98,8 @@
 	s.replica, err = replica.Open(ctx, replica.Options{
 		Dir: opts.Dir, Address: opts.Address, FailureDomain: opts.FailureDomain,
 		TargetVoters: 2*opts.MaxLostHosts + 1, CompactBytes: compactBytes, Clock: s.clock,
-		Dialer: s.dialer, Client: s.client, Log: opts.Log, Registry: opts.Registry, RunAsLeader: s.runAsLeader,
+		Dialer: s.dialer, Client: s.client, Log: opts.Log, Registry: opts.Registry,
+		RunAsLeader: s.runAsLeader, LapseMS: leaseLapseMS,
 	}, stateMachine{s})
 	if err != nil {
 		return nil, err
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -75,8 +75,13 @@
 	Client       *fabric.Client
 	Log          *zap.Logger
 	Registry     *prometheus.Registry
+	// LapseMS is how long RunAsLeader goes on without a valid lease while the
+	// replica still is the leader of the term. It is for work that needs no lease
+	// at each moment, only before what Leading guards.
+	LapseMS rollout.Millis
 	// RunAsLeader is called when the replica acquires leadership. Its context
-	// ends when the replica loses the lease or stops.
+	// ends when the replica is no longer the leader of the term, when its lease
+	// has lapsed for LapseMS, or when the replica stops.
 	RunAsLeader func(ctx context.Context, term uint64)
 }
 
@@ -149,8 +154,9 @@
 	// transfer of leadership.
 	transferRequests chan struct{}
 
-	group        *errgroup.Group
-	leaderTerm   uint64
+	group *errgroup.Group
+	// tenure is the lead that leaderCancel ends.
+	tenure       tenure
 	leaderCancel context.CancelFunc
 
 	status     atomic.Pointer[Status]
@@ -425,17 +431,20 @@
 	if leads {
 		r.metrics.leading.Set(1)
 	}
-	if r.leaderCancel != nil && (!leads || r.leaderTerm != r.node.Term()) {
+	if leads && r.tenure.term == r.node.Term() {
+		r.tenure.heldAt = now
+	}
+	if r.leaderCancel != nil && r.tenure.ended(now, r.node.Term(), r.node.IsLeader(), r.opts.LapseMS) {
 		r.endLeadership()
 	}
 	if !leads || r.leaderCancel != nil {
 		return
 	}
-	r.leaderTerm = r.node.Term()
-	r.opts.Log.Info("LeadershipAcquired", zap.Uint64("Term", r.leaderTerm), zap.Uint64("Commit", r.node.CommitIndex()))
+	term := r.node.Term()
+	r.tenure = tenure{term: term, heldAt: now}
+	r.opts.Log.Info("LeadershipAcquired", zap.Uint64("Term", term), zap.Uint64("Commit", r.node.CommitIndex()))
 	leaderCtx, cancel := context.WithCancel(ctx)
 	r.leaderCancel = cancel
-	term := r.leaderTerm
 	r.group.Go(func() error {
 		r.opts.RunAsLeader(leaderCtx, term)
 		return nil
@@ -446,7 +455,7 @@
 	if r.leaderCancel == nil {
 		return
 	}
-	r.opts.Log.Info("LeadershipLost", zap.Uint64("Term", r.leaderTerm), zap.String("Leader", string(r.node.Leader())))
+	r.opts.Log.Info("LeadershipLost", zap.Uint64("Term", r.tenure.term), zap.String("Leader", string(r.node.Leader())))
 	r.leaderCancel()
 	r.leaderCancel = nil
 }
--- a/internal/replica/snapshot.go
+++ b/internal/replica/snapshot.go
@@ -18,8 +18,9 @@
 	// snapshot encoder.
 	snapshotWindow = 256 << 10
 	// Writing a snapshot pauses for pacePause after every paceBytes, so that
-	// heartbeats and requests are not delayed.
-	paceBytes = 256 << 10
+	// heartbeats and requests are not delayed. Encoding paceBytes takes about half
+	// of pacePause on a fraction of a core.
+	paceBytes = 48 << 10
 	pacePause = 4 * time.Millisecond
 	// fetchIdleMS is the time after the last read of a piece during which the
 	// reader may still request the rest of the snapshot or the log after it.
