Wait for the input queue where nobody repeats an input

Cause: enqueue drops an input when the queue is full, and some callers have none who repeats it. Ruled out: a larger queue, which only makes the loss rarer. Change: deliver waits for the queue or the end of the context; these callers use it. Messages of members, watches and join requests are repeated and still drop. Before: TestSnapshotEndsDespiteFullInputQueue "test timed out after 10s" with the old call. After: it and TestTransferWaitsForFullInputQueue pass.

--- a/internal/control/event_loop.go
+++ b/internal/control/event_loop.go
@@ -118,6 +118,15 @@
 	}
 }
 
+// deliver passes an input to the event loop and waits while the queue is full. It
+// is for inputs that nobody repeats. The event loop itself must not call it.
+func (l *eventLoop) deliver(ctx context.Context, input func(now rollout.Millis)) {
+	select {
+	case l.inputs <- input:
+	case <-ctx.Done():
+	}
+}
+
 // enqueue queues an input to run on the event loop. It returns false if the queue
 // is full.
 func (l *eventLoop) enqueue(input func(now rollout.Millis)) bool {
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -156,7 +156,7 @@
 		return nil
 	}
 	result := make(chan error, 1)
-	l.enqueue(func(rollout.Millis) {
+	l.deliver(ctx, func(rollout.Millis) {
 		if !l.hasEmptyLog() {
 			result <- nil
 			return
@@ -181,7 +181,7 @@
 		return rollout.Millis(l.leaseUntil.Load())
 	})
 	processPlatformJobs(ctx, leased, l.platformJobs, func(job platformJob, err error) {
-		l.enqueue(func(rollout.Millis) { l.handlePlatformResult(job, err) })
+		l.deliver(ctx, func(rollout.Millis) { l.handlePlatformResult(job, err) })
 	})
 	return nil
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -299,14 +299,24 @@
 func (r *Replica) Status() Status { return *r.status.Load() }
 
 // TransferLeadership transfers leadership to another voter if this replica is
-// the leader.
-func (r *Replica) TransferLeadership() {
-	r.enqueue(func(now rollout.Millis) {
+// the leader. It waits while the input queue is full.
+func (r *Replica) TransferLeadership(ctx context.Context) {
+	r.deliver(ctx, func(now rollout.Millis) {
 		r.leaseUntil.Store(0)
 		r.node.TransferLeadership(now)
 	})
 }
 
+// deliver passes a function to the goroutine of loop and waits while the input
+// queue is full. It is for inputs that nobody repeats. Only goroutines of Run and
+// their callees may call it, since loop itself would wait for itself.
+func (r *Replica) deliver(ctx context.Context, input func(now rollout.Millis)) {
+	select {
+	case r.inputs <- input:
+	case <-ctx.Done():
+	}
+}
+
 // enqueue passes a function to the goroutine of loop. It returns false if the
 // input queue is full.
 func (r *Replica) enqueue(input func(now rollout.Millis)) bool {
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -269,7 +269,7 @@
 	c := newCluster(t, 3, 1<<20)
 	c.commit("a")
 	leader := c.leader()
-	leader.TransferLeadership()
+	leader.TransferLeadership(t.Context())
 	c.eventually("another host leads", func() bool { return c.leader() != leader })
 	c.commit("b")
 }
--- a/internal/replica/serve.go
+++ b/internal/replica/serve.go
@@ -89,5 +89,5 @@
 	if beforeTransfer != nil {
 		beforeTransfer(ctx)
 	}
-	r.TransferLeadership()
+	r.TransferLeadership(ctx)
 }
--- a/internal/replica/snapshot.go
+++ b/internal/replica/snapshot.go
@@ -68,7 +68,7 @@
 			r.waitForFetch(ctx)
 			return err
 		})
-		r.enqueue(func(rollout.Millis) { r.truncateLog(applied, err) })
+		r.deliver(ctx, func(rollout.Millis) { r.truncateLog(applied, err) })
 		return nil
 	})
 }
@@ -163,7 +163,7 @@
 		snap := *m.Snapshot
 		err := r.store.InstallSnapshot(snap.Index, func(w io.Writer) error { return r.downloadSnapshot(ctx, address, &snap, w) })
 		r.opts.Log.Info("SnapshotFetched", zap.Uint64("Index", snap.Index), zap.String("From", address), zap.Error(err))
-		r.enqueue(func(now rollout.Millis) {
+		r.deliver(ctx, func(now rollout.Millis) {
 			r.fetchingSnapshot = false
 			if err == nil {
 				r.node.Step(now, m)
