Keep calls to scorers in a lane and spread bursts over failure domains

Cause: the leader of the store sent each call to a scorer at once and to upstreams of its own failure domain as long as one answered. Items end in bursts of up to 100 in 0.1 s, so 5 of 24 plain services were full while the others were idle: 5,158 of 17,584 calls were turned away, the busiest had 2.67 times the mean, and 64 of 737 lookups, which use the same services, were late (p99 449 ms). Ruled out: too few slots (14% of 144 were taken on the average); slow services (lookups p50 31 ms).

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -85,6 +85,7 @@
 func New(upstreams rollout.UpstreamClient, clock rollout.Clock, domain string, log *zap.Logger) *Balancer {
 	cfg := routing.DefaultConfig(domain)
 	cfg.EjectAfter, cfg.EjectMS, cfg.MaxEjectMS = ejectAfter, ejectMS, maxEjectMS
+	cfg.LocalLoadLimit = localLoadLimit
 	return &Balancer{upstreams: upstreams, clock: clock, log: log, router: routing.New(cfg, globalRandom{})}
 }
 
@@ -95,6 +96,9 @@
 	ejectAfter                = 2
 	ejectMS    rollout.Millis = 500
 	maxEjectMS rollout.Millis = 4_000
+	// localLoadLimit is the load per slot from which a request goes to another
+	// failure domain if that has a less loaded upstream.
+	localLoadLimit = 0.5
 )
 
 // Sync replaces the set of known upstreams.
@@ -324,6 +328,13 @@
 	return a.response
 }
 
+// Slots returns the total slots of the upstreams of a pool that are not leaving.
+func (b *Balancer) Slots(pool string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.router.Slots(pool)
+}
+
 // recordOutcome tells the router that an attempt has ended.
 func (b *Balancer) recordOutcome(id string, failed bool) {
 	b.mu.Lock()
--- a/internal/jobstore/item.go
+++ b/internal/jobstore/item.go
@@ -250,9 +250,14 @@
 		r.store.opts.Log.Warn("ScorerRouteNotFound", zap.String("Request", sc.ID), zap.String("Host", sc.Host))
 		return "", 0
 	}
+	pool := route.PickPool(0)
+	if !r.scorerLanes.enter(ctx, pool, r.store.balancer.Slots(pool)) {
+		return "", 0
+	}
+	defer r.scorerLanes.leave(pool)
 	response, err := r.store.balancer.Do(ctx, balance.Request{
 		UpstreamRequest: rollout.UpstreamRequest{Method: "POST", URI: sc.Path, Host: sc.Host, AttemptID: sc.ID, Body: sc.Body},
-		Pool:            route.PickPool(0), Repeatable: true, MaxAttempts: 1,
+		Pool:            pool, Repeatable: true, MaxAttempts: 1,
 		Deadline: time.Now().Add(scoreTimeout),
 	})
 	if err != nil {
--- a/internal/jobstore/runner.go
+++ b/internal/jobstore/runner.go
@@ -75,8 +75,9 @@
 	writer string
 	ctx    context.Context
 	// wake starts a scheduling pass.
-	wake       chan struct{}
-	goroutines sync.WaitGroup
+	wake        chan struct{}
+	goroutines  sync.WaitGroup
+	scorerLanes *scorerLanes
 
 	mu sync.Mutex
 	// The fields below are guarded by mu.
@@ -92,7 +93,7 @@
 	return &runner{
 		store: s, term: term, writer: rand.Text(), wake: make(chan struct{}, 1),
 		sched: dispatch.New(dispatch.DefaultConfig(s.opts.FailureDomain)),
-		jobs:  make(map[string][]*workItem),
+		jobs:  make(map[string][]*workItem), scorerLanes: newScorerLanes(),
 	}
 }
 
--- a/internal/jobstore/runner_test.go
+++ b/internal/jobstore/runner_test.go
@@ -40,6 +40,11 @@
 	// faultFor returns the fault of a run, or nil. It may be nil itself.
 	faultFor func(x rollout.UpstreamRequest, run int) *fault
 	orders   []rollout.WeightOrder
+	// scorerCalls is the number of calls to the scorer that run, and
+	// mostScorerCalls the largest such number.
+	scorerCalls, mostScorerCalls int
+	// scoreDelay is how long a call to the scorer takes.
+	scoreDelay time.Duration
 	// changeVersionOnce makes the weight version change within the first run of
 	// each item.
 	changeVersionOnce bool
@@ -86,6 +91,7 @@
 		}
 	}
 	if strings.HasPrefix(x.AttemptID, "score-") {
+		f.waitForScore()
 		return rollout.UpstreamResponse{Status: 200, Stamp: "signed " + x.AttemptID, Body: body}, nil
 	}
 	if f.changeVersionOnce && f.runs[x.AttemptID] == 1 {
@@ -94,6 +100,17 @@
 	return rollout.UpstreamResponse{Status: 200, Streaming: true, WeightVersion: max(1, x.WeightVersion), Body: body}, nil
 }
 
+// waitForScore takes scoreDelay. The caller holds f.mu, which is released
+// meanwhile.
+func (f *fakeEngines) waitForScore() {
+	f.scorerCalls++
+	f.mostScorerCalls = max(f.mostScorerCalls, f.scorerCalls)
+	f.mu.Unlock()
+	time.Sleep(f.scoreDelay)
+	f.mu.Lock()
+	f.scorerCalls--
+}
+
 func (f *fakeEngines) ReadEvents(body io.Reader, handle func(rollout.StreamEvent)) error {
 	s := body.(fakeStream)
 	for id := s.first; id <= s.last; id++ {
@@ -245,6 +262,24 @@
 	}
 }
 
+// The items of a step end in bursts. Their calls to the scorer must leave slots
+// for callers, who use the same upstreams.
+func TestLookupsKeepSlotsBesideScorerBursts(t *testing.T) {
+	s, f := newLeader(t, nil)
+	f.scoreDelay = 20 * time.Millisecond
+	var items []string
+	for i := range 16 {
+		items = append(items, fmt.Sprintf("i%d", i))
+	}
+	for _, r := range runJob(t, s, newSpec("j", 1, items...)) {
+		assertCompleted(t, r)
+	}
+	const slots = 4
+	if f.mostScorerCalls > slots/2 {
+		t.Fatalf("%d of %d slots were taken by calls to the scorer, want at most %d", f.mostScorerCalls, slots, slots/2)
+	}
+}
+
 func TestBrokenStreamIsResumed(t *testing.T) {
 	s, f := newLeader(t, func(x rollout.UpstreamRequest, run int) *fault {
 		if x.AttemptID == "i1" && run == 1 {
--- a/pkg/rollout/routing/routing.go
+++ b/pkg/rollout/routing/routing.go
@@ -1,8 +1,8 @@
 // Package routing chooses the upstream of each request. Consistent hashing with
 // bounded loads maps the prefix of a prompt to the upstream that has probably
 // cached it. Without a prefix, or if the bound rules that upstream out, the less
-// loaded of two random upstreams is chosen, first within the failure domain of
-// this host. Upstreams that fail repeatedly are ejected and then probed with one
+// loaded of two random upstreams is chosen, within the failure domain of this
+// host up to a load limit. Upstreams that fail repeatedly are ejected and then probed with one
 // request at a time.
 package routing
 
@@ -23,6 +23,10 @@
 	// FailureDomain is the failure domain of this host. Its upstreams are
 	// preferred.
 	FailureDomain string
+	// LocalLoadLimit is the load per slot up to which an upstream in FailureDomain
+	// is chosen without a look at the others. Prompts that share a prefix find it
+	// more often without a limit, as fewer upstreams read it.
+	LocalLoadLimit float64
 	// LoadBound is the factor by which an upstream may exceed the mean load of
 	// its pool and still be chosen for its prefix cache.
 	LoadBound float64
@@ -38,7 +42,7 @@
 // DefaultConfig returns the settings for an entry in a failure domain.
 func DefaultConfig(domain string) Config {
 	return Config{
-		FailureDomain: domain, LoadBound: 1.25, EjectAfter: 3,
+		FailureDomain: domain, LocalLoadLimit: math.Inf(1), LoadBound: 1.25, EjectAfter: 3,
 		EjectMS: 1_000, MaxEjectMS: 30_000, ReportHalfLifeMS: 500,
 	}
 }
@@ -248,13 +252,11 @@
 			return c, ReasonPrefix
 		}
 	}
-	for _, set := range [...][]*candidate{p.sameDomain, p.candidates} {
-		if c := r.pickLessLoaded(now, set, q); c != nil {
-			if c.ejectedUntil > 0 {
-				return c, ReasonProbe
-			}
-			return c, ReasonLoad
+	if c := r.pickNear(now, p, q); c != nil {
+		if c.ejectedUntil > 0 {
+			return c, ReasonProbe
 		}
+		return c, ReasonLoad
 	}
 	for _, c := range p.candidates {
 		if r.eligible(now, c, q) {
@@ -264,6 +266,20 @@
 	return nil, ""
 }
 
+// pickNear returns an upstream of the own failure domain unless it is loaded
+// beyond LocalLoadLimit and another domain has a cheaper one.
+func (r *Router) pickNear(now rollout.Millis, p *pool, q Query) *candidate {
+	local := r.pickLessLoaded(now, p.sameDomain, q)
+	if local != nil && r.cost(now, local, q) <= r.cfg.LocalLoadLimit {
+		return local
+	}
+	remote := r.pickLessLoaded(now, p.candidates, q)
+	if remote == nil || (local != nil && r.cost(now, local, q) <= r.cost(now, remote, q)) {
+		return local
+	}
+	return remote
+}
+
 // pickByPrefix returns the first eligible upstream along the hash ring that is
 // within the load bound.
 func (r *Router) pickByPrefix(now rollout.Millis, p *pool, q Query) *candidate {
--- a/pkg/rollout/routing/routing_test.go
+++ b/pkg/rollout/routing/routing_test.go
@@ -113,6 +113,23 @@
 	}
 }
 
+// A host with many calls at once would fill the few upstreams of its own failure
+// domain while those of the others are idle.
+func TestBurstSpreadsBeyondOwnFailureDomain(t *testing.T) {
+	const upstreams, slots, burst = 24, 6, 72
+	r := newRouter(upstreams, func(_ int, u *catalog.Upstream) { u.Slots = slots })
+	r.cfg.LocalLoadLimit = 0.5
+	counts := make(map[string]int)
+	for range burst {
+		counts[pick(t, r, 0, Query{Pool: "p"}).Upstream.ID]++
+	}
+	for id, n := range counts {
+		if n > slots {
+			t.Fatalf("%s got %d requests at once, want at most %d", id, n, slots)
+		}
+	}
+}
+
 func TestSlowUpstreamGetsFewerRequests(t *testing.T) {
 	r := newRouter(3, func(_ int, u *catalog.Upstream) { u.FailureDomain = "d0" })
 	counts := make(map[string]int)
