Stop at unreadable memberships and check acknowledged data by seed

Cause: three faults of package quorum, seen while reading. A membership entry that could not be decoded was ignored, so the member went on counting votes of the former one. membersAt gave the newest membership for an index before the oldest known. membersHistory grew with each change for the life of a member. The seeded cluster test checked that acknowledged indexes exist, not what they hold, and recorded the leaders of terms without comparing them. Change: Output.Unreadable ends the process with index and size; Compact drops the memberships that no entry can bring back; the cluster test compares acknowledged data at each apply and at the end, one leader a term over the whole run, and the length of the history.

--- a/internal/control/event_loop.go
+++ b/internal/control/event_loop.go
@@ -186,6 +186,9 @@
 		if out.Empty() {
 			return nil
 		}
+		if out.Unreadable != nil {
+			return out.Unreadable
+		}
 		if err := l.persist(out); err != nil {
 			l.handleWriteFailure(out, err)
 			return nil
--- a/internal/replica/apply.go
+++ b/internal/replica/apply.go
@@ -84,6 +84,9 @@
 		if out.Empty() {
 			return nil
 		}
+		if out.Unreadable != nil {
+			return out.Unreadable
+		}
 		if err := r.persist(out); err != nil {
 			r.handleWriteFailure(out, err)
 			return nil
--- a/pkg/rollout/quorum/cluster_test.go
+++ b/pkg/rollout/quorum/cluster_test.go
@@ -53,7 +53,10 @@
 	// hashes holds the hash over all entries up to an index.
 	hashes map[uint64]uint64
 	// acked holds the data of entries that a leader reported as committed.
-	acked         map[uint64]string
+	acked map[uint64]string
+	// applied holds the data that the last host to apply an index found there.
+	applied map[uint64]string
+	// terms holds the leader of each term.
 	terms         map[uint64]MemberID
 	proposed      int
 	joining       *host
@@ -76,7 +79,7 @@
 	c := &cluster{
 		t: t, rand: rand.New(rand.NewPCG(seed, 1)), now: 1_000, faultsEnabled: true,
 		partitions: make(map[[2]string]rollout.Millis), hashes: make(map[uint64]uint64),
-		acked: make(map[uint64]string), terms: make(map[uint64]MemberID),
+		acked: make(map[uint64]string), applied: make(map[uint64]string), terms: make(map[uint64]MemberID),
 	}
 	var members Members
 	for i := range size {
@@ -132,6 +135,7 @@
 		}
 	}
 	c.checkLease()
+	c.checkTerms()
 }
 
 // driveLeader makes a leader propose commands, transfer leadership now and then
@@ -231,6 +235,10 @@
 			c.t.Fatalf("%s applied a different entry sequence up to index %d", h.id, e.Index)
 		}
 		c.hashes[e.Index] = h.stateHash
+		if data, ok := c.acked[e.Index]; ok && data != string(e.Data) {
+			c.t.Fatalf("%s applied %q at index %d, where %q was acknowledged", h.id, e.Data, e.Index, data)
+		}
+		c.applied[e.Index] = string(e.Data)
 		if h.node.IsLeader() {
 			c.acked[e.Index] = string(e.Data)
 		}
@@ -407,6 +415,20 @@
 	}
 }
 
+// checkTerms checks that no term has two leaders, in the whole run.
+func (c *cluster) checkTerms() {
+	for _, h := range c.hosts {
+		if h.node == nil || !h.node.IsLeader() {
+			continue
+		}
+		term := h.node.Term()
+		if other, known := c.terms[term]; known && other != h.id {
+			c.t.Fatalf("%s and %s both lead term %d", other, h.id, term)
+		}
+		c.terms[term] = h.id
+	}
+}
+
 // healAndCheck ends all faults and checks that the cluster makes progress and has lost
 // no acknowledged index.
 func (c *cluster) healAndCheck() {
@@ -426,10 +448,18 @@
 	for _, h := range c.hosts {
 		last = max(last, h.applied)
 	}
-	for index := range c.acked {
+	for index, data := range c.acked {
 		if index > last {
 			c.t.Fatalf("acknowledged index %d is lost", index)
 		}
+		if c.applied[index] != data {
+			c.t.Fatalf("index %d holds %q, where %q was acknowledged", index, c.applied[index], data)
+		}
+	}
+	for _, h := range c.hosts {
+		if kept := len(h.node.membersHistory); kept > len(h.node.log.entries)+1 {
+			c.t.Fatalf("%s keeps %d memberships for %d entries", h.id, kept, len(h.node.log.entries))
+		}
 	}
 }
 
--- a/pkg/rollout/quorum/message.go
+++ b/pkg/rollout/quorum/message.go
@@ -117,12 +117,15 @@
 	Entries   []Entry
 	Messages  []Message
 	Committed []Entry
+	// Unreadable is set if the log holds a membership that cannot be decoded. The
+	// member must stop, since it would count votes of a former membership.
+	Unreadable error
 }
 
 // Empty reports whether there is no pending work.
 func (o Output) Empty() bool {
 	return o.Snapshot == nil && o.HardState == nil && len(o.Entries) == 0 &&
-		len(o.Messages) == 0 && len(o.Committed) == 0
+		len(o.Messages) == 0 && len(o.Committed) == 0 && o.Unreadable == nil
 }
 
 // Config holds the settings of a Node.
--- a/pkg/rollout/quorum/node.go
+++ b/pkg/rollout/quorum/node.go
@@ -147,6 +147,7 @@
 	s := &Snapshot{Index: index, Term: term, Members: n.membersAt(index), Data: data}
 	n.snapshot = s
 	n.log.compact(index)
+	n.trimMembersHistory(index)
 	return s
 }
 
@@ -305,6 +306,7 @@
 	}
 	var m Members
 	if err := json.Unmarshal(e.Data, &m); err != nil {
+		n.pending.Unreadable = rollout.NewError(rollout.KindStorage, "decode membership of %d bytes at index %d", len(e.Data), e.Index).WithCause(err)
 		return
 	}
 	n.membersHistory = append(n.membersHistory, indexedMembers{n.membersIndex, n.members})
@@ -329,7 +331,8 @@
 	return es
 }
 
-// membersAt returns the membership in effect at an index.
+// membersAt returns the membership in effect at an index, or the oldest one that
+// is known if the index is before it.
 func (n *Node) membersAt(index uint64) Members {
 	if n.membersIndex <= index {
 		return n.members
@@ -339,9 +342,27 @@
 			return old.members
 		}
 	}
+	if len(n.membersHistory) > 0 {
+		return n.membersHistory[0].members
+	}
 	return n.members
 }
 
+// trimMembersHistory drops the memberships that no log entry after an index can
+// bring back. The one in effect at the index stays.
+func (n *Node) trimMembersHistory(index uint64) {
+	for len(n.membersHistory) > 0 {
+		next := n.membersIndex
+		if len(n.membersHistory) > 1 {
+			next = n.membersHistory[1].index
+		}
+		if next > index {
+			return
+		}
+		n.membersHistory = slices.Delete(n.membersHistory, 0, 1)
+	}
+}
+
 const (
 	// Divisors of ElectionMS that give the range of the random election delay:
 	// after contact with a leader, after a start, and before the next attempt
--- a/pkg/rollout/quorum/node_test.go
+++ b/pkg/rollout/quorum/node_test.go
@@ -1,10 +1,13 @@
 package quorum
 
 import (
+	"encoding/json"
 	"errors"
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"strconv"
+	"strings"
 	"testing"
 
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
@@ -256,3 +259,39 @@
 		t.Fatalf("term %d, output %+v", n.Term(), out)
 	}
 }
+
+func TestUnreadableMembershipStopsMember(t *testing.T) {
+	saved := Bootstrap(Members{Voters: []Member{{ID: "a"}}})
+	saved.Entries = append(saved.Entries, Entry{Index: 2, Term: 1, Kind: EntryMembers, Data: []byte("{")})
+	n := New(DefaultConfig("a"), saved, 0, rand.New(rand.NewPCG(1, 1)))
+	out := n.TakeOutput()
+	if out.Empty() || out.Unreadable == nil || !strings.Contains(out.Unreadable.Error(), "membership of 1 bytes at index 2") {
+		t.Fatalf("output %+v, want an unreadable membership at index 2", out)
+	}
+}
+
+func TestMembershipsBeforeSnapshotAreForgotten(t *testing.T) {
+	members := func(address string) []byte {
+		data, err := json.Marshal(Members{Voters: []Member{{ID: "a", Address: address}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return data
+	}
+	var saved SavedState
+	const last = 6
+	for i := uint64(1); i <= last; i++ {
+		saved.Entries = append(saved.Entries, Entry{Index: i, Term: 1, Kind: EntryMembers, Data: members(strconv.FormatUint(i, 10))})
+	}
+	n := New(DefaultConfig("a"), saved, 0, rand.New(rand.NewPCG(1, 1)))
+	n.commit, n.delivered = last, last
+	if s := n.Compact(4, nil); s == nil || s.Members.Voters[0].Address != "4" {
+		t.Fatalf("snapshot %+v, want the membership of index 4", s)
+	}
+	if len(n.membersHistory) != 2 {
+		t.Fatalf("%d memberships are kept, want those of 4 and 5", len(n.membersHistory))
+	}
+	if got := n.membersAt(2).Voters[0].Address; got != "4" {
+		t.Fatalf("membership %s before the snapshot, want 4, the oldest known", got)
+	}
+}
