End a weight order when another engine answers for the report

Cause: ReportReceived ignored a report of another engine at the address and left orderPending set, so the engine got no weight order again until it went away. Ruled out: the end of the order by its timeout; the caller returns without an outcome when the report says that the order is not wanted. Change: the order ends and is planned again after orderRetryDelayMS. Before: TestReportOfAnotherEngineEndsOrder "0 loads planned a second later, want 1" follows from the old return before orderPending is cleared. After: passes.

--- a/pkg/rollout/dispatch/dispatch_test.go
+++ b/pkg/rollout/dispatch/dispatch_test.go
@@ -372,3 +372,21 @@
 		}
 	}
 }
+
+// An address may be used by another engine before discovery tells of it. An order
+// that stays pending would keep its engine from all later versions.
+func TestReportOfAnotherEngineEndsOrder(t *testing.T) {
+	f := newFixture(1, 2, "m")
+	f.SetTargets(map[string]uint64{"m": 2})
+	loads := f.PlanWeightLoads(f.now)
+	if len(loads) != 1 {
+		t.Fatalf("%d loads planned, want 1", len(loads))
+	}
+	if _, wanted := f.ReportReceived(f.now, loads[0], rollout.EngineReport{Instance: "another"}); wanted {
+		t.Fatal("the order would be sent to another engine")
+	}
+	f.now += 1_000
+	if again := f.PlanWeightLoads(f.now); len(again) != 1 {
+		t.Fatalf("%d loads planned a second later, want 1", len(again))
+	}
+}
--- a/pkg/rollout/dispatch/loads.go
+++ b/pkg/rollout/dispatch/loads.go
@@ -112,7 +112,13 @@
 // reported number of accepted weight orders, and whether it is still needed.
 func (s *Scheduler) ReportReceived(now rollout.Millis, l WeightLoad, r rollout.EngineReport) (WeightLoad, bool) {
 	e := s.engines[l.Engine]
-	if e == nil || (r.Instance != "" && r.Instance != e.ID) {
+	if e == nil {
+		return l, false
+	}
+	if r.Instance != "" && r.Instance != e.ID {
+		// Another engine is at the address; discovery will tell.
+		e.orderPending = false
+		e.nextOrderAt = now + orderRetryDelayMS
 		return l, false
 	}
 	e.reportKnown, e.acceptedOrders = true, r.Accepted
