Refuse texts of unknown items and keep the newest time of use

Cause: ExtendText stored text of any item ID, and the time of use of a text was that of the last job to write it, also when an earlier job wrote last. A text could then be forgotten while a later job still built on it. Change: an open job refuses texts of items that it does not have; UsedMS never decreases. Before: both new tests fail with the old lines (text stored, used at 1000). After: TestTextOfUnknownItemIsRefused, TestTimeOfUseOfTextNeverGoesBack pass.

--- a/pkg/rollout/job/job.go
+++ b/pkg/rollout/job/job.go
@@ -283,6 +283,10 @@
 	if j == nil {
 		return rollout.NewError(rollout.KindNotFound, "job %s not found", e.JobID)
 	}
+	// The items of an ended job are forgotten, so its texts cannot be checked.
+	if !j.Ended && !j.itemIDs[e.ItemID] {
+		return rollout.NewError(rollout.KindNotFound, "job %s has no item %s", e.JobID, e.ItemID)
+	}
 	if j.hasResult[e.ItemID] {
 		return nil
 	}
@@ -295,7 +299,7 @@
 	if err != nil {
 		return err
 	}
-	t.JobID, t.UsedMS = e.JobID, j.Spec.SubmittedMS
+	t.JobID, t.UsedMS = e.JobID, max(stored.UsedMS, j.Spec.SubmittedMS)
 	m.Texts[k] = t
 	return nil
 }
@@ -311,11 +315,12 @@
 	result := f.Result
 	if result.State == StateCompleted {
 		k := TextKey{j.Spec.Account, result.ItemID}
-		t, err := m.Texts[k].With(f.Piece)
+		stored := m.Texts[k]
+		t, err := stored.With(f.Piece)
 		if err != nil {
 			return err
 		}
-		t.Complete, t.JobID, t.UsedMS = true, f.JobID, j.Spec.SubmittedMS
+		t.Complete, t.JobID, t.UsedMS = true, f.JobID, max(stored.UsedMS, j.Spec.SubmittedMS)
 		result.Chunks, result.Versions = t.Chunks, t.Versions
 		m.Texts[k] = t
 	}
--- a/pkg/rollout/job/job_test.go
+++ b/pkg/rollout/job/job_test.go
@@ -207,3 +207,25 @@
 		t.Fatalf("text %q", got.Chunks)
 	}
 }
+
+func TestTextOfUnknownItemIsRefused(t *testing.T) {
+	m := newStateMachine(t)
+	assertKind(t, m.Apply(extendText("unknown", 0, "e1")), rollout.KindNotFound)
+	if len(m.Texts) != 0 {
+		t.Fatalf("%d texts are stored, want none", len(m.Texts))
+	}
+}
+
+// An item may come again in a later job while its earlier job still saves text.
+// The text would be forgotten too early if its time of use went back.
+func TestTimeOfUseOfTextNeverGoesBack(t *testing.T) {
+	m := newStateMachine(t)
+	later := submit("k", "a", "i1")
+	later.Submit.SubmittedMS = 5_000
+	piece := extendText("i1", 0, "e1")
+	piece.Extend.JobID = "k"
+	mustApply(t, m, later, piece, extendText("i1", 1, "e2"))
+	if got := m.Texts[job.TextKey{Account: "a", ItemID: "i1"}].UsedMS; got != 5_000 {
+		t.Fatalf("text was last used at %d, want 5000", got)
+	}
+}
