Keep the order of steps through a change of the leader

Cause: a new leader counted the deadline of all open jobs from its own start, so items of an earlier step lost their place before those of a later one. An item whose scorer has no route was tried every 150 ms without end. Ruled out: the submission time as it is; it is of the wall clock of another host, and giving up an item too early would be false. So the age only orders, and the time to give up still counts from when this leader queued the item. Change: jobs that a former leader accepted are due earlier by how much earlier than the newest they were submitted; scoring ends with the item's queueing time. Before: the tests did not compile (no openJobs), resp. the item stayed open. After: TestEarlierStepsStayFirstAfterChangeOfLeader and TestItemWithoutScorerRouteIsAbandonedAfterMaxQueue pass.

--- a/internal/jobstore/calls.go
+++ b/internal/jobstore/calls.go
@@ -99,7 +99,7 @@
 	s.opts.Log.Info("JobSubmitted", zap.String("Job", spec.ID), zap.String("Account", spec.Account), zap.String("Model", spec.Model),
 		zap.Int("Step", spec.Step), zap.Uint64("MinVersion", spec.MinVersion), zap.Int("Items", len(spec.Items)), zap.Error(err))
 	if err == nil {
-		r.openJob(spec.ID)
+		r.openJob(spec.ID, 0)
 	}
 	return Empty{}, err
 }
--- a/internal/jobstore/item.go
+++ b/internal/jobstore/item.go
@@ -220,7 +220,7 @@
 			return
 		}
 		scoreFailures += failures
-		if scoreFailures >= r.maxScorerFailures(w.item.Scorer) {
+		if scoreFailures >= r.maxScorerFailures(w.item.Scorer) || r.pastMaxQueue(w) {
 			r.commitResult(ctx, w, job.Result{ItemID: w.item.ID, State: job.StateAbandoned})
 			return
 		}
--- a/internal/jobstore/runner.go
+++ b/internal/jobstore/runner.go
@@ -1,6 +1,7 @@
 package jobstore
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"slices"
@@ -45,6 +46,9 @@
 	// the submission time, it does not depend on the clocks of other hosts and is
 	// never before the actual submission.
 	queuedMS rollout.Millis
+	// dueMS is when the result is due, by the clock of this leader. Jobs that a
+	// former leader accepted keep their distance in time from each other.
+	dueMS rollout.Millis
 	// queuePosition numbers the items in the order in which this leader opened
 	// them.
 	queuePosition uint64
@@ -177,8 +181,9 @@
 	group.Wait()
 }
 
-// openJob queues the items of a job that have no result yet.
-func (r *runner) openJob(jobID string) {
+// openJob queues the items of a job that have no result yet. The job was
+// submitted ageMS ago as far as this leader knows.
+func (r *runner) openJob(jobID string, ageMS rollout.Millis) {
 	r.store.mu.Lock()
 	j := r.store.state.Jobs[jobID]
 	var items []*workItem
@@ -205,6 +210,7 @@
 	for _, w := range items {
 		r.lastQueuePosition++
 		w.route, w.queuePosition, w.queuedMS = route, r.lastQueuePosition, now
+		w.dueMS = now + route.ResultDeadlineMS - min(ageMS, route.ResultDeadlineMS)
 		r.enqueue(w)
 	}
 	r.wakeUp()
@@ -219,13 +225,13 @@
 	}
 	t := dispatch.Task{
 		JobID: w.spec.ID, ItemID: w.item.ID, Pool: w.route.PickPool(0), Model: w.spec.Model, Group: w.item.Group,
-		MinVersion: w.spec.MinVersion, Begun: w.begun, ExpectedTokens: w.item.ExpectedTokens, DueMS: w.queuedMS + w.route.ResultDeadlineMS, Order: w.queuePosition,
+		MinVersion: w.spec.MinVersion, Begun: w.begun, ExpectedTokens: w.item.ExpectedTokens, DueMS: w.dueMS, Order: w.queuePosition,
 	}
 	w.text.discardUnlessAllowed(w.spec.MinVersion, w.route.SingleVersion)
 	if w.route.SingleVersion && len(w.text.versions) > 0 {
 		t.OnlyVersion = w.text.versions[0]
 	}
-	if w.route.MaxQueueMS > 0 && r.store.clock.Now() > w.queuedMS+w.route.MaxQueueMS {
+	if r.pastMaxQueue(w) {
 		r.goroutines.Go(func() {
 			r.commitResult(r.ctx, w, job.Result{ItemID: w.item.ID, State: job.StateAbandoned})
 		})
@@ -238,6 +244,11 @@
 	r.sched.Add(t)
 }
 
+// pastMaxQueue reports whether an item may be given up for its age.
+func (r *runner) pastMaxQueue(w *workItem) bool {
+	return w.route.MaxQueueMS > 0 && r.store.clock.Now() > w.queuedMS+w.route.MaxQueueMS
+}
+
 // routeOf returns the route of a job, or a default if the configuration no
 // longer has it. The caller holds r.mu.
 func (r *runner) routeOf(spec *job.Spec) document.Route {
@@ -253,8 +264,9 @@
 	if v.Index == nil || !r.setView(v) {
 		return
 	}
-	for _, id := range r.store.openJobIDs() {
-		r.openJob(id)
+	ids, agesMS := r.store.openJobs()
+	for i, id := range ids {
+		r.openJob(id, agesMS[i])
 	}
 }
 
@@ -358,18 +370,23 @@
 	}
 }
 
-// openJobIDs returns the IDs of the jobs that have not ended, oldest first.
-func (s *Store) openJobIDs() []string {
+// openJobs returns the IDs of the jobs that have not ended, oldest first, and how
+// much earlier than the newest each was submitted. Ages from the clock of this
+// host would depend on how it differs from the clocks of other hosts.
+func (s *Store) openJobs() (ids []string, agesMS []rollout.Millis) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var ids []string
 	for id, j := range s.state.Jobs {
 		if !j.Ended {
 			ids = append(ids, id)
 		}
 	}
 	slices.SortFunc(ids, func(a, b string) int {
-		return int(s.state.Jobs[a].Spec.SubmittedMS - s.state.Jobs[b].Spec.SubmittedMS)
+		return cmp.Or(cmp.Compare(s.state.Jobs[a].Spec.SubmittedMS, s.state.Jobs[b].Spec.SubmittedMS), cmp.Compare(a, b))
 	})
-	return ids
+	for _, id := range ids {
+		newest := s.state.Jobs[ids[len(ids)-1]].Spec.SubmittedMS
+		agesMS = append(agesMS, newest-s.state.Jobs[id].Spec.SubmittedMS)
+	}
+	return ids, agesMS
 }
--- a/internal/jobstore/runner_test.go
+++ b/internal/jobstore/runner_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -439,3 +440,51 @@
 		t.Fatal("body of an unknown item returned no error")
 	}
 }
+
+func TestItemWithoutScorerRouteIsAbandonedAfterMaxQueue(t *testing.T) {
+	s, f := newLeader(t, nil)
+	v := testView(nil)
+	v.Index.Document.Version++
+	v.Index.Document.Routes[0].MaxQueueMS = 400
+	v.Index = document.NewIndex(v.Index.Document)
+	s.applyView(v)
+	spec := newSpec("j", 1, "i1")
+	spec.Items[0].Scorer.Path = "/none/x"
+	if r := runJob(t, s, spec)["i1"]; r.State != job.StateAbandoned {
+		t.Fatalf("result %+v, want abandoned", r)
+	}
+	assertRuns(t, f, "score-i1", 0)
+}
+
+// The steps of a trainer overlap. After a change of the leader, the items of an
+// earlier step must still come before those of a later one.
+func TestEarlierStepsStayFirstAfterChangeOfLeader(t *testing.T) {
+	s, _ := newLeader(t, nil)
+	s.mu.Lock()
+	for id, submittedMS := range map[string]rollout.Millis{"late": 9_000, "early": 1_000, "middle": 5_000} {
+		spec := newSpec(id, 1, "i-"+id)
+		spec.SubmittedMS = submittedMS
+		if err := s.state.Apply(job.Command{Submit: &spec}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	s.mu.Unlock()
+	ids, agesMS := s.openJobs()
+	if !slices.Equal(ids, []string{"early", "middle", "late"}) || !slices.Equal(agesMS, []rollout.Millis{8_000, 4_000, 0}) {
+		t.Fatalf("jobs %v of ages %v, want early, middle, late of 8000, 4000, 0", ids, agesMS)
+	}
+	r, err := s.leadingRunner()
+	if err != nil {
+		t.Fatal(err)
+	}
+	due := make(map[string]rollout.Millis)
+	for i, id := range ids {
+		r.openJob(id, agesMS[i])
+		r.mu.Lock()
+		due[id] = r.jobs[id][0].dueMS
+		r.mu.Unlock()
+	}
+	if !(due["early"] < due["middle"] && due["middle"] < due["late"]) {
+		t.Fatalf("due at %v, want early before middle before late", due)
+	}
+}
