Count only what upstreams did, and pass long responses whole or not at all

Cause: four faults of balance and routing, seen while reading. A caller who left counted as a failure of the upstreams that worked for it; two such callers ejected them. A response over 8 MiB was cut and passed on as a success. An end of an earlier incarnation lowered the load of the new one under the same ID. The pace of a pool whose last upstream leaves divided by zero and became infinite. Ruled out: a larger limit alone; any limit cuts some response. Change: cancelled calls leave the failure count alone, a deadline still counts; a longer response is an error with sizes; outcomes carry the incarnation; the pace of an empty pool counts one upstream. Before: "no upstream" after two callers who left, no error for 8 MiB + 1, pace +Inf. After: TestCallersWhoLeaveDoNotEjectUpstream, TestLongResponseIsPassedWholeOrRefused, TestOutcomeOfEarlierIncarnationIsIgnored, TestPaceStaysFiniteWhenPoolEmpties pass.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -145,8 +145,8 @@
 	balancer *Balancer
 	req      Request
 	results  chan attempt
-	// cancels holds the cancel functions of attempts by upstream ID.
-	cancels map[string]context.CancelFunc
+	// cancels holds the attempts that can be cancelled by upstream ID.
+	cancels map[string]cancellable
 	// tried holds the IDs of the upstreams that the request was sent to.
 	tried []string
 	// running counts the attempts that have not ended.
@@ -159,12 +159,18 @@
 	best attempt
 }
 
+// cancellable is an attempt that runs, or whose response is being read.
+type cancellable struct {
+	cancel      context.CancelFunc
+	incarnation string
+}
+
 // Do sends a request until a response is final, no further attempt is allowed
 // or the context ends. NotRun of the error is true if no upstream has run the
 // request.
 func (b *Balancer) Do(ctx context.Context, req Request) (Response, error) {
 	c := &call{
-		balancer: b, req: req, results: make(chan attempt, maxSends), cancels: make(map[string]context.CancelFunc),
+		balancer: b, req: req, results: make(chan attempt, maxSends), cancels: make(map[string]cancellable),
 		best: attempt{err: rollout.NewError(rollout.KindNoUpstream, "pool %s has no upstream", req.Pool).WithNotRun()},
 	}
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
@@ -182,7 +188,8 @@
 	for c.running > 0 {
 		select {
 		case <-ctx.Done():
-			c.cancelExcept("")
+			// A caller that left says nothing about the upstreams.
+			c.cancelExcept("", errors.Is(ctx.Err(), context.DeadlineExceeded))
 			return Response{}, c.deadlineError()
 		case <-hedge.C:
 			if c.hasRunsLeft() && c.startAttempt(ctx) {
@@ -193,7 +200,7 @@
 			c.recordResult(a)
 			if a.isFinal() {
 				winner = a.upstream
-				c.cancelExcept(winner)
+				c.cancelExcept(winner, true)
 				return c.callerResponse(a, cancel), nil
 			}
 			if c.canRetry(a) {
@@ -219,15 +226,15 @@
 	return time.NewTimer(req.HedgeAfter)
 }
 
-// cancelExcept cancels all attempts but the winner and records those that have
-// not ended as failures of their upstreams.
-func (c *call) cancelExcept(winner string) {
-	for id, cancel := range c.cancels {
+// cancelExcept cancels all attempts but the winner and records whether those that
+// have not ended count as failures of their upstreams.
+func (c *call) cancelExcept(winner string, failed bool) {
+	for id, a := range c.cancels {
 		if id == winner {
 			continue
 		}
-		cancel()
-		c.balancer.recordOutcome(id, true)
+		a.cancel()
+		c.balancer.recordOutcome(id, a.incarnation, failed)
 	}
 }
 
@@ -248,7 +255,7 @@
 	req.Address, req.Instance = u.Address, u.ID
 	req.BudgetMS = max(1, rollout.Millis(time.Until(c.req.Deadline).Milliseconds()))
 	sendCtx, cancel := context.WithCancel(ctx)
-	c.cancels[u.ID] = cancel
+	c.cancels[u.ID] = cancellable{cancel, u.Incarnation}
 	c.tried = append(c.tried, u.ID)
 	c.running++
 	c.sends++
@@ -275,11 +282,11 @@
 // recordResult records the result of an attempt and updates the best result so far.
 func (c *call) recordResult(a attempt) {
 	c.running--
-	if cancel := c.cancels[a.upstream]; cancel != nil && !a.isFinal() {
-		cancel()
+	if running, ok := c.cancels[a.upstream]; ok && !a.isFinal() {
+		running.cancel()
 		delete(c.cancels, a.upstream)
 	}
-	c.balancer.recordOutcome(a.upstream, a.countsAsFailure())
+	c.balancer.recordOutcome(a.upstream, a.incarnation, a.countsAsFailure())
 	c.updateBrokenConnections(a)
 	if a.mayHaveRun() {
 		c.possibleRuns++
@@ -336,10 +343,10 @@
 }
 
 // recordOutcome tells the router that an attempt has ended.
-func (b *Balancer) recordOutcome(id string, failed bool) {
+func (b *Balancer) recordOutcome(id, incarnation string, failed bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.router.Finished(b.clock.Now(), id, routing.Outcome{Failed: failed, Running: -1})
+	b.router.Finished(b.clock.Now(), id, routing.Outcome{Incarnation: incarnation, Failed: failed, Running: -1})
 }
 
 func (b *Balancer) selectUpstream(pool string, tried []string) (routing.Choice, bool) {
@@ -370,8 +377,13 @@
 		return a
 	}
 	a.response.Head.Streaming = false
-	a.response.Body, err = io.ReadAll(io.LimitReader(head.Body, maxResponseBytes))
-	if err = errors.Join(err, head.Body.Close()); err != nil {
+	a.response.Body, err = io.ReadAll(io.LimitReader(head.Body, maxResponseBytes+1))
+	err = errors.Join(err, head.Body.Close())
+	switch {
+	case len(a.response.Body) > maxResponseBytes:
+		a.response.Body = nil
+		a.err = rollout.NewError(rollout.KindTruncated, "response of upstream %s to request %s is longer than %d bytes", req.Instance, req.AttemptID, maxResponseBytes)
+	case err != nil:
 		a.err = rollout.NewError(rollout.KindTruncated, "read response of upstream %s", req.Instance).WithCause(err)
 	}
 	return a
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -24,6 +24,8 @@
 	err    error
 	// hang blocks until the context ends.
 	hang bool
+	// bytes is the length of the body, or 0 for the ID of the upstream.
+	bytes int
 }
 
 // fakeUpstreams simulates upstreams by ID and records the attempts.
@@ -47,7 +49,11 @@
 	if r.err != nil {
 		return rollout.UpstreamResponse{}, r.err
 	}
-	return rollout.UpstreamResponse{Status: r.status, NotRun: r.notRun, Body: io.NopCloser(strings.NewReader(req.Instance))}, nil
+	body := req.Instance
+	if r.bytes > 0 {
+		body = strings.Repeat("x", r.bytes)
+	}
+	return rollout.UpstreamResponse{Status: r.status, NotRun: r.notRun, Body: io.NopCloser(strings.NewReader(body))}, nil
 }
 
 func newBalancer(behaviors map[string]behavior) (*balance.Balancer, *fakeUpstreams) {
@@ -229,3 +235,34 @@
 		})
 	}
 }
+
+func TestLongResponseIsPassedWholeOrRefused(t *testing.T) {
+	const limit = 8 << 20
+	b, _ := newBalancer(map[string]behavior{"a": {status: 200, bytes: limit}})
+	if response, err := b.Do(t.Context(), request(true, 1)); err != nil || len(response.Body) != limit {
+		t.Fatalf("got %d bytes, error %v, want %d bytes", len(response.Body), err, limit)
+	}
+	b, _ = newBalancer(map[string]behavior{"a": {status: 200, bytes: limit + 1}})
+	response, err := b.Do(t.Context(), request(true, 1))
+	assertError(t, err, false)
+	if rollout.AsError(err).Kind != rollout.KindTruncated || len(response.Body) != 0 {
+		t.Fatalf("got %d bytes, error %v, want a truncated response", len(response.Body), err)
+	}
+}
+
+// Callers who leave would otherwise eject the upstreams that work for them.
+func TestCallersWhoLeaveDoNotEjectUpstream(t *testing.T) {
+	b, f := newBalancer(map[string]behavior{"a": {hang: true}})
+	for range 4 {
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() {
+			_, err := b.Do(ctx, request(true, 1))
+			ended <- err
+		}()
+		time.Sleep(5 * time.Millisecond)
+		cancel()
+		assertError(t, <-ended, false)
+	}
+	assertSends(t, f, 4)
+}
--- a/pkg/rollout/routing/routing.go
+++ b/pkg/rollout/routing/routing.go
@@ -90,7 +90,10 @@
 
 // Outcome is the result of a request at an upstream.
 type Outcome struct {
-	Failed bool
+	// Incarnation is that of the upstream when the request was placed. An outcome
+	// of an earlier incarnation is ignored. Empty means the current one.
+	Incarnation string
+	Failed      bool
 	// Running is the number of requests at the upstream, from all entries, as
 	// reported by its agent. Negative if the agent reported none.
 	Running int
@@ -192,7 +195,7 @@
 // Finished records the outcome of a request that Pick placed at an upstream.
 func (r *Router) Finished(now rollout.Millis, id string, o Outcome) {
 	c := r.candidates[id]
-	if c == nil {
+	if c == nil || (o.Incarnation != "" && o.Incarnation != c.upstream.Incarnation) {
 		return
 	}
 	c.outstanding = max(0, c.outstanding-1)
@@ -206,7 +209,7 @@
 	if p := r.pools[c.upstream.Pool]; p != nil && !o.Failed && o.Tokens > 0 {
 		tokenMS := float64(o.TookMS) / float64(o.Tokens)
 		c.msPerToken = ewma(c.msPerToken, tokenMS, newestMSPerTokenWeight)
-		p.msPerToken = ewma(p.msPerToken, tokenMS, newestMSPerTokenWeight/float64(len(p.candidates)))
+		p.msPerToken = ewma(p.msPerToken, tokenMS, newestMSPerTokenWeight/float64(max(1, len(p.candidates))))
 	}
 	c.recordOutcome(now, r.cfg, o.Failed)
 }
--- a/pkg/rollout/routing/routing_test.go
+++ b/pkg/rollout/routing/routing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 
@@ -173,3 +174,36 @@
 		t.Fatalf("requests by upstream %v, want most at u1 with the newer version and some at u0", counts)
 	}
 }
+
+func TestOutcomeOfEarlierIncarnationIsIgnored(t *testing.T) {
+	r := newRouter(1, nil)
+	pick(t, r, 0, Query{})
+	c := catalog.New()
+	c.Upstreams["u0"] = catalog.Upstream{ID: "u0", Pool: "p", FailureDomain: "d0", Slots: 8, Incarnation: "2"}
+	r.Sync(c)
+	placed := pick(t, r, 0, Query{})
+	r.Finished(0, "u0", Outcome{Incarnation: "1", Failed: true, Running: -1})
+	if got := r.candidates["u0"]; got.outstanding != 1 || got.failures != 0 {
+		t.Fatalf("%d outstanding and %d failures after an end of an earlier incarnation, want 1, 0", got.outstanding, got.failures)
+	}
+	r.Finished(0, "u0", Outcome{Incarnation: placed.Upstream.Incarnation, Running: -1})
+	if got := r.candidates["u0"]; got.outstanding != 0 {
+		t.Fatalf("%d outstanding after the end, want 0", got.outstanding)
+	}
+}
+
+// The last upstream of a pool may be leaving while its requests end.
+func TestPaceStaysFiniteWhenPoolEmpties(t *testing.T) {
+	r := newRouter(1, nil)
+	pick(t, r, 0, Query{})
+	pick(t, r, 0, Query{})
+	c := catalog.New()
+	c.Upstreams["u0"] = catalog.Upstream{ID: "u0", Pool: "p", FailureDomain: "d0", Slots: 8, Incarnation: "1", Leaving: true}
+	r.Sync(c)
+	for _, tookMS := range []rollout.Millis{100, 300} {
+		r.Finished(0, "u0", Outcome{Running: -1, TookMS: tookMS, Tokens: 10})
+	}
+	if pace := r.pools["p"].msPerToken; math.IsNaN(pace) || math.IsInf(pace, 0) || pace > 30 {
+		t.Fatalf("pace of the pool is %v ms a token, want 10 to 30", pace)
+	}
+}
