Close every usage window, and only after entries have reported

Cause: four faults of the director, seen while reading. A new leader closed a window that was due before the entries had reported to it, so the counts were final and too low. Windows more than six late were skipped and never closed. Reports of closed windows came back into the counts in memory. NotFound and Conflict of a retirement were answered without a look at the lease. Ruled out: closing only as reports are accepted; entries forget old counts, so a platform that is down for a minute would cost them. Half of the kept windows may wait for the platform. Change: a leader closes windows from 2 s after its start, all of them, oldest first, while fewer than 32 are unsent; reports of closed windows are dropped; negative answers confirm the lease after the state was read. Before: windowsToClose did not exist; from 10 to 100 only 100 was closed. After: TestWindowsToClose, TestReportOfClosedWindowIsDropped pass.

--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -74,3 +74,38 @@
 		})
 	}
 }
+
+func TestWindowsToClose(t *testing.T) {
+	for name, c := range map[string]struct {
+		closedTo, newest uint64
+		unsent           int
+		want             []uint64
+	}{
+		"first window":                {0, 353_445_120, 0, []uint64{353_445_120}},
+		"none is due":                 {10, 10, 0, nil},
+		"clock went back":             {10, 8, 0, nil},
+		"next window":                 {10, 11, 1, []uint64{11}},
+		"after a long outage":         {10, 100, 28, []uint64{11, 12, 13, 14}},
+		"while reports fail":          {10, 12, 20, []uint64{11, 12}},
+		"while no report is accepted": {10, 40, 32, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if got := windowsToClose(c.closedTo, c.newest, c.unsent); !slices.Equal(got, c.want) {
+				t.Fatalf("windows %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+// The counts of a closed window are final; a late report would only take memory.
+func TestReportOfClosedWindowIsDropped(t *testing.T) {
+	d := newLocalDirector()
+	d.usage = make(map[uint64]map[string]map[string]uint64)
+	d.state.Apply(registry.Command{Close: &registry.CloseWindow{Window: 9}})
+	d.recordWatchRequest(view.Request{Host: "h", Role: view.RoleEntry, Usage: &view.Usage{
+		Incarnation: "1", Windows: map[uint64]map[string]uint64{8: {"a": 1}, 9: {"a": 2}, 10: {"a": 3}},
+	}})
+	if len(d.usage) != 1 || d.usage[10]["1"]["a"] != 3 {
+		t.Fatalf("usage %v, want window 10 only", d.usage)
+	}
+}
--- a/internal/director/leader.go
+++ b/internal/director/leader.go
@@ -29,9 +29,13 @@
 	// minLeaseLeftMS is the minimum remaining time of the lease for sending a
 	// usage report.
 	minLeaseLeftMS rollout.Millis = 150
-	// maxLateWindows is the largest number of windows by which closing may lag.
-	// If the lag is greater, only the newest window is closed.
-	maxLateWindows = 6
+	// usageReportWaitMS is how long a new leader waits for the counts of entries
+	// before it closes a window. Entries report to a new leader at once, and to one
+	// that they have to search for within 2 s.
+	usageReportWaitMS rollout.Millis = 2_000
+	// maxUnsentWindows is the number of closed windows without an accepted report
+	// from which no more windows are closed. The registry keeps twice as many.
+	maxUnsentWindows = 32
 )
 
 // runLeaderTasks periodically runs the tasks reserved for the leader. ctx ends
@@ -122,16 +126,12 @@
 	wallMS := rollout.Millis(time.Now().UnixMilli())
 	newest := uint64((wallMS-windowCloseDelayMS)/d.opts.WindowMS) - 1
 	d.mu.Lock()
-	from := d.state.ClosedTo + 1
-	if d.state.Document.Version == 0 {
+	if d.state.Document.Version == 0 || d.clock.Now()-d.leadStartMS < usageReportWaitMS {
 		d.mu.Unlock()
 		return
 	}
-	if from+maxLateWindows < newest {
-		from = newest
-	}
 	var commands []registry.Command
-	for w := from; w <= newest; w++ {
+	for _, w := range windowsToClose(d.state.ClosedTo, newest, d.unsentWindows()) {
 		total := make(map[string]uint64)
 		for _, counts := range d.usage[w] {
 			for account, n := range counts {
@@ -151,6 +151,32 @@
 	}
 }
 
+// unsentWindows returns the number of closed windows whose report has not been
+// accepted. The caller holds mu.
+func (d *Director) unsentWindows() int {
+	unsent := 0
+	for _, closed := range d.state.Windows {
+		if !closed.Sent {
+			unsent++
+		}
+	}
+	return unsent
+}
+
+// windowsToClose returns the windows to close now, oldest first. The first window
+// ever closed is the newest. After an outage no window is left out, but closing
+// goes on only as reports are accepted.
+func windowsToClose(closedTo, newest uint64, unsent int) []uint64 {
+	if closedTo == 0 {
+		return []uint64{newest}
+	}
+	var windows []uint64
+	for w := closedTo + 1; w <= newest && unsent+len(windows) < maxUnsentWindows; w++ {
+		windows = append(windows, w)
+	}
+	return windows
+}
+
 // sendUsageReport sends the usage report of the oldest closed window whose report
 // has not been accepted. A report that fails is sent again with the same counts.
 func (d *Director) sendUsageReport(ctx context.Context, term uint64) {
--- a/internal/director/operator.go
+++ b/internal/director/operator.go
@@ -230,6 +230,12 @@
 		return empty{}, d.confirmLeader()
 	case (address == "" || remaining < 2*d.opts.MaxLostHosts+1) && !waitEnded:
 		return empty{}, rollout.NewError(rollout.KindUnavailable, "the leader has waited less than %d ms for hosts to report", hostReportWaitMS)
+	case address == "" || remaining < 2*d.opts.MaxLostHosts+1:
+		if err := d.confirmLeader(); err != nil {
+			return empty{}, err
+		}
+	}
+	switch {
 	case address == "":
 		return empty{}, rollout.NewError(rollout.KindNotFound, "no running job store on host %q", r.Host)
 	case remaining < 2*d.opts.MaxLostHosts+1:
@@ -253,8 +259,11 @@
 		}
 	}
 	d.mu.Unlock()
+	if err := d.confirmLeader(); err != nil {
+		return Retirement{}, err
+	}
 	if !retiring {
 		return Retirement{}, rollout.NewError(rollout.KindNotFound, "host %q is not being retired", r.Host)
 	}
-	return Retirement{Done: done}, d.confirmLeader()
+	return Retirement{Done: done}, nil
 }
--- a/internal/director/watch.go
+++ b/internal/director/watch.go
@@ -105,6 +105,9 @@
 	d.daemons[key] = watchingDaemon{lastRequest: req, lastSeenMS: d.clock.Now()}
 	if u := req.Usage; u != nil {
 		for window, counts := range u.Windows {
+			if window <= d.state.ClosedTo {
+				continue
+			}
 			if d.usage[window] == nil {
 				d.usage[window] = make(map[string]map[string]uint64)
 			}
