Spare entries the loads of weights

Ruled out: sending less often; a draining engine must be known within drainMs, and the same message carries both. Change: the table numbers changes of routing apart from changes of models; entries follow the former and get no models. Stores and control hosts follow all, as either may have to lead.

--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -101,6 +101,8 @@
 	usageCooldown authority.Cooldown
 	// changed is closed and replaced at each change that watches wait for.
 	changed chan struct{}
+	// routingChanged is the same without changes of the models of engines.
+	routingChanged chan struct{}
 }
 
 // New returns a control host. It opens the replica in opts.Dir.
@@ -109,7 +111,7 @@
 		opts: opts, clock: clock.Boottime{}, dialer: link.NewDialer(opts.Secret),
 		state: registry.New(), table: discovery.New(opts.AnnounceIntervalMS),
 		daemons: make(map[string]watchingDaemon), usage: make(map[uint64]map[string]map[string]uint64),
-		poisonDetector: poison.NewDetector(), changed: make(chan struct{}),
+		poisonDetector: poison.NewDetector(), changed: make(chan struct{}), routingChanged: make(chan struct{}),
 	}
 	d.usageCooldown = authority.NewCooldown(d.clock.Now(), opts.CooldownMS)
 	d.client = fabric.NewClient(d.dialer)
@@ -165,6 +167,14 @@
 
 // notifyWatches wakes all waiting watch requests. The caller holds mu.
 func (d *Director) notifyWatches() {
+	d.notifyModelWatches()
+	close(d.routingChanged)
+	d.routingChanged = make(chan struct{})
+}
+
+// notifyModelWatches wakes the watch requests of hosts that follow the models of
+// engines. The caller holds mu.
+func (d *Director) notifyModelWatches() {
 	close(d.changed)
 	d.changed = make(chan struct{})
 }
--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -19,7 +19,7 @@
 func newLocalDirector() *Director {
 	return &Director{
 		opts: Options{Log: zap.NewNop()}, clock: clock.Boottime{}, state: registry.New(), table: discovery.New(1_000),
-		daemons: make(map[string]watchingDaemon), poisonDetector: poison.NewDetector(), changed: make(chan struct{}),
+		daemons: make(map[string]watchingDaemon), poisonDetector: poison.NewDetector(), changed: make(chan struct{}), routingChanged: make(chan struct{}),
 	}
 }
 
@@ -109,3 +109,38 @@
 		t.Fatalf("usage %v, want window 10 only", d.usage)
 	}
 }
+
+func TestEntriesDoNotFollowModels(t *testing.T) {
+	d := newLocalDirector()
+	engine := discovery.Upstream{
+		ID: "e", Address: "e", Born: 1, Seq: 1, State: discovery.StateReady, Models: []discovery.Model{{Name: "m", Version: 1}},
+	}
+	d.table.Announce(0, engine)
+	revision := d.table.Revision()
+	engine.Seq, engine.Models = 2, []discovery.Model{{Name: "m", Version: 2}}
+	d.recordAnnouncement(engine)
+	for role, want := range map[view.Role]int{view.RoleEntry: 0, view.RoleControl: 1, view.RoleStore: 1} {
+		if us, _ := d.upstreamsChangedSince(revision, role); len(us) != want {
+			t.Fatalf("%s gets %d changes after a load of weights, want %d", role, len(us), want)
+		}
+	}
+	if us, _ := d.upstreamsChangedSince(0, view.RoleEntry); len(us) != 1 || us[0].Models != nil {
+		t.Fatalf("an entry gets %v, want the engine without models", us)
+	}
+	_, entries := d.upstreamsChangedSince(revision, view.RoleEntry)
+	_, stores := d.upstreamsChangedSince(revision, view.RoleStore)
+	engine.Seq, engine.Models = 3, []discovery.Model{{Name: "m", Version: 3}}
+	d.recordAnnouncement(engine)
+	select {
+	case <-entries:
+		t.Fatal("a load of weights woke an entry")
+	case <-stores:
+	}
+	engine.Seq, engine.State = 4, discovery.StateDraining
+	d.recordAnnouncement(engine)
+	select {
+	case <-entries:
+	default:
+		t.Fatal("a draining engine did not wake an entry")
+	}
+}
--- a/internal/director/operator.go
+++ b/internal/director/operator.go
@@ -175,12 +175,7 @@
 }
 
 func (d *Director) announce(_ context.Context, u discovery.Upstream) (empty, error) {
-	d.mu.Lock()
-	accepted, changed := d.table.Announce(d.clock.Now(), u)
-	if changed {
-		d.notifyWatches()
-	}
-	d.mu.Unlock()
+	accepted, changed := d.recordAnnouncement(u)
 	if changed || !accepted {
 		d.opts.Log.Info("UpstreamAnnounced", zap.String("Upstream", u.ID), zap.Int64("Born", u.Born), zap.Uint64("Seq", u.Seq),
 			zap.String("State", string(u.State)), zap.Bool("Taken", accepted))
@@ -188,6 +183,22 @@
 	return empty{}, d.confirmLeader()
 }
 
+// recordAnnouncement updates the table and wakes the watches that follow the
+// change.
+func (d *Director) recordAnnouncement(u discovery.Upstream) (accepted, changed bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	routingRevision := d.table.RoutingRevision()
+	accepted, changed = d.table.Announce(d.clock.Now(), u)
+	switch {
+	case d.table.RoutingRevision() != routingRevision:
+		d.notifyWatches()
+	case changed:
+		d.notifyModelWatches()
+	}
+	return accepted, changed
+}
+
 func (d *Director) leave(_ context.Context, dep Departure) (empty, error) {
 	d.mu.Lock()
 	changed := d.table.Leave(d.clock.Now(), dep.ID, dep.Born)
--- a/internal/director/watch.go
+++ b/internal/director/watch.go
@@ -9,6 +9,7 @@
 
 	"github.com/coltsfootspoke/coltsfootspoke/internal/view"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/discovery"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/poison"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/quorum"
 )
@@ -48,11 +49,12 @@
 	defer d.mu.Unlock()
 	reply := view.Reply{Epoch: term, TableRevision: d.table.Revision(), FactsRevision: d.factsRevision()}
 	reply.Whole = req.Epoch != term
+	since := req.TableRevision
 	if reply.Whole {
-		reply.Upstreams = d.table.ChangedSince(0)
-	} else {
-		reply.Upstreams = d.table.ChangedSince(req.TableRevision)
+		since = 0
 	}
+	var changed chan struct{}
+	reply.Upstreams, changed = d.upstreamsChangedSince(since, req.Role)
 	if doc := d.state.Document; doc.Version > req.DocumentVersion {
 		reply.Document = &doc
 	}
@@ -61,7 +63,21 @@
 		reply.Facts = &f
 	}
 	hasChanges := reply.Whole || len(reply.Upstreams) > 0 || reply.Document != nil || reply.Facts != nil
-	return reply, hasChanges, d.changed
+	return reply, hasChanges, changed
+}
+
+// upstreamsChangedSince returns the upstreams that changed after a table revision
+// as far as a role follows them, and a channel that is closed at the next change.
+// Entries do not use the models of engines. The caller holds mu.
+func (d *Director) upstreamsChangedSince(revision uint64, role view.Role) ([]discovery.Upstream, chan struct{}) {
+	if role != view.RoleEntry {
+		return d.table.ChangedSince(revision), d.changed
+	}
+	us := d.table.RoutingChangedSince(revision)
+	for i := range us {
+		us[i].Models = nil
+	}
+	return us, d.routingChanged
 }
 
 // facts returns the current facts. The caller holds mu.
--- a/pkg/rollout/discovery/discovery.go
+++ b/pkg/rollout/discovery/discovery.go
@@ -49,8 +49,9 @@
 	Seq  uint64
 	// Silent is true when several announcements in a row are missing.
 	Silent bool `json:",omitempty"`
-	// Revision is the table revision at which the upstream last changed.
-	Revision uint64
+	// Revision is the table revision at which the upstream last changed, and
+	// RoutingRevision the one at which anything but Models last changed.
+	Revision, RoutingRevision uint64
 }
 
 // record is an upstream with the time of its last announcement or Leave.
@@ -62,8 +63,9 @@
 // Table holds all upstreams. It is not safe for concurrent use.
 type Table struct {
 	announceIntervalMS rollout.Millis
-	revision           uint64
-	byID               map[string]*record
+	// revision and routingRevision are the largest of all upstreams.
+	revision, routingRevision uint64
+	byID                      map[string]*record
 }
 
 // New returns an empty table for upstreams that announce themselves every
@@ -88,12 +90,16 @@
 	}
 	u.Silent = false
 	next := &record{Upstream: u, lastSeenMS: now}
-	if old != nil && sameContent(old.Upstream, u) {
-		next.Revision = old.Revision
-		t.byID[u.ID] = next
-		return true, false
-	}
 	t.byID[u.ID] = next
+	if old != nil && sameRouting(old.Upstream, u) {
+		next.Revision, next.RoutingRevision = old.Revision, old.RoutingRevision
+		changed = !slices.Equal(old.Models, u.Models)
+		if changed {
+			t.revision++
+			next.Revision = t.revision
+		}
+		return true, changed
+	}
 	t.bumpRevision(next)
 	t.endEarlierAtAddress(u)
 	return true, true
@@ -118,12 +124,17 @@
 	for _, u := range us {
 		t.byID[u.ID] = &record{Upstream: u, lastSeenMS: now}
 		t.revision = max(t.revision, u.Revision)
+		t.routingRevision = max(t.routingRevision, u.RoutingRevision)
 	}
 }
 
 // Revision returns the revision of the last change.
 func (t *Table) Revision() uint64 { return t.revision }
 
+// RoutingRevision returns the revision of the last change of anything but the
+// models of an upstream.
+func (t *Table) RoutingRevision() uint64 { return t.routingRevision }
+
 // EndedOrSilent reports whether an incarnation is known to have ended or to be
 // silent.
 func (t *Table) EndedOrSilent(id string, born int64) bool {
@@ -144,6 +155,13 @@
 	return us
 }
 
+// RoutingChangedSince is ChangedSince without changes of models alone, for hosts
+// that only route requests. Each load of weights changes the models of an engine,
+// and most hosts are of that kind.
+func (t *Table) RoutingChangedSince(revision uint64) []Upstream {
+	return slices.DeleteFunc(t.ChangedSince(revision), func(u Upstream) bool { return u.RoutingRevision <= revision })
+}
+
 // Tick marks upstreams as silent and deletes expired tombstones. It reports
 // whether any upstream was marked.
 func (t *Table) Tick(now rollout.Millis) bool {
@@ -184,13 +202,12 @@
 
 func (t *Table) bumpRevision(r *record) {
 	t.revision++
-	r.Revision = t.revision
+	r.Revision, r.RoutingRevision, t.routingRevision = t.revision, t.revision, t.revision
 }
 
-// sameContent reports whether two announcements differ at most in Seq and
-// Revision.
-func sameContent(a, b Upstream) bool {
+// sameRouting reports whether two announcements differ at most in Models, Seq and
+// the revisions.
+func sameRouting(a, b Upstream) bool {
 	return a.Pool == b.Pool && a.Address == b.Address && a.FailureDomain == b.FailureDomain &&
-		a.State == b.State && a.Slots == b.Slots && a.Born == b.Born && a.Silent == b.Silent &&
-		slices.Equal(a.Models, b.Models)
+		a.State == b.State && a.Slots == b.Slots && a.Born == b.Born && a.Silent == b.Silent
 }
--- a/pkg/rollout/discovery/discovery_test.go
+++ b/pkg/rollout/discovery/discovery_test.go
@@ -109,3 +109,29 @@
 	assertAnnounce(t, next, 11, upstream("a", "x:1", 5, 4), false, false)
 	assertAnnounce(t, next, 12, upstream("a", "x:1", 5, 5), true, false)
 }
+
+// Each load of weights changes the models of an engine. Hosts that only route
+// requests must not be sent that.
+func TestLoadOfWeightsIsNoChangeOfRouting(t *testing.T) {
+	table := discovery.New(announceIntervalMS)
+	loaded := func(seq, version uint64) discovery.Upstream {
+		u := upstream("a", "x:1", 5, seq)
+		u.Models = []discovery.Model{{Name: "m", Version: version}}
+		return u
+	}
+	assertAnnounce(t, table, 0, loaded(1, 1), true, true)
+	before := table.Revision()
+	assertAnnounce(t, table, 1, loaded(2, 2), true, true)
+	if all, routing := table.ChangedSince(before), table.RoutingChangedSince(before); len(all) != 1 || len(routing) != 0 {
+		t.Fatalf("%d changes, %d of routing after a load, want 1, 0", len(all), len(routing))
+	}
+	if table.RoutingRevision() != before {
+		t.Fatalf("routing revision %d, want %d", table.RoutingRevision(), before)
+	}
+	draining := loaded(3, 2)
+	draining.State = discovery.StateDraining
+	assertAnnounce(t, table, 2, draining, true, true)
+	if routing := table.RoutingChangedSince(before); len(routing) != 1 || routing[0].State != discovery.StateDraining {
+		t.Fatalf("changes of routing %v, want the draining upstream", routing)
+	}
+}
