Reuse the upstream that a host called last while it has nothing else to send

Cause: an entry of the large fleet has a lookup every 4 s and chose among five plain services of its failure domain at random, so most lookups opened a connection, which costs the upstream 1 ms and is priced. Ruled out: longer idle times; each pair of entry and service meets every 20 s.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -85,7 +85,7 @@
 func New(upstreams rollout.UpstreamClient, clock rollout.Clock, domain string, log *zap.Logger) *Balancer {
 	cfg := routing.DefaultConfig(domain)
 	cfg.EjectAfter, cfg.EjectMS, cfg.MaxEjectMS = ejectAfter, ejectMS, maxEjectMS
-	cfg.LocalLoadLimit = localLoadLimit
+	cfg.LocalLoadLimit, cfg.ReuseMS = localLoadLimit, reuseMS
 	return &Balancer{upstreams: upstreams, clock: clock, log: log, router: routing.New(cfg, globalRandom{})}
 }
 
@@ -99,6 +99,8 @@
 	// localLoadLimit is the load per slot from which a request goes to another
 	// failure domain if that has a less loaded upstream.
 	localLoadLimit = 0.5
+	// reuseMS is below the time for which idle connections are kept.
+	reuseMS rollout.Millis = 10_000
 )
 
 // Sync replaces the set of known upstreams.
--- a/pkg/rollout/routing/routing.go
+++ b/pkg/rollout/routing/routing.go
@@ -27,6 +27,10 @@
 	// is chosen without a look at the others. Prompts that share a prefix find it
 	// more often without a limit, as fewer upstreams read it.
 	LocalLoadLimit float64
+	// ReuseMS is how long an upstream in FailureDomain is preferred after its last
+	// success while this host has no request at its pool, because a connection to it
+	// is probably open. Zero disables it.
+	ReuseMS rollout.Millis
 	// LoadBound is the factor by which an upstream may exceed the mean load of
 	// its pool and still be chosen for its prefix cache.
 	LoadBound float64
@@ -54,6 +58,8 @@
 const (
 	// ReasonPrefix is the affinity to the prompt's prefix.
 	ReasonPrefix Reason = "prefix"
+	// ReasonReuse is the open connection to an idle upstream.
+	ReasonReuse Reason = "reuse"
 	// ReasonProbe is the random choice of an upstream whose ejection has expired.
 	ReasonProbe Reason = "probe"
 	// ReasonLoad is the lower cost of two random upstreams.
@@ -141,6 +147,8 @@
 	// ejectedUntil is zero while the upstream is not ejected.
 	ejectedUntil rollout.Millis
 	probing      bool
+	// succeededAt is the time of the last success, or zero after a failure.
+	succeededAt rollout.Millis
 	// msPerToken is the moving average of the time per token. Zero means
 	// unknown.
 	msPerToken float64
@@ -255,6 +263,9 @@
 			return c, ReasonPrefix
 		}
 	}
+	if c := r.pickConnected(now, p, q); c != nil {
+		return c, ReasonReuse
+	}
 	if c := r.pickNear(now, p, q); c != nil {
 		if c.ejectedUntil > 0 {
 			return c, ReasonProbe
@@ -269,6 +280,25 @@
 	return nil, ""
 }
 
+// pickConnected returns the upstream of the own failure domain that succeeded last,
+// within ReuseMS, if this host has no request at the pool. A host with few requests
+// would otherwise open a connection for most of them.
+func (r *Router) pickConnected(now rollout.Millis, p *pool, q Query) *candidate {
+	if p.outstanding > 0 {
+		return nil
+	}
+	var best *candidate
+	for _, c := range p.sameDomain {
+		if c.succeededAt == 0 || now-c.succeededAt >= r.cfg.ReuseMS || !r.eligible(now, c, q) {
+			continue
+		}
+		if best == nil || c.succeededAt > best.succeededAt {
+			best = c
+		}
+	}
+	return best
+}
+
 // pickNear returns an upstream of the own failure domain unless it is loaded
 // beyond LocalLoadLimit and another domain has a cheaper one.
 func (r *Router) pickNear(now rollout.Millis, p *pool, q Query) *candidate {
@@ -411,9 +441,10 @@
 func (c *candidate) recordOutcome(now rollout.Millis, cfg Config, failed bool) {
 	c.probing = false
 	if !failed {
-		c.failures, c.ejectionMS, c.ejectedUntil = 0, 0, 0
+		c.failures, c.ejectionMS, c.ejectedUntil, c.succeededAt = 0, 0, 0, now
 		return
 	}
+	c.succeededAt = 0
 	c.failures++
 	if c.failures < cfg.EjectAfter {
 		return
--- a/pkg/rollout/routing/routing_test.go
+++ b/pkg/rollout/routing/routing_test.go
@@ -207,3 +207,27 @@
 		t.Fatalf("pace of the pool is %v ms a token, want 10 to 30", pace)
 	}
 }
+
+// Many hosts with few requests each would open a connection for most lookups.
+func TestSparseLookupsReuseConnection(t *testing.T) {
+	r := newRouter(24, nil)
+	r.cfg.ReuseMS = 10_000
+	now := rollout.Millis(1_000)
+	first := pick(t, r, now, Query{}).Upstream.ID
+	r.Finished(now, first, Outcome{Running: -1})
+	for range 5 {
+		now += 4_000
+		if c := pick(t, r, now, Query{}); c.Upstream.ID != first || c.Reason != ReasonReuse {
+			t.Fatalf("Pick() = %s for %s, want %s again", c.Upstream.ID, c.Reason, first)
+		}
+		r.Finished(now, first, Outcome{Running: -1})
+	}
+	busy := pick(t, r, now, Query{}).Upstream.ID
+	if second := pick(t, r, now, Query{}).Upstream.ID; second == busy {
+		t.Fatalf("a second request at the same time went to %s too", second)
+	}
+	r.Finished(now, first, Outcome{Running: -1, Failed: true})
+	if c := pick(t, r, now, Query{}); c.Reason == ReasonReuse && c.Upstream.ID == first {
+		t.Fatalf("Pick() = %s right after its failure", first)
+	}
+}
