Lend idle engines to a model whose queue is long

Cause: each engine keeps one model current. Where a model has two engines and its step brings 80 items, steps wait 9 to 10 s while engines of other models are idle between their steps. Reassignment moves one engine in 3 s by counted events. Ruled out: all models on all engines; each named version would then be loaded as often as there are engines, and loads beyond an equal share are priced. Change: when the queue of a model would take over 2.5 s by the mean time of runs, and has lasted 0.5 s, engines load its version whose own model is current, has no queue and fills at most half of their slots, within the limit of loads at a time. Other models of an engine are not affected by a load. TestStarvingModelBorrowsIdleEngines, TestBusyEnginesAreNotLent.

--- a/pkg/rollout/dispatch/dispatch.go
+++ b/pkg/rollout/dispatch/dispatch.go
@@ -150,7 +150,11 @@
 	// another model.
 	nextReassignmentAt rollout.Millis
 	waiting            []Task
-	running            map[runKey]*run
+	// backlogs holds the models whose tasks found no engine in the last pass.
+	backlogs map[string]backlog
+	// runMS is the moving average of the time of complete runs, or 0.
+	runMS   float64
+	running map[runKey]*run
 	// meanTokens is the moving average of ExpectedTokens over the tasks.
 	meanTokens float64
 	// medianIntervals holds the median event interval of each pool, computed at
@@ -164,7 +168,7 @@
 	return &Scheduler{
 		cfg: cfg, engines: make(map[string]*engine), models: make(map[string][]string),
 		targets: make(map[string]uint64), assignedModels: make(map[string]string), running: make(map[runKey]*run),
-		minVersions: make(map[string]uint64), recentEvents: make(map[string]float64),
+		minVersions: make(map[string]uint64), recentEvents: make(map[string]float64), backlogs: make(map[string]backlog),
 	}
 }
 
@@ -182,6 +186,9 @@
 
 // RunEnded records the outcome of a run on an engine.
 func (s *Scheduler) RunEnded(now rollout.Millis, a Assignment, o Outcome) {
+	if r := s.running[a.Task.runKey()]; r != nil && o == OutcomeDone {
+		s.updateRunMS(now - r.startedMS)
+	}
 	delete(s.running, a.Task.runKey())
 	e := s.engines[a.Engine]
 	if e == nil {
@@ -288,6 +295,7 @@
 		assignments = append(assignments, Assignment{Task: t, Engine: e.ID, Address: e.Address, Version: e.knownVersions[t.Model]})
 	}
 	s.waiting = kept
+	s.updateBacklogs(now)
 	return assignments
 }
 
--- a/pkg/rollout/dispatch/dispatch_test.go
+++ b/pkg/rollout/dispatch/dispatch_test.go
@@ -390,3 +390,67 @@
 		t.Fatalf("%d loads planned a second later, want 1", len(again))
 	}
 }
+
+// runFor runs the queued tasks that can start and ends them after a time.
+func (f *fixture) runFor(took rollout.Millis) {
+	as := f.AssignTasks(f.now)
+	f.now += took
+	for _, a := range as {
+		f.RunEnded(f.now, a, dispatch.OutcomeDone)
+	}
+}
+
+// loadsOf returns the planned loads of a model, which end at once.
+func (f *fixture) loadsOf(model string) []dispatch.WeightLoad {
+	loads := f.PlanWeightLoads(f.now)
+	for _, l := range loads {
+		f.OrderEnded(f.now, l, rollout.WeightOrderAlreadyServed)
+	}
+	return slices.DeleteFunc(loads, func(l dispatch.WeightLoad) bool { return l.Model != model })
+}
+
+// Each engine keeps one model current. Where a model has few engines, its steps
+// would wait for each other while the engines of another model are idle.
+func TestStarvingModelBorrowsIdleEngines(t *testing.T) {
+	const engines, slots, runMS = 10, 2, 1_000
+	for _, tc := range []struct {
+		name  string
+		tasks int
+		lent  bool
+	}{
+		{"ShortQueue", 20, false},
+		{"LongQueue", 120, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFixture(engines, slots, "m0", "m1")
+			f.SetTargets(map[string]uint64{"m0": 2, "m1": 2})
+			f.completeLoads()
+			f.add(tc.tasks, dispatch.Task{Model: "m0", MinVersion: 2})
+			f.runFor(runMS)
+			f.AssignTasks(f.now)
+			f.now += 600
+			f.AssignTasks(f.now)
+			if got := len(f.loadsOf("m0")); (got > 0) != tc.lent {
+				t.Fatalf("%d engines are lent to a queue of %d tasks, want some: %v", got, tc.tasks, tc.lent)
+			}
+		})
+	}
+}
+
+func TestBusyEnginesAreNotLent(t *testing.T) {
+	f := newFixture(10, 2, "m0", "m1")
+	f.SetTargets(map[string]uint64{"m0": 2, "m1": 2})
+	f.completeLoads()
+	for i := range 240 {
+		f.Add(dispatch.Task{
+			JobID: "job", ItemID: fmt.Sprintf("i%d", i), Pool: pool, Model: []string{"m0", "m1"}[i%2], MinVersion: 2, Order: uint64(i),
+		})
+	}
+	f.runFor(1_000)
+	f.AssignTasks(f.now)
+	f.now += 600
+	f.AssignTasks(f.now)
+	if loads := f.PlanWeightLoads(f.now); len(loads) != 0 {
+		t.Fatalf("loads %v while both models have work, want none", loads)
+	}
+}
--- a/pkg/rollout/dispatch/loads.go
+++ b/pkg/rollout/dispatch/loads.go
@@ -34,6 +34,12 @@
 				Accepted: e.acceptedOrders, NeedsReport: !e.reportKnown,
 			})
 		}
+		available -= len(toUpdate)
+		lend := s.enginesToLend(now, pool, engines)
+		for _, l := range lend[:min(max(available, 0), len(lend))] {
+			s.engines[l.Engine].orderPending = true
+			loads = append(loads, l)
+		}
 	}
 	return loads
 }
