Test versions of resumed texts and runs at engines of another version

Cause: trainers of the large fleet report samples of an older version than named. No test showed a text that goes on after a load, nor what follows a 421. Ruled out by these tests: versions taken from the order instead of the events; a 421 that counts as a failure of the item. Change: tests only. The item's versions are 1 and 2 when a run broke off under 1 and went on under 2; three answers 421 delay it and no more.

--- a/internal/jobstore/runner_test.go
+++ b/internal/jobstore/runner_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -55,7 +56,10 @@
 type fault struct {
 	status int
 	notRun bool
-	err    error
+	// misdirected is true if the engine serves another weight version or is
+	// another one.
+	misdirected bool
+	err         error
 	// breakAfter is the number of events after which the stream breaks, or 0 for
 	// no stream.
 	breakAfter int
@@ -88,7 +92,7 @@
 				body.last, body.broken = ft.breakAfter, true
 				return rollout.UpstreamResponse{Status: 200, Streaming: true, WeightVersion: 1, Body: body}, nil
 			}
-			return rollout.UpstreamResponse{Status: ft.status, NotRun: ft.notRun, Body: body}, nil
+			return rollout.UpstreamResponse{Status: ft.status, NotRun: ft.notRun, Misdirected: ft.misdirected, Body: body}, nil
 		}
 	}
 	if strings.HasPrefix(x.AttemptID, "score-") {
@@ -488,3 +492,57 @@
 		t.Fatalf("due at %v, want early before middle before late", due)
 	}
 }
+
+// A trainer needs to know which versions made its samples. A run that broke off
+// goes on at an engine that has loaded newer weights meanwhile.
+func TestVersionsOfResumedRunAreThoseOfItsEvents(t *testing.T) {
+	var loaded atomic.Bool
+	s, f := newLeader(t, func(x rollout.UpstreamRequest, run int) *fault {
+		switch {
+		case x.AttemptID != "i1":
+			return nil
+		case run == 1:
+			return &fault{breakAfter: 2}
+		case !loaded.Load():
+			return &fault{status: 503, notRun: true}
+		}
+		return nil
+	})
+	if _, err := s.submit(t.Context(), newSpec("j", 1, "i1")); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "a run that breaks off", func() bool { f.mu.Lock(); defer f.mu.Unlock(); return f.runs["i1"] > 1 })
+	s.applyView(testView(map[string]uint64{"m": 2}))
+	// A job that allows only the new version makes both engines load it.
+	_ = runJob(t, s, newSpec("other", 2, "i2"))
+	eventually(t, "orders to both engines", func() bool { f.mu.Lock(); defer f.mu.Unlock(); return len(f.orders) == 2 })
+	loaded.Store(true)
+	var page Page
+	eventually(t, "the result", func() bool {
+		var err error
+		page, err = s.read(t.Context(), ReadRequest{JobID: "j", Account: "acc"})
+		return err == nil && len(page.Results) == 1
+	})
+	assertCompleted(t, page.Results[0])
+	if !slices.Equal(page.Results[0].Versions, []uint64{1, 2}) {
+		t.Fatalf("versions %v, want 1 and 2", page.Results[0].Versions)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.resumedAfter["i1"] != "2" {
+		t.Fatalf("resumed after %q, want 2", f.resumedAfter["i1"])
+	}
+}
+
+// An engine whose weights have changed turns a run away. The item must neither
+// fail for that nor stay at that engine.
+func TestItemRunsElsewhereWhenEngineServesAnotherVersion(t *testing.T) {
+	s, f := newLeader(t, func(x rollout.UpstreamRequest, run int) *fault {
+		if x.AttemptID == "i1" && run <= 3 {
+			return &fault{status: 421, notRun: true, misdirected: true}
+		}
+		return nil
+	})
+	assertCompleted(t, runJob(t, s, newSpec("j", 1, "i1"))["i1"])
+	assertRuns(t, f, "i1", 4)
+}
