Make scheduling passes cheap with a thousand engines

Each pass sorted all engine IDs, and orders and moves were planned at each wake-up. Ruled out: fewer wake-ups; a free slot must be used at once. Change: engines are grouped and sorted by pool when the view changes; an unknown median is kept; orders and moves are planned at most every 20 ms.

--- a/internal/jobstore/runner.go
+++ b/internal/jobstore/runner.go
@@ -21,6 +21,9 @@
 	// pollInterval is the maximum time between two scheduling passes. The pause of
 	// an engine can end without an event that wakes the runner up.
 	pollInterval = 60 * time.Millisecond
+	// planIntervalMS is the minimum time between two looks for weight orders and
+	// moves, which take all engines and runs into account.
+	planIntervalMS rollout.Millis = 20
 	// orderTimeout limits a weight order, with the report that it may need.
 	orderTimeout = time.Second
 	// minLeaseLeftMS is the minimum remaining lease for a scheduling pass and for
@@ -89,6 +92,8 @@
 	jobs              map[string][]*workItem
 	index             *document.Index
 	lastQueuePosition uint64
+	// plannedMS is the time of the last look for weight orders and moves.
+	plannedMS rollout.Millis
 	// isWriter is true once the SetWriter command of this runner is committed.
 	isWriter bool
 }
@@ -306,6 +311,21 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if now-r.plannedMS >= planIntervalMS {
+		r.plannedMS = now
+		r.planOrdersAndMoves(ctx, now)
+	}
+	defer func() { r.store.metrics.waitingItems.Set(float64(r.sched.Waiting())) }()
+	for _, a := range r.sched.AssignTasks(now) {
+		if w := r.findItem(a.Task); w != nil {
+			r.startItem(w, a)
+		}
+	}
+}
+
+// planOrdersAndMoves starts the weight orders and moves that are due. The caller
+// holds r.mu.
+func (r *runner) planOrdersAndMoves(ctx context.Context, now rollout.Millis) {
 	if r.maySendOrders(now) {
 		for _, l := range r.sched.PlanWeightLoads(now) {
 			r.goroutines.Go(func() { r.orderLoad(ctx, l) })
@@ -320,12 +340,6 @@
 		w.stalled = m.Stalled
 		w.interrupt()
 	}
-	defer func() { r.store.metrics.waitingItems.Set(float64(r.sched.Waiting())) }()
-	for _, a := range r.sched.AssignTasks(now) {
-		if w := r.findItem(a.Task); w != nil {
-			r.startItem(w, a)
-		}
-	}
 }
 
 // startItem runs an item in a new goroutine. The caller holds r.mu.
--- a/pkg/rollout/dispatch/dispatch.go
+++ b/pkg/rollout/dispatch/dispatch.go
@@ -132,6 +132,9 @@
 type Scheduler struct {
 	cfg     Config
 	engines map[string]*engine
+	// pools holds the engines of each pool by ID, and ready those of them that are
+	// ready, as far as readyEngines has been asked. Both are built anew by Sync.
+	pools, ready map[string][]*engine
 	// models holds the models of each pool.
 	models map[string][]string
 	// targets holds the newest named weight version of each model.
@@ -267,6 +270,7 @@
 			e.knownVersions[m.Name] = max(e.knownVersions[m.Name], m.Version)
 		}
 	}
+	s.groupByPool()
 	s.assignModels(now)
 }
 
@@ -306,7 +310,7 @@
 func (s *Scheduler) choose(now rollout.Millis, t Task) *engine {
 	var best *engine
 	bestCost := 0.0
-	for _, e := range s.engines {
+	for _, e := range s.pools[t.Pool] {
 		if !s.eligible(now, e, t) {
 			continue
 		}
@@ -328,8 +332,9 @@
 	return best
 }
 
+// eligible reports whether an engine of the task's pool may run the task now.
 func (s *Scheduler) eligible(now rollout.Millis, e *engine, t Task) bool {
-	if e.Pool != t.Pool || e.State != discovery.StateReady || now < e.retryAt || float64(e.running)*s.slowness(now, e) >= float64(e.Slots) {
+	if e.State != discovery.StateReady || now < e.retryAt || e.running >= e.Slots || float64(e.running)*s.slowness(now, e) >= float64(e.Slots) {
 		return false
 	}
 	if e.loadingModel == t.Model && now < e.loadEndsAt {
--- a/pkg/rollout/dispatch/loads.go
+++ b/pkg/rollout/dispatch/loads.go
@@ -244,23 +244,26 @@
 }
 
 // readyEngines returns the ready engines of a pool, alternating between failure
-// domains.
+// domains. The caller must not change the slice.
 func (s *Scheduler) readyEngines(pool string) []*engine {
+	if ready, known := s.ready[pool]; known {
+		return ready
+	}
 	var engines []*engine
 	inDomain := make(map[string]int)
 	rank := make(map[string]int)
-	for _, id := range s.sortedEngineIDs() {
-		e := s.engines[id]
-		if e.Pool != pool || e.State != discovery.StateReady {
+	for _, e := range s.pools[pool] {
+		if e.State != discovery.StateReady {
 			continue
 		}
-		rank[id] = inDomain[e.FailureDomain]
+		rank[e.ID] = inDomain[e.FailureDomain]
 		inDomain[e.FailureDomain]++
 		engines = append(engines, e)
 	}
 	slices.SortFunc(engines, func(a, b *engine) int {
 		return cmp.Or(cmp.Compare(rank[a.ID], rank[b.ID]), cmp.Compare(a.FailureDomain, b.FailureDomain))
 	})
+	s.ready[pool] = engines
 	return engines
 }
 
@@ -275,11 +278,13 @@
 	return names
 }
 
-func (s *Scheduler) sortedEngineIDs() []string {
-	ids := make([]string, 0, len(s.engines))
-	for id := range s.engines {
-		ids = append(ids, id)
+// groupByPool sorts the engines of each pool by ID and forgets which are ready.
+func (s *Scheduler) groupByPool() {
+	s.pools, s.ready = make(map[string][]*engine), make(map[string][]*engine)
+	for _, e := range s.engines {
+		s.pools[e.Pool] = append(s.pools[e.Pool], e)
+	}
+	for _, engines := range s.pools {
+		slices.SortFunc(engines, func(a, b *engine) int { return cmp.Compare(a.ID, b.ID) })
 	}
-	slices.Sort(ids)
-	return ids
 }
--- a/pkg/rollout/dispatch/moves.go
+++ b/pkg/rollout/dispatch/moves.go
@@ -121,7 +121,7 @@
 // can take.
 func (s *Scheduler) freeCapacity(now rollout.Millis, t Task) int {
 	total := 0
-	for _, e := range s.engines {
+	for _, e := range s.pools[t.Pool] {
 		if s.eligible(now, e, t) && s.slowness(now, e) <= slowThreshold {
 			total += max(0, int(moveTargetFill*float64(e.Slots))-e.running)
 		}
@@ -177,12 +177,13 @@
 		return m
 	}
 	var intervals []float64
-	for _, e := range s.engines {
-		if e.Pool == pool && e.State != discovery.StateGone && e.eventInterval.ms > 0 {
+	for _, e := range s.pools[pool] {
+		if e.State != discovery.StateGone && e.eventInterval.ms > 0 {
 			intervals = append(intervals, e.eventInterval.ms)
 		}
 	}
 	slices.Sort(intervals)
+	s.medianIntervals[pool] = 0
 	if len(intervals) > 0 {
 		s.medianIntervals[pool] = intervals[len(intervals)/2]
 	}
