Pass announcements on in batches and spread them over the control hosts

Cause: control told every upstream to announce itself at the leader. Ruled out: answering signs of life at the control host that gets them; the leader has to know that an upstream is alive, and an acknowledged draining has to bind. Change: each control host names itself for later announcements and passes them on. An acknowledgement follows that of the leader as before. Hosts without a disk no longer copy the table, as they never lead.

--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -12,6 +12,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/coltsfootspoke/coltsfootspoke/internal/fabric"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/link"
@@ -72,6 +73,8 @@
 	client  *fabric.Client
 	replica *replica.Replica
 	watcher *view.Watcher
+	// announcements passes announcements on while this host does not lead.
+	announcements *announcementBatcher
 
 	mu sync.Mutex
 	// The fields below are guarded by mu.
@@ -115,6 +118,7 @@
 	}
 	d.usageCooldown = authority.NewCooldown(d.clock.Now(), opts.CooldownMS)
 	d.client = fabric.NewClient(d.dialer)
+	d.announcements = newAnnouncementBatcher(d.clock, d.passOn)
 	var err error
 	d.replica, err = replica.Open(ctx, replica.Options{
 		Dir: opts.Dir, Address: opts.Address, FailureDomain: opts.FailureDomain,
@@ -142,10 +146,18 @@
 	}
 	return d.replica.Serve(ctx, replica.Service{
 		Listener: listener, Secret: d.opts.Secret, Register: d.register, Founders: founding,
-		KnownHosts: d.controlAddresses, Background: d.watcher.Run,
+		KnownHosts: d.controlAddresses, Background: d.runBackground,
 	})
 }
 
+// runBackground follows the leader and passes announcements on to it.
+func (d *Director) runBackground(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return d.watcher.Run(ctx) })
+	group.Go(func() error { return d.announcements.run(ctx) })
+	return group.Wait()
+}
+
 // controlAddresses returns the seeds and the addresses of the known control
 // hosts.
 func (d *Director) controlAddresses() []string {
@@ -154,8 +166,12 @@
 }
 
 // restoreTable copies the leader's upstreams into the table of a follower, so
-// that the table is current if the follower becomes the leader.
+// that the table is current if the follower becomes the leader. A host without a
+// disk never does.
 func (d *Director) restoreTable(v view.State) {
+	if d.opts.Dir == "" {
+		return
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	us := make([]discovery.Upstream, 0, len(v.Upstreams))
--- a/internal/director/operator.go
+++ b/internal/director/operator.go
@@ -60,6 +60,7 @@
 	fabric.Handle(mux, methodReadConfig, d.readConfig)
 	fabric.Handle(mux, methodNameVersion, d.nameVersion)
 	fabric.Handle(mux, methodAnnounce, d.announce)
+	fabric.Handle(mux, methodAnnounceBatch, d.announceBatch)
 	fabric.Handle(mux, methodLeave, d.leave)
 	fabric.Handle(mux, methodRetire, d.retire)
 	fabric.Handle(mux, methodRetirementStatus, d.retirementStatus)
@@ -104,7 +105,18 @@
 
 // Announce records an announcement of an upstream.
 func (d *Director) Announce(ctx context.Context, u discovery.Upstream) error {
-	_, err := callLeader(ctx, d, methodAnnounce, d.announce, u)
+	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	defer cancel()
+	if _, leads := d.replica.Leading(0); leads {
+		_, err := d.announce(ctx, u)
+		return err
+	}
+	return d.announcements.announce(ctx, u)
+}
+
+// passOn sends announcements to the leader.
+func (d *Director) passOn(ctx context.Context, batch announcementBatch) error {
+	_, err := callLeader(ctx, d, methodAnnounceBatch, d.announceBatch, batch)
 	return err
 }
 
@@ -174,6 +186,15 @@
 	return empty{}, err
 }
 
+func (d *Director) announceBatch(ctx context.Context, batch announcementBatch) (empty, error) {
+	for _, u := range batch.Upstreams {
+		if _, err := d.announce(ctx, u); err != nil {
+			return empty{}, err
+		}
+	}
+	return empty{}, d.confirmLeader()
+}
+
 func (d *Director) announce(_ context.Context, u discovery.Upstream) (empty, error) {
 	accepted, changed := d.recordAnnouncement(u)
 	if changed || !accepted {
--- a/internal/jobstore/runner_test.go
+++ b/internal/jobstore/runner_test.go
@@ -488,7 +488,7 @@
 		due[id] = r.jobs[id][0].dueMS
 		r.mu.Unlock()
 	}
-	if !(due["early"] < due["middle"] && due["middle"] < due["late"]) {
+	if due["early"] >= due["middle"] || due["middle"] >= due["late"] {
 		t.Fatalf("due at %v, want early before middle before late", due)
 	}
 }
--- a/pkg/rollout/discovery/discovery.go
+++ b/pkg/rollout/discovery/discovery.go
@@ -56,6 +56,12 @@
 	Revision, RoutingRevision uint64
 }
 
+// Repeats reports whether an announcement says no more than an earlier one but that
+// the upstream is alive.
+func (u Upstream) Repeats(earlier Upstream) bool {
+	return sameRouting(u, earlier) && slices.Equal(u.Models, earlier.Models)
+}
+
 // record is an upstream with the time of its last announcement or Leave.
 type record struct {
 	Upstream
