Send followers of a former leader only what they lack

Cause: every host turned to a new leader of control at once and was sent the whole table. A late reply of the former leader could also replace the table of a host that led already. Ruled out: encoding the table once for all; hosts differ in what they follow. Change: a leader that copied the table of its predecessor goes on with its revisions and sends what is newer to hosts with an older or the same copy; hosts that know more than the copy, or another one, get all. A host that leads takes no table of an earlier term. Before: TestNewLeaderSendsOnlyWhatFollowersLack and TestRestoredTableContinuesRevisions did not compile; TestLateReplyOfFormerLeaderKeepsTable found the table replaced without the new check. After: all pass.

--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -80,6 +80,8 @@
 	// The fields below are guarded by mu.
 	state *registry.State
 	table *discovery.Table
+	// tableBase is the table of the former leader that this host's table continues.
+	tableBase tableBase
 	// leadStartMS, daemons and usage are in use while this host leads. They
 	// are reset when it becomes the leader in term leadTerm.
 	leadTerm    uint64
@@ -108,6 +110,17 @@
 	routingChanged chan struct{}
 }
 
+// tableBase is the table of a leader at a revision.
+type tableBase struct {
+	// epoch is the term of that leader, or 0 for none.
+	epoch, revision uint64
+}
+
+// covers reports whether all that a caller knows of the table is in the base.
+func (b tableBase) covers(req view.Request) bool {
+	return b.epoch != 0 && req.Epoch == b.epoch && req.TableRevision <= b.revision
+}
+
 // New returns a control host. It opens the replica in opts.Dir.
 func New(ctx context.Context, opts Options) (*Director, error) {
 	d := &Director{
@@ -174,11 +187,16 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if v.Epoch <= d.leadTerm {
+		// A late reply of the former leader must not replace the table of this one.
+		return
+	}
 	us := make([]discovery.Upstream, 0, len(v.Upstreams))
 	for _, u := range v.Upstreams {
 		us = append(us, u)
 	}
-	d.table.Restore(d.clock.Now(), us)
+	d.table.Restore(d.clock.Now(), us, v.TableRevision)
+	d.tableBase = tableBase{epoch: v.Epoch, revision: v.TableRevision}
 }
 
 // notifyWatches wakes all waiting watch requests. The caller holds mu.
--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -144,3 +144,39 @@
 		t.Fatal("a draining engine did not wake an entry")
 	}
 }
+
+// All hosts turn to a new leader at once. It must not have to send each of them
+// the whole table, which most of them have.
+func TestNewLeaderSendsOnlyWhatFollowersLack(t *testing.T) {
+	base := tableBase{epoch: 3, revision: 70}
+	for name, c := range map[string]struct {
+		base tableBase
+		req  view.Request
+		want bool
+	}{
+		"same table":                     {base, view.Request{Epoch: 3, TableRevision: 70}, true},
+		"older copy of the same table":   {base, view.Request{Epoch: 3, TableRevision: 12}, true},
+		"changes that this host lacks":   {base, view.Request{Epoch: 3, TableRevision: 71}, false},
+		"copy of an earlier leader":      {base, view.Request{Epoch: 2, TableRevision: 12}, false},
+		"no copy":                        {base, view.Request{}, false},
+		"leader without a former leader": {tableBase{}, view.Request{}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if got := c.base.covers(c.req); got != c.want {
+				t.Fatalf("covers is %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+func TestLateReplyOfFormerLeaderKeepsTable(t *testing.T) {
+	d := newLocalDirector()
+	d.opts.Dir = "data"
+	d.restoreTable(view.State{Epoch: 3, TableRevision: 9, Upstreams: map[string]discovery.Upstream{"a": {ID: "a", Address: "a", Born: 1, Revision: 9}}})
+	d.leadTerm = 4
+	d.recordAnnouncement(discovery.Upstream{ID: "b", Address: "b", Born: 1, Seq: 1, State: discovery.StateReady})
+	d.restoreTable(view.State{Epoch: 3, TableRevision: 10})
+	if us, _ := d.upstreamsChangedSince(0, view.RoleStore); len(us) != 2 || us[1].ID != "b" || us[1].Revision <= 9 {
+		t.Fatalf("table %v, want a and, at a later revision, b", us)
+	}
+}
--- a/internal/director/watch.go
+++ b/internal/director/watch.go
@@ -68,7 +68,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	reply := view.Reply{Epoch: term, TableRevision: d.table.Revision(), FactsRevision: d.factsRevision()}
-	reply.Whole = req.Epoch != term
+	newEpoch := req.Epoch != term
+	reply.Whole = newEpoch && !d.tableBase.covers(req)
 	since := req.TableRevision
 	if reply.Whole {
 		since = 0
@@ -78,11 +79,11 @@
 	if doc := d.state.Document; doc.Version > req.DocumentVersion {
 		reply.Document = &doc
 	}
-	if reply.Whole || reply.FactsRevision != req.FactsRevision {
+	if newEpoch || reply.FactsRevision != req.FactsRevision {
 		f := d.facts()
 		reply.Facts = &f
 	}
-	hasChanges := reply.Whole || len(reply.Upstreams) > 0 || reply.Document != nil || reply.Facts != nil
+	hasChanges := newEpoch || len(reply.Upstreams) > 0 || reply.Document != nil || reply.Facts != nil
 	return reply, hasChanges, changed
 }
 
--- a/pkg/rollout/discovery/discovery.go
+++ b/pkg/rollout/discovery/discovery.go
@@ -135,10 +135,12 @@
 	return true
 }
 
-// Restore replaces all upstreams with those of another host's table. All of them
-// count as seen now.
-func (t *Table) Restore(now rollout.Millis, us []Upstream) {
+// Restore replaces all upstreams with those of another host's table at a revision.
+// All of them count as seen now. Later changes get higher revisions, also if the
+// upstreams that changed last have left the table since.
+func (t *Table) Restore(now rollout.Millis, us []Upstream, revision uint64) {
 	t.byID, t.byAddress, t.changes = make(map[string]*record), make(map[string][]string), nil
+	t.revision = max(t.revision, revision)
 	us = slices.SortedFunc(slices.Values(us), func(a, b Upstream) int { return cmp.Compare(a.Revision, b.Revision) })
 	for _, u := range us {
 		t.put(&record{Upstream: u, lastSeenMS: now})
--- a/pkg/rollout/discovery/discovery_test.go
+++ b/pkg/rollout/discovery/discovery_test.go
@@ -106,7 +106,7 @@
 	old := discovery.New(announceIntervalMS)
 	assertAnnounce(t, old, 0, upstream("a", "x:1", 5, 4), true, true)
 	next := discovery.New(announceIntervalMS)
-	next.Restore(10, old.ChangedSince(0))
+	next.Restore(10, old.ChangedSince(0), old.Revision())
 	assertAnnounce(t, next, 11, upstream("a", "x:1", 5, 4), false, false)
 	assertAnnounce(t, next, 12, upstream("a", "x:1", 5, 5), true, false)
 }
@@ -203,3 +203,17 @@
 	assertAnnounce(t, table, 3, upstream("c", "x:2", 5, 1), false, false)
 	assertState(t, table, "a", discovery.StateReady)
 }
+
+func TestRestoredTableContinuesRevisions(t *testing.T) {
+	old := discovery.New(announceIntervalMS)
+	old.Announce(0, upstream("a", "x:1", 5, 1))
+	old.Announce(0, upstream("b", "x:2", 5, 1))
+	old.Leave(1, "b", 5)
+	known := old.Revision()
+	next := discovery.New(announceIntervalMS)
+	next.Restore(2, []discovery.Upstream{old.ChangedSince(0)[0]}, known)
+	next.Announce(3, upstream("c", "x:3", 5, 1))
+	if us := next.ChangedSince(known); len(us) != 1 || us[0].ID != "c" {
+		t.Fatalf("changes %v after the restored revision, want c", us)
+	}
+}
