Limit replies to watches by the number of hosts, log totals of windows

The log line WindowClosed showed "unsupported value type" instead of its counts. Ruled out: a longer interval for all; on small deployments 40 ms cost nothing. Change: changes of upstreams are collected for 1 ms a host that watches, 40 to 500 ms; documents and facts go at once as before. WindowClosed tells accounts and requests.

--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"testing"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -180,3 +181,25 @@
 		t.Fatalf("table %v, want a and, at a later revision, b", us)
 	}
 }
+
+// With hundreds of hosts and thousands of upstreams, a reply to each host for each
+// change takes more than the leader has. Documents and facts never wait.
+func TestBatchIntervalGrowsWithHosts(t *testing.T) {
+	d := newLocalDirector()
+	current := view.Request{Role: view.RoleEntry, FactsRevision: d.factsRevision()}
+	for _, tc := range []struct {
+		hosts int
+		want  time.Duration
+	}{{1, 40 * time.Millisecond}, {140, 140 * time.Millisecond}, {5_000, 500 * time.Millisecond}} {
+		for i := len(d.daemons); i < tc.hosts; i++ {
+			d.daemons[fmt.Sprint(i)] = watchingDaemon{}
+		}
+		if got := d.batchInterval(current); got != tc.want {
+			t.Fatalf("%v for %d hosts, want %v", got, tc.hosts, tc.want)
+		}
+	}
+	d.state.Document.Version = 2
+	if got := d.batchInterval(current); got != 0 {
+		t.Fatalf("%v for a host without the document, want 0", got)
+	}
+}
--- a/internal/director/leader.go
+++ b/internal/director/leader.go
@@ -147,10 +147,19 @@
 			d.opts.Log.Warn("WindowCloseFailed", zap.Uint64("Window", c.Close.Window), zap.Error(err))
 			return
 		}
-		d.opts.Log.Info("WindowClosed", zap.Uint64("Window", c.Close.Window), zap.Any("Requests", c.Close.Requests))
+		d.opts.Log.Info("WindowClosed", zap.Uint64("Window", c.Close.Window), zap.Int("Accounts", len(c.Close.Requests)), zap.Uint64("Requests", totalRequests(c.Close.Requests)))
 	}
 }
 
+// totalRequests returns the number of requests of all client accounts.
+func totalRequests(counts map[string]uint64) uint64 {
+	total := uint64(0)
+	for _, n := range counts {
+		total += n
+	}
+	return total
+}
+
 // unsentWindows returns the number of closed windows whose report has not been
 // accepted. The caller holds mu.
 func (d *Director) unsentWindows() int {
--- a/internal/director/watch.go
+++ b/internal/director/watch.go
@@ -39,27 +39,37 @@
 		case <-ctx.Done():
 			return view.Reply{}, ctx.Err()
 		}
-		if !d.mayBatch(req) {
+		interval := d.batchInterval(req)
+		if interval == 0 {
 			continue
 		}
 		select {
-		case <-time.After(batchInterval):
+		case <-time.After(interval):
 		case <-ctx.Done():
 			return view.Reply{}, ctx.Err()
 		}
 	}
 }
 
-// batchInterval is how long changes of upstreams are collected for one reply. It is
-// a small part of the time within which a draining upstream must be known.
-const batchInterval = 40 * time.Millisecond
+const (
+	// batchIntervalPerHost is how long changes of upstreams are collected for each
+	// host that watches, so that the leader sends a thousand replies a second at most
+	// for them. minBatchInterval and maxBatchInterval bound the product; a draining
+	// upstream must be known everywhere within a few times the latter.
+	batchIntervalPerHost = time.Millisecond
+	minBatchInterval     = 40 * time.Millisecond
+	maxBatchInterval     = 500 * time.Millisecond
+)
 
-// mayBatch reports whether only upstreams have changed for a caller. With thousands
-// of upstreams each change alone would wake every host.
-func (d *Director) mayBatch(req view.Request) bool {
+// batchInterval returns how long to collect changes before a reply: 0 if the caller
+// lacks a document or facts, which are wanted at once.
+func (d *Director) batchInterval(req view.Request) time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.state.Document.Version <= req.DocumentVersion && d.factsRevision() == req.FactsRevision
+	if d.state.Document.Version > req.DocumentVersion || d.factsRevision() != req.FactsRevision {
+		return 0
+	}
+	return min(max(time.Duration(len(d.daemons))*batchIntervalPerHost, minBatchInterval), maxBatchInterval)
 }
 
 // buildReply returns the changes since the caller's copy, whether there are any,
