--- a/pkg/rollout/dispatch/dispatch_test.go
+++ b/pkg/rollout/dispatch/dispatch_test.go
@@ -373,7 +373,7 @@
 	}
 }
 
-// An address may be used by another engine before discovery tells of it. An order
+// An address may be used by another engine before discovery reports it. An order
 // that stays pending would keep its engine from all later versions.
 func TestReportOfAnotherEngineEndsOrder(t *testing.T) {
 	f := newFixture(1, 2, "m")
--- a/pkg/rollout/dispatch/loads.go
+++ b/pkg/rollout/dispatch/loads.go
@@ -122,7 +122,7 @@
 		return l, false
 	}
 	if r.Instance != "" && r.Instance != e.ID {
-		// Another engine is at the address; discovery will tell.
+		// Another engine is at the address. Discovery reports it later.
 		e.orderPending = false
 		e.nextOrderAt = now + orderRetryDelayMS
 		return l, false
