Let upstreams that are announced during a shutdown take no work

Cause: an agent that shuts down marks its upstreams as leaving once; one that was announced after that was ready, took work and was cut off. Ruled out: refusing the announcement; the upstream would be unknown instead of leaving, and control may start another in its place. Change: an announcement while the agent stops counts as leaving. Before: TestUpstreamAnnouncedDuringShutdownIsLeaving "leaving: false before the shutdown, false during it". After: passes.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -162,3 +162,15 @@
 		}
 	}
 }
+
+// An engine may start while its host shuts down. It must not take work that the
+// shutdown would cut off.
+func TestUpstreamAnnouncedDuringShutdownIsLeaving(t *testing.T) {
+	a := newTestAgent(t)
+	a.recordAnnouncement(1_000, announcement{ID: "before", Pool: "p", URL: "http://127.0.0.1:1", Slots: 1})
+	a.stopping = true
+	a.recordAnnouncement(1_000, announcement{ID: "during", Pool: "p", URL: "http://127.0.0.1:1", Slots: 1})
+	if a.upstreams["before"].leaving || !a.upstreams["during"].leaving {
+		t.Fatalf("leaving: %v before the shutdown, %v during it, want false, true", a.upstreams["before"].leaving, a.upstreams["during"].leaving)
+	}
+}
--- a/internal/agent/upstreams.go
+++ b/internal/agent/upstreams.go
@@ -103,7 +103,7 @@
 	}
 	wasLeaving := l.leaving
 	l.announced, l.announcedMS = an, now
-	l.leaving = l.leaving || an.Leaving
+	l.leaving = l.leaving || an.Leaving || a.stopping
 	if l.leaving != wasLeaving || !l.polled {
 		a.publishTargets()
 		a.poll(an.ID)
