Move a claim that is taken again to the end of the order

Cause: a void claim that another attempt took kept its place among the oldest, with a new time. Claims are dropped from the oldest on, up to the first that is in its retention, so expired claims behind it stayed and counted against the limit. Ruled out: dropping out of order; the order is what makes a drop cheap. Change: the claim goes to the end when it is taken again. Before: TestClaimTakenAgainDoesNotKeepOthersFromExpiring "3 claims in order, the expired one kept: true". After: passes.

--- a/pkg/rollout/claim/claim.go
+++ b/pkg/rollout/claim/claim.go
@@ -4,6 +4,8 @@
 package claim
 
 import (
+	"slices"
+
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 )
 
@@ -92,9 +94,13 @@
 	if !ok && len(t.Claims) >= t.Limit {
 		return TakeResult{}, rollout.NewError(rollout.KindOverloaded, "claim table is full: limit is %d request IDs", t.Limit).WithNotRun()
 	}
-	if !ok {
-		t.Order = append(t.Order, key)
+	if ok {
+		// The claim is as old as its new attempt. In its old place it would keep
+		// older claims behind it from expiring.
+		i := slices.Index(t.Order, key)
+		t.Order = slices.Delete(t.Order, i, i+1)
 	}
+	t.Order = append(t.Order, key)
 	t.Claims[key] = c
 	return TakeResult{New: true, Claim: c}, nil
 }
--- a/pkg/rollout/claim/claim_test.go
+++ b/pkg/rollout/claim/claim_test.go
@@ -72,3 +72,21 @@
 		t.Fatal("expired claim was not removed")
 	}
 }
+
+// A claim that was void and is taken again is as old as its new attempt. The table
+// would fill up with expired claims behind it otherwise.
+func TestClaimTakenAgainDoesNotKeepOthersFromExpiring(t *testing.T) {
+	table := New()
+	table.RetentionMS = 100
+	take(t, table, 1, "r1", "d", "1")
+	take(t, table, 2, "r2", "d", "2")
+	table.Void(Void{Account: "a", RequestID: "r1", Attempt: "1"})
+	take(t, table, 90, "r1", "d", "3")
+	take(t, table, 120, "r3", "d", "4")
+	if _, kept := table.Claims[tableKey("a", "r2")]; kept || len(table.Order) != 2 {
+		t.Fatalf("%d claims in order, the expired one kept: %v; want 2, false", len(table.Order), kept)
+	}
+	if take(t, table, 180, "r1", "d", "5").New {
+		t.Fatal("the claim taken again expired early")
+	}
+}
