Pack a configuration once for all hosts that watch

Its watch encoded and packed the whole document for each of 300 hosts at each change. Sending only what changed in a document: documents replace each other whole. Change: the leader packs a document once a version; a host that says so gets the packed bytes, an older one the document as before.

--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -80,6 +80,9 @@
 	// The fields below are guarded by mu.
 	state *registry.State
 	table *discovery.Table
+	// packedDocument is the document of version packedVersion as hosts get it.
+	packedDocument []byte
+	packedVersion  uint64
 	// tableBase is the table of the former leader that this host's table continues.
 	tableBase tableBase
 	// leadStartMS, daemons and usage are in use while this host leads. They
--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -12,6 +12,7 @@
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/clock"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/discovery"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/document"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/poison"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/registry"
 )
@@ -203,3 +204,21 @@
 		t.Fatalf("%v for a host without the document, want 0", got)
 	}
 }
+
+// A configuration goes to hundreds of hosts at once. It must not be packed for each.
+func TestDocumentIsPackedOnce(t *testing.T) {
+	d := newLocalDirector()
+	doc := document.Document{Version: 3}
+	whole, first := d.documentForReply(doc, true)
+	_, second := d.documentForReply(doc, true)
+	if whole != nil || len(first) == 0 || &first[0] != &second[0] {
+		t.Fatalf("document %v, packed %d bytes and another %d, want the same packed bytes twice", whole, len(first), len(second))
+	}
+	doc.Version = 4
+	if _, next := d.documentForReply(doc, true); &next[0] == &first[0] {
+		t.Fatal("the packed document is that of the version before")
+	}
+	if whole, packed := d.documentForReply(doc, false); whole == nil || packed != nil {
+		t.Fatal("a host that does not accept packed documents got one")
+	}
+}
--- a/internal/director/watch.go
+++ b/internal/director/watch.go
@@ -7,9 +7,11 @@
 
 	"go.uber.org/zap"
 
+	"github.com/coltsfootspoke/coltsfootspoke/internal/fabric"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/view"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/discovery"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/document"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/poison"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/quorum"
 )
@@ -87,16 +89,34 @@
 	var changed chan struct{}
 	reply.Upstreams, changed = d.upstreamsChangedSince(since, req.Role)
 	if doc := d.state.Document; doc.Version > req.DocumentVersion {
-		reply.Document = &doc
+		reply.Document, reply.PackedDocument = d.documentForReply(doc, req.AcceptsPacked)
 	}
 	if newEpoch || reply.FactsRevision != req.FactsRevision {
 		f := d.facts()
 		reply.Facts = &f
 	}
-	hasChanges := newEpoch || len(reply.Upstreams) > 0 || reply.Document != nil || reply.Facts != nil
+	hasChanges := newEpoch || len(reply.Upstreams) > 0 || reply.Document != nil || reply.PackedDocument != nil || reply.Facts != nil
 	return reply, hasChanges, changed
 }
 
+// documentForReply returns the packed document, or the document itself if the caller
+// does not accept that or it cannot be packed. With hundreds of hosts and client accounts, packing it for each of them
+// would take the leader seconds. The caller holds mu.
+func (d *Director) documentForReply(doc document.Document, packed bool) (*document.Document, []byte) {
+	if !packed {
+		return &doc, nil
+	}
+	if d.packedVersion != doc.Version {
+		data, err := view.PackDocument(fabric.Packer(), doc)
+		if err != nil {
+			d.opts.Log.Error("DocumentPackFailed", zap.Uint64("Version", doc.Version), zap.Error(err))
+			return &doc, nil
+		}
+		d.packedDocument, d.packedVersion = data, doc.Version
+	}
+	return nil, d.packedDocument
+}
+
 // upstreamsChangedSince returns the upstreams that changed after a table revision
 // as far as a role follows them, and a channel that is closed at the next change.
 // Entries do not use the models of engines. The caller holds mu.
--- a/internal/fabric/fabric.go
+++ b/internal/fabric/fabric.go
@@ -19,6 +19,10 @@
 // packer is shared by all connections because it keeps no state between bodies.
 var packer = pack.New()
 
+// Packer returns the packer of the connections, for bodies that are packed once and
+// sent often.
+func Packer() *pack.Packer { return packer }
+
 // jsonEncoding implements drpc.Encoding with JSON that is packed by packer.
 type jsonEncoding struct{}
 
--- a/internal/view/protocol.go
+++ b/internal/view/protocol.go
@@ -4,6 +4,9 @@
 package view
 
 import (
+	"encoding/json"
+
+	"github.com/coltsfootspoke/coltsfootspoke/internal/pack"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/discovery"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/document"
@@ -37,6 +40,8 @@
 	DocumentVersion uint64
 	TableRevision   uint64
 	FactsRevision   uint64
+	// AcceptsPacked is true if the caller understands Reply.PackedDocument.
+	AcceptsPacked bool `json:",omitempty"`
 	// WaitMS is the maximum time that the leader waits for a change.
 	WaitMS rollout.Millis
 	// Usage holds the request totals of usage windows that are still open.
@@ -100,6 +105,9 @@
 	Epoch uint64
 	// Document is nil if the caller's copy is current.
 	Document *document.Document `json:",omitempty"`
+	// PackedDocument is Document as PackDocument encodes it. The leader encodes a
+	// document once for all hosts; a reply holds one of the two.
+	PackedDocument []byte `json:",omitempty"`
 	// Whole is true if Upstreams is the whole table instead of the changes.
 	Whole         bool
 	Upstreams     []discovery.Upstream `json:",omitempty"`
@@ -108,3 +116,28 @@
 	Facts         *Facts `json:",omitempty"`
 	FactsRevision uint64
 }
+
+// PackDocument encodes a document for Reply.PackedDocument.
+func PackDocument(packer *pack.Packer, d document.Document) ([]byte, error) {
+	data, err := json.Marshal(d)
+	if err != nil {
+		return nil, rollout.NewError(rollout.KindInternal, "encode document %d", d.Version).WithCause(err)
+	}
+	return packer.Pack(data), nil
+}
+
+// unpackDocument decodes PackedDocument into Document, if it is set.
+func (r *Reply) unpackDocument(packer *pack.Packer) error {
+	if len(r.PackedDocument) == 0 {
+		return nil
+	}
+	data, err := packer.Unpack(r.PackedDocument)
+	if err != nil {
+		return err
+	}
+	r.Document = &document.Document{}
+	if err := json.Unmarshal(data, r.Document); err != nil {
+		return rollout.NewError(rollout.KindInvalidInput, "decode document of %d bytes", len(data)).WithCause(err)
+	}
+	return nil
+}
--- a/internal/view/watcher.go
+++ b/internal/view/watcher.go
@@ -172,7 +172,7 @@
 	old := w.State()
 	req := Request{
 		Host: w.opts.Host, Role: w.opts.Role, Address: w.opts.Address, FailureDomain: w.opts.FailureDomain,
-		Epoch: old.Epoch, TableRevision: old.TableRevision, FactsRevision: old.FactsRevision, WaitMS: watchWaitMS,
+		Epoch: old.Epoch, TableRevision: old.TableRevision, FactsRevision: old.FactsRevision, WaitMS: watchWaitMS, AcceptsPacked: true,
 	}
 	if old.Index != nil {
 		req.DocumentVersion = old.Index.Document.Version
@@ -194,6 +194,9 @@
 	if err := w.opts.Client.Call(ctx, w.target, MethodWatch, req, &reply); err != nil {
 		return err
 	}
+	if err := reply.unpackDocument(fabric.Packer()); err != nil {
+		return err
+	}
 	w.sentConnectionsRevision, w.sentConnectionsEpoch = connectionsRevision, req.Epoch
 	w.apply(old, reply)
 	return nil
