Log and measure how old the copy is that a request is refused from

Cause: a refusal for a route, a key or a client account didn't tell the version of the configuration that the host held nor when control had confirmed it, so that a wrong refusal could not be traced to a slow leader, a broken connection or a change of leader. Change: replies to watches say how long the leader held them, so a host knows the time for which its copy is confirmed, and how long ago the document was committed. No decision changes.

--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -82,7 +82,10 @@
 	table *discovery.Table
 	// packedDocument is the document of version packedVersion as hosts get it.
 	packedDocument []byte
-	packedVersion  uint64
+	// documentCommittedMS is when this host applied the commit of the document, or 0
+	// if it restored the document from its disk or from another host.
+	documentCommittedMS rollout.Millis
+	packedVersion       uint64
 	// tableBase is the table of the former leader that this host's table continues.
 	tableBase tableBase
 	// leadStartMS, daemons and usage are in use while this host leads. They
@@ -146,7 +149,7 @@
 	}
 	d.watcher = view.NewWatcher(view.Options{
 		Host: opts.Host, Role: view.RoleControl, Address: opts.Address, FailureDomain: opts.FailureDomain,
-		Seeds: opts.Seeds, Client: d.client, Log: opts.Log,
+		Seeds: opts.Seeds, Client: d.client, Clock: d.clock, Log: opts.Log, Registry: opts.Registry,
 		Active:   func() bool { _, leads := d.replica.Leading(0); return !leads },
 		OnChange: d.restoreTable,
 	})
@@ -251,8 +254,11 @@
 	}
 	m.director.mu.Lock()
 	defer m.director.mu.Unlock()
-	before := m.director.state.Revision
+	before, version := m.director.state.Revision, m.director.state.Document.Version
 	m.director.state.Apply(c)
+	if m.director.state.Document.Version != version {
+		m.director.documentCommittedMS = m.director.clock.Now()
+	}
 	if m.director.state.Revision != before {
 		m.director.notifyWatches()
 	}
@@ -271,6 +277,7 @@
 	m.director.mu.Lock()
 	defer m.director.mu.Unlock()
 	err := m.director.state.Restore(r)
+	m.director.documentCommittedMS = 0
 	m.director.notifyWatches()
 	return err
 }
--- a/internal/director/watch.go
+++ b/internal/director/watch.go
@@ -23,11 +23,13 @@
 	if !leads {
 		return view.Reply{}, d.replica.NotLeader()
 	}
+	received := d.clock.Now()
 	d.recordWatchRequest(req)
 	timeout := time.NewTimer(time.Duration(req.WaitMS) * time.Millisecond)
 	defer timeout.Stop()
 	for {
 		reply, hasChanges, changed := d.buildReply(term, req)
+		reply.HeldMS = d.clock.Now() - received
 		if _, leads := d.replica.Leading(0); !leads {
 			return view.Reply{}, d.replica.NotLeader()
 		}
@@ -90,6 +92,9 @@
 	reply.Upstreams, changed = d.upstreamsChangedSince(since, req.Role)
 	if doc := d.state.Document; doc.Version > req.DocumentVersion {
 		reply.Document, reply.PackedDocument = d.documentForReply(doc, req.AcceptsPacked)
+		if d.documentCommittedMS > 0 {
+			reply.DocumentAgeMS = d.clock.Now() - d.documentCommittedMS
+		}
 	}
 	if newEpoch || reply.FactsRevision != req.FactsRevision {
 		f := d.facts()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -87,7 +87,7 @@
 	g.meter = newMeter(hex.EncodeToString(id), opts.WindowMS)
 	g.watcher = view.NewWatcher(view.Options{
 		Host: opts.Host, Role: view.RoleEntry, FailureDomain: opts.FailureDomain, Seeds: opts.Controls,
-		Client: g.client, Log: opts.Log, Usage: g.meter.totals, BrokenConnections: g.balancer.BrokenConnections,
+		Client: g.client, Clock: clock.Boottime{}, Log: opts.Log, Registry: opts.Registry, Usage: g.meter.totals, BrokenConnections: g.balancer.BrokenConnections,
 		OnChange: func(v view.State) { g.balancer.Sync(v.Upstreams) },
 	})
 	return g
@@ -191,6 +191,25 @@
 }
 
 func (g *Gateway) logFailure(in Inbound, route document.Route, err error) {
-	g.opts.Log.Warn("Refused", zap.String("Request", in.AttemptID), zap.String("Route", route.Name),
-		zap.Duration("Took", time.Since(in.Received)), zap.Error(err))
+	fields := []zap.Field{
+		zap.String("Request", in.AttemptID), zap.String("Route", route.Name),
+		zap.Duration("Took", time.Since(in.Received)), zap.Error(err),
+	}
+	if followsFromCopy(err) {
+		copyInfo := g.watcher.CopyInfo()
+		g.metrics.refusalCopyAge.Observe((time.Duration(copyInfo.AgeMS) * time.Millisecond).Seconds())
+		fields = append(fields, zap.Inline(copyInfo))
+	}
+	g.opts.Log.Warn("Refused", fields...)
+}
+
+// followsFromCopy reports whether a request was refused because the configuration
+// that this host knows lacks its route, its key or its client account.
+func followsFromCopy(err error) bool {
+	switch rollout.AsError(err).Kind {
+	case rollout.KindNotFound, rollout.KindUnauthenticated, rollout.KindForbidden:
+		return true
+	default:
+		return false
+	}
 }
--- a/internal/gateway/jobs.go
+++ b/internal/gateway/jobs.go
@@ -64,7 +64,9 @@
 	}
 	account, ok := index.Account(key)
 	if !ok {
-		return "", rollout.NewError(rollout.KindUnauthenticated, "unknown key").WithNotRun()
+		err := rollout.NewError(rollout.KindUnauthenticated, "unknown key").WithNotRun()
+		g.opts.Log.Warn("JobCallRefused", zap.Inline(g.watcher.CopyInfo()), zap.Error(err))
+		return "", err
 	}
 	return account.Name, nil
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -13,6 +13,7 @@
 	requests       *prometheus.CounterVec
 	requestSeconds prometheus.Histogram
 	jobCalls       *prometheus.CounterVec
+	refusalCopyAge prometheus.Histogram
 }
 
 func newMetrics(registry *prometheus.Registry) *metrics {
@@ -27,8 +28,12 @@
 		jobCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "coltsfootspoke_gateway_job_calls_total", Help: "Calls to the job store, by method and outcome.",
 		}, []string{"method", "outcome"}),
+		refusalCopyAge: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "coltsfootspoke_gateway_refusal_copy_age_seconds", Help: "Age of the copy of the control state when a request was refused for its route, key or client account.",
+			Buckets: prometheus.ExponentialBuckets(0.025, 2, 10),
+		}),
 	}
-	registry.MustRegister(m.requests, m.requestSeconds, m.jobCalls)
+	registry.MustRegister(m.requests, m.requestSeconds, m.jobCalls, m.refusalCopyAge)
 	return m
 }
 
--- /dev/null
+++ b/internal/view/freshness.go
@@ -0,0 +1,84 @@
+package view
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
+)
+
+// outdatedAge is the age of the copy from which it is logged as outdated. The leader
+// replies to a watch after watchWaitMS at the latest.
+const outdatedAge = time.Second
+
+// neverConfirmedMS is the age of a copy that no leader has confirmed.
+const neverConfirmedMS rollout.Millis = -1
+
+// CopyInfo identifies a copy of the control state and says how old it is.
+type CopyInfo struct {
+	// Version is the version of the document, or 0 if there is none yet.
+	Version uint64
+	// Epoch is the term of the leader that sent the copy.
+	Epoch uint64
+	// AgeMS is the time since a leader last confirmed the copy, or neverConfirmedMS.
+	AgeMS rollout.Millis
+}
+
+// MarshalLogObject implements zapcore.ObjectMarshaler.
+func (c CopyInfo) MarshalLogObject(enc zapcore.ObjectEncoder) error {
+	enc.AddUint64("Version", c.Version)
+	enc.AddUint64("Epoch", c.Epoch)
+	enc.AddInt64("CopyAgeMS", int64(c.AgeMS))
+	return nil
+}
+
+// CopyInfo describes the current copy.
+func (w *Watcher) CopyInfo() CopyInfo {
+	s := w.State()
+	info := CopyInfo{Epoch: s.Epoch, AgeMS: neverConfirmedMS}
+	if s.Index != nil {
+		info.Version = s.Index.Document.Version
+	}
+	if s.ConfirmedMS > 0 {
+		info.AgeMS = w.opts.Clock.Now() - s.ConfirmedMS
+	}
+	return info
+}
+
+// logLapse logs that the copy is outdated and which host has not replied.
+func (w *Watcher) logLapse() {
+	w.metrics.lapses.Inc()
+	w.opts.Log.Warn("CopyOutdated", zap.Inline(w.CopyInfo()), zap.Any("WaitingFor", w.waitingFor.Load()), zap.String("Leader", w.Leader()))
+}
+
+// metrics holds the Prometheus metrics of a watcher.
+type metrics struct {
+	documentDelay prometheus.Histogram
+	lapses        prometheus.Counter
+}
+
+func newMetrics(registry *prometheus.Registry) *metrics {
+	m := &metrics{
+		documentDelay: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "coltsfootspoke_view_document_delay_seconds", Help: "Time from the commit of a configuration until it is in force on this host.",
+			Buckets: prometheus.ExponentialBuckets(0.005, 2, 12),
+		}),
+		lapses: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "coltsfootspoke_view_lapses_total", Help: "How often the copy of the control state became outdated.",
+		}),
+	}
+	if registry != nil {
+		registry.MustRegister(m.documentDelay, m.lapses)
+	}
+	return m
+}
+
+// observeDocument records the delay of a received document. A delay of 0 is unknown.
+func (m *metrics) observeDocument(delay rollout.Millis) {
+	if delay > 0 {
+		m.documentDelay.Observe((time.Duration(delay) * time.Millisecond).Seconds())
+	}
+}
--- a/internal/view/protocol.go
+++ b/internal/view/protocol.go
@@ -103,11 +103,18 @@
 // Reply holds the changes since the caller's copy.
 type Reply struct {
 	Epoch uint64
+	// HeldMS is the time from the receipt of the request to this reply. The reply
+	// includes every change that was committed before it, so the caller's copy is
+	// confirmed for the time at which it sent the request plus HeldMS.
+	HeldMS rollout.Millis `json:",omitempty"`
 	// Document is nil if the caller's copy is current.
 	Document *document.Document `json:",omitempty"`
 	// PackedDocument is Document as PackDocument encodes it. The leader encodes a
 	// document once for all hosts; a reply holds one of the two.
 	PackedDocument []byte `json:",omitempty"`
+	// DocumentAgeMS is the time from the commit of the document to this reply, or 0
+	// if the leader restored the document instead of committing it.
+	DocumentAgeMS rollout.Millis `json:",omitempty"`
 	// Whole is true if Upstreams is the whole table instead of the changes.
 	Whole         bool
 	Upstreams     []discovery.Upstream `json:",omitempty"`
--- a/internal/view/watcher.go
+++ b/internal/view/watcher.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
 	"github.com/coltsfootspoke/coltsfootspoke/internal/fabric"
@@ -41,6 +42,9 @@
 	TableRevision uint64
 	Facts         Facts
 	FactsRevision uint64
+	// ConfirmedMS is the time for which a leader last confirmed that the copy is
+	// current, or 0 if none has yet.
+	ConfirmedMS rollout.Millis
 }
 
 // Options configures a Watcher.
@@ -52,7 +56,11 @@
 	// Seeds returns the configured addresses of control hosts. They may change.
 	Seeds  func() []string
 	Client *fabric.Client
-	Log    *zap.Logger
+	// Clock must include the time during which the host was suspended.
+	Clock rollout.Clock
+	Log   *zap.Logger
+	// Registry receives the metrics of the watcher. It may be nil.
+	Registry *prometheus.Registry
 	// Usage returns the totals to report, or is nil.
 	Usage func() *Usage
 	// Store returns the status of the host's job store, or is nil.
@@ -85,13 +93,21 @@
 	sentConnectionsEpoch    uint64
 	// unresponsive holds the time at which a host last failed to reply, by address.
 	unresponsive map[string]time.Time
+	metrics      *metrics
+	// lapse logs once that no leader has confirmed the copy for outdatedAge.
+	lapse *time.Timer
+	// waitingFor is the address of the host whose reply Run waits for.
+	waitingFor atomic.Value
 }
 
 // NewWatcher returns a watcher with an empty state.
 func NewWatcher(opts Options) *Watcher {
-	w := &Watcher{opts: opts, addressIndex: rand.IntN(1 << 16), searching: true, unresponsive: make(map[string]time.Time)}
+	w := &Watcher{opts: opts, addressIndex: rand.IntN(1 << 16), searching: true, unresponsive: make(map[string]time.Time), metrics: newMetrics(opts.Registry)}
 	w.state.Store(&State{Upstreams: map[string]discovery.Upstream{}})
 	w.leader.Store("")
+	w.waitingFor.Store("")
+	w.lapse = time.AfterFunc(outdatedAge, w.logLapse)
+	w.lapse.Stop()
 	return w
 }
 
@@ -105,8 +121,10 @@
 // Run watches the control leader until the context ends.
 func (w *Watcher) Run(ctx context.Context) error {
 	reached := false
+	defer w.lapse.Stop()
 	for ctx.Err() == nil {
 		if w.opts.Active != nil && !w.opts.Active() {
+			w.lapse.Stop()
 			sleep(ctx, retryDelay)
 			continue
 		}
@@ -190,6 +208,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	sent := w.opts.Clock.Now()
+	w.waitingFor.Store(w.target)
 	var reply Reply
 	if err := w.opts.Client.Call(ctx, w.target, MethodWatch, req, &reply); err != nil {
 		return err
@@ -198,7 +218,12 @@
 		return err
 	}
 	w.sentConnectionsRevision, w.sentConnectionsEpoch = connectionsRevision, req.Epoch
+	old.ConfirmedMS = sent + reply.HeldMS
+	if reply.DocumentAgeMS > 0 {
+		reply.DocumentAgeMS += w.opts.Clock.Now() - old.ConfirmedMS
+	}
 	w.apply(old, reply)
+	w.lapse.Reset(outdatedAge)
 	return nil
 }
 
@@ -220,7 +245,8 @@
 	next := old.With(r)
 	w.state.Store(&next)
 	if r.Document != nil {
-		w.opts.Log.Info("DocumentReceived", zap.Uint64("Version", r.Document.Version), zap.Uint64("Epoch", r.Epoch))
+		w.opts.Log.Info("DocumentReceived", zap.Uint64("Version", r.Document.Version), zap.Uint64("Epoch", r.Epoch), zap.Int64("DelayMS", int64(r.DocumentAgeMS)))
+		w.metrics.observeDocument(r.DocumentAgeMS)
 	}
 	for _, u := range r.Upstreams {
 		if before, ok := old.Upstreams[u.ID]; !ok || before.State != u.State || before.Born != u.Born || before.Silent != u.Silent {
--- a/internal/view/watcher_test.go
+++ b/internal/view/watcher_test.go
@@ -6,12 +6,13 @@
 	"go.uber.org/zap"
 
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/clock"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/poison"
 )
 
 // newTestWatcher returns a watcher whose target is the first seed.
 func newTestWatcher(seeds ...string) *Watcher {
-	w := NewWatcher(Options{Seeds: func() []string { return seeds }, Log: zap.NewNop()})
+	w := NewWatcher(Options{Seeds: func() []string { return seeds }, Clock: clock.Boottime{}, Log: zap.NewNop()})
 	w.target = seeds[0]
 	return w
 }
