Show that silent connections and slow leaders leave entries with old copies

Cause: what the users report is reproduced. One entry of seven needs 2.56 s to find the new leader, the others 0.09 s. Ruled out: the leader (well, named by both other control hosts), the old copy of a follower (followers answer no watches).

--- a/Makefile
+++ b/Makefile
@@ -36,7 +36,7 @@
 	$(GO) test ./...
 else
 	$(GO) test -skip '^($(KNOWN_RED))$$' ./...
-	-$(GO) test -count=1 -run '^($(KNOWN_RED))$$' ./internal/e2e
+	-$(GO) test -count=1 -run '^($(KNOWN_RED))$$' ./... | grep -v 'no test'
 endif
 
 # Runs real processes under faults; docs/developer/soak.md tells how to read it.
--- /dev/null
+++ b/internal/view/silence_test.go
@@ -0,0 +1,46 @@
+package view_test
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against requests refused by an old copy (CONFIG): an entry whose connection to
+// a healthy leader went silent left that leader aside for 2 s.
+func TestChangeIsInForceAfterConnectionToLeaderWentSilent(t *testing.T) {
+	c := newControlHosts(t, 3)
+	w := c.newWatcher(t)
+	assertInForce(t, w, 1, applyBound)
+	c.silence()
+	c.version.Store(2)
+	assertInForce(t, w, 2, applyBound)
+}
+
+// Guards against requests refused by an old copy (CONFIG): the pooled connection to a
+// new leader was silent, and the entry left the new leader aside for 2 s.
+func TestChangeIsInForceAfterPooledConnectionToNewLeaderWentSilent(t *testing.T) {
+	c := newControlHosts(t, 3)
+	w := c.newWatcher(t)
+	assertInForce(t, w, 1, applyBound)
+	// Each host leads for a moment, so that the watcher has pooled connections to all.
+	for i := range c.proxies {
+		c.leader.Store(int32(i))
+		c.version.Add(1)
+		assertInForce(t, w, c.version.Load(), applyBound)
+	}
+	c.silence()
+	c.leader.Store(0)
+	version := c.version.Add(1)
+	assertInForce(t, w, version, applyBound)
+}
+
+// Guards against a copy that never becomes current (CONFIG at 300 hosts): a watcher that
+// looked for the leader gave up after 0.4 s, less than a busy leader took to reply.
+func TestSlowLeaderIsFollowed(t *testing.T) {
+	c := newControlHosts(t, 1)
+	c.delay = 600 * time.Millisecond
+	w := c.newWatcher(t)
+	assertInForce(t, w, 1, applyBound)
+	c.version.Store(2)
+	assertInForce(t, w, 2, applyBound)
+}
