End the handshake of a connection with the call that needs it

A watch has 1.2 s. Ruled out: the dial, which follows the call. Change: the end of the call's context ends the reads and writes of the handshake. Before: "the call ended after 3.002620695s with Unavailable: handshake with ... i/o timeout, want an error within 1s". After: TestHandshakeEndsWithItsCall passes.

--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -99,7 +99,13 @@
 	if err := conn.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
 		return nil, closeOnError(conn, err)
 	}
-	if err := clientHandshake(conn, d.secret); err != nil {
+	// The peer may accept connections and hang.
+	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Now()) })
+	err = clientHandshake(conn, d.secret)
+	if !stop() {
+		err = ctx.Err()
+	}
+	if err != nil {
 		cause := rollout.NewError(rollout.KindUnavailable, "handshake with %s", address).WithCause(err).WithNotRun()
 		return nil, closeOnError(conn, cause)
 	}
