Open new connections to a host after a call without a reply

Cause: connections that go silent do so together, and a dialer keeps up to 64 idle ones an address for a minute. After one of them cost a call its timeout, the next call took the next silent one. Ruled out: TCP keep-alive probes, which cost a packet a connection and interval on every host; closing the connections, since other calls may still run on them. Change: pooled connections belong to a generation of their address. A call that ends at its deadline begins the next generation; the former idles out. Client.Renew does so on request. It serves all callers of the dialer: watches, calls to the job store, announcements, messages of quorums. Before: "the call after one without a reply: DeadlineExceeded: no reply to Wait". After: TestCallAfterOneWithoutReplyUsesNewConnection passes.

--- a/internal/fabric/fabric.go
+++ b/internal/fabric/fabric.go
@@ -75,6 +75,9 @@
 	return rollout.ParseError(err.Error())
 }
 
+// Renew makes the next calls to an address open new connections.
+func (c *Client) Renew(address string) { c.dialer.Renew(address) }
+
 // handler handles the calls of one method.
 type handler func(ctx context.Context, stream drpc.Stream) error
 
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -35,8 +36,19 @@
 // Dialer opens and pools connections to the processes of the deployment.
 type Dialer struct {
 	secret []byte
-	pool   *drpcpool.Pool[string, drpcpool.Conn]
+	pool   *drpcpool.Pool[poolKey, drpcpool.Conn]
 	bytes  ByteCounters
+
+	mu sync.Mutex
+	// generations holds the current generation of the connections by address. It is
+	// 0 for addresses that are not in it.
+	generations map[string]uint64
+}
+
+// poolKey identifies the connections to an address that may be reused for each other.
+type poolKey struct {
+	address    string
+	generation uint64
 }
 
 // ByteCounters counts the bytes sent and received over the connections of a
@@ -69,10 +81,11 @@
 func NewDialer(secret string) *Dialer {
 	return &Dialer{
 		secret: []byte(secret),
-		pool: drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
+		pool: drpcpool.New[poolKey, drpcpool.Conn](drpcpool.Options{
 			Expiration:  idleTimeout,
 			KeyCapacity: maxIdlePerAddress,
 		}),
+		generations: make(map[string]uint64),
 	}
 }
 
@@ -84,9 +97,47 @@
 
 // Conn returns a connection to an address. It is dialed at the first call.
 func (d *Dialer) Conn(ctx context.Context, address string) drpc.Conn {
-	return d.pool.Get(ctx, address, func(ctx context.Context, address string) (drpcpool.Conn, error) {
-		return d.dial(ctx, address)
+	d.mu.Lock()
+	key := poolKey{address, d.generations[address]}
+	d.mu.Unlock()
+	conn := d.pool.Get(ctx, key, func(ctx context.Context, key poolKey) (drpcpool.Conn, error) {
+		return d.dial(ctx, key.address)
 	})
+	return renewedConn{conn, d, key}
+}
+
+// Renew makes the next calls to an address open new connections. The open ones may
+// have failed without an error.
+func (d *Dialer) Renew(address string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.generations[address]++
+}
+
+// renewAfter renews the connections to an address if they still are of a generation.
+func (d *Dialer) renewAfter(key poolKey) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.generations[key.address] == key.generation {
+		d.generations[key.address]++
+	}
+}
+
+// renewedConn renews the connections to its address after a call without a reply: what
+// silenced one connection may have silenced those that are pooled beside it.
+type renewedConn struct {
+	drpc.Conn
+	dialer *Dialer
+	key    poolKey
+}
+
+// Invoke implements drpc.Conn.
+func (c renewedConn) Invoke(ctx context.Context, rpc string, enc drpc.Encoding, in, out drpc.Message) error {
+	err := c.Conn.Invoke(ctx, rpc, enc, in, out)
+	if err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		c.dialer.renewAfter(c.key)
+	}
+	return err
 }
 
 func (d *Dialer) dial(ctx context.Context, address string) (drpcpool.Conn, error) {
--- a/internal/link/silence_test.go
+++ b/internal/link/silence_test.go
@@ -93,6 +93,34 @@
 	return c.Call(ctx, address, "Wait", ms, &out)
 }
 
+// Guards against requests refused by an old copy (CONFIG): each of the pooled connections
+// to a host had gone silent, and each cost a call its whole timeout.
+func TestCallAfterOneWithoutReplyUsesNewConnection(t *testing.T) {
+	const pooled, timeout = 3, 300 * time.Millisecond
+	l := newSilenceableServer(t)
+	c := fabric.NewClient(link.NewDialer(""))
+	address := l.Addr().String()
+	var wait sync.WaitGroup
+	for range pooled {
+		wait.Go(func() {
+			if err := callWait(t, c, address, 100, 5*time.Second); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	wait.Wait()
+	if got := l.accepted.Load(); got != pooled {
+		t.Fatalf("%d connections, want %d", got, pooled)
+	}
+	l.silence()
+	if err := callWait(t, c, address, 0, timeout); err == nil {
+		t.Fatal("a call over a silent connection succeeded")
+	}
+	if err := callWait(t, c, address, 0, timeout); err != nil {
+		t.Fatalf("the call after one without a reply: %v", err)
+	}
+}
+
 // Guards against a call that outlives its deadline: the handshake with a host that accepts
 // connections but hangs took 3 s.
 func TestHandshakeEndsWithItsCall(t *testing.T) {
