Keep the calls of a search for the leader of control while it asks others

Cause: callers were refused with 404 for a route that had been acknowledged for over 2 s (CONFIG). A watcher that looks for the leader gave each control host 0.4 s and then left it aside for 2 s, also when every other host named it as the leader. A lost connection, a hanging host and a leader that is only slow look alike for 0.4 s, and only the second deserves it. A healthy leader behind a silent connection cost 2.6 s, a leader that takes 0.6 s for a reply was never followed again. Ruled out: a shorter time aside, which sends hosts to a hanging leader more often and leaves the slow one unreachable; longer timeouts in turn, which delay the change of a leader. Change: a search asks one host after another 150 ms apart, or at once the one that a reply names, and keeps the late calls for up to 4 s. A host that has not replied is asked again over a new connection after 0.4, 0.8, 1.6 s. After a silent watch all calls of the search use new connections. The time that a watch may be late follows what the last reply took, 0.4 to 1.6 s. Requests may now overtake each other, so control keeps the highest total of a usage window. Three tests of the removed choice are kept by name on the new plan, with the same demands: the named leader is asked, one that hangs is not waited for, and is asked again if all hang; the hang and the unknown leader are tested over connections besides.

--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -222,3 +222,17 @@
 		t.Fatal("a host that does not accept packed documents got one")
 	}
 }
+
+// A host that repeats a late request may have it overtaken by the newer one.
+func TestOvertakenRequestKeepsNewerTotals(t *testing.T) {
+	d := newLocalDirector()
+	d.usage = make(map[uint64]map[string]map[string]uint64)
+	for _, total := range []uint64{3, 7, 5} {
+		d.recordWatchRequest(view.Request{Host: "entry-1", Role: view.RoleEntry, Usage: &view.Usage{
+			Incarnation: "i", Windows: map[uint64]map[string]uint64{9: {"farm": total}},
+		}})
+	}
+	if got := d.usage[9]["i"]["farm"]; got != 7 {
+		t.Fatalf("got %d requests, want 7", got)
+	}
+}
--- a/internal/director/watch.go
+++ b/internal/director/watch.go
@@ -183,7 +183,11 @@
 			if d.usage[window] == nil {
 				d.usage[window] = make(map[string]map[string]uint64)
 			}
-			d.usage[window][u.Incarnation] = counts
+			// An entry may repeat a request that is late, so requests may overtake each
+			// other. Totals only grow.
+			if totalRequests(counts) >= totalRequests(d.usage[window][u.Incarnation]) {
+				d.usage[window][u.Incarnation] = counts
+			}
 		}
 	}
 	if req.BrokenConnections != nil {
--- a/internal/view/control_test.go
+++ b/internal/view/control_test.go
@@ -32,6 +32,10 @@
 	// delay is how long the leader takes for each reply.
 	delay   time.Duration
 	proxies []*proxy
+	// seeds is how many hosts the watcher knows from the start, or 0 for all.
+	seeds int
+	// calls counts the calls that reached the leader.
+	calls atomic.Int32
 }
 
 func newControlHosts(t *testing.T, n int) *controlHosts {
@@ -65,6 +69,7 @@
 	if host != c.leader.Load() {
 		return view.Reply{}, rollout.NewError(rollout.KindNotLeader, "leader is %s", c.addresses()[c.leader.Load()])
 	}
+	c.calls.Add(1)
 	time.Sleep(c.delay)
 	wait := time.Duration(req.WaitMS) * time.Millisecond
 	for c.version.Load() <= req.DocumentVersion && time.Since(received) < wait+c.delay {
@@ -90,8 +95,12 @@
 // newWatcher starts a watcher of the hosts.
 func (c *controlHosts) newWatcher(t *testing.T) *view.Watcher {
 	t.Helper()
+	seeds := c.addresses()
+	if c.seeds > 0 {
+		seeds = seeds[:c.seeds]
+	}
 	w := view.NewWatcher(view.Options{
-		Host: "entry-1", Role: view.RoleEntry, Seeds: c.addresses, Client: fabric.NewClient(link.NewDialer("")),
+		Host: "entry-1", Role: view.RoleEntry, Seeds: func() []string { return seeds }, Client: fabric.NewClient(link.NewDialer("")),
 		Clock: clock.Boottime{}, Log: zap.NewNop(),
 	})
 	runUntilEnd(t, func(ctx context.Context) { _ = w.Run(ctx) })
@@ -118,6 +127,8 @@
 	mu sync.Mutex
 	// silent holds a flag for each open connection that drops all bytes once set.
 	silent []*atomic.Bool
+	// hanging is true if new connections are silent from the start.
+	hanging bool
 }
 
 func newProxy(t *testing.T, target string) *proxy {
@@ -147,6 +158,7 @@
 	defer stop()
 	silent := &atomic.Bool{}
 	p.mu.Lock()
+	silent.Store(p.hanging)
 	p.silent = append(p.silent, silent)
 	p.mu.Unlock()
 	ended := make(chan struct{}, 2)
@@ -172,6 +184,14 @@
 	<-ended
 }
 
+// hang makes the open and all new connections silent.
+func (p *proxy) hang() {
+	p.mu.Lock()
+	p.hanging = true
+	p.mu.Unlock()
+	p.silence()
+}
+
 func (p *proxy) silence() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/view/silence_test.go
+++ b/internal/view/silence_test.go
@@ -44,3 +44,37 @@
 	c.version.Store(2)
 	assertInForce(t, w, 2, applyBound)
 }
+
+// Guards against requests refused by an old copy (CONFIG): while the leader hangs, the
+// others name it, and an entry must reach the next leader all the same.
+func TestNextLeaderIsReachedWhileFormerLeaderHangs(t *testing.T) {
+	c := newControlHosts(t, 3)
+	w := c.newWatcher(t)
+	assertInForce(t, w, 1, applyBound)
+	c.proxies[0].hang()
+	c.silence()
+	time.Sleep(time.Second)
+	c.leader.Store(1)
+	c.version.Store(2)
+	assertInForce(t, w, 2, applyBound)
+}
+
+func TestLeaderThatIsNoSeedIsReached(t *testing.T) {
+	c := newControlHosts(t, 3)
+	c.leader.Store(2)
+	c.seeds = 1
+	assertInForce(t, c.newWatcher(t), 1, applyBound)
+}
+
+// A cut of all connections must not leave more than a few calls pending, or an overloaded
+// leader would be flooded by those that look for it.
+func TestSearchAsksSlowLeaderFewTimes(t *testing.T) {
+	c := newControlHosts(t, 1)
+	c.delay = 2 * time.Second
+	w := c.newWatcher(t)
+	assertInForce(t, w, 1, 2*c.delay)
+	const want = 3
+	if got := c.calls.Load(); got > want {
+		t.Fatalf("the leader got %d calls before its reply after %v, want %d at most", got, c.delay, want)
+	}
+}
--- a/internal/view/watcher.go
+++ b/internal/view/watcher.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -21,14 +19,14 @@
 const (
 	// watchWaitMS is the maximum time that the leader holds a watch open.
 	watchWaitMS rollout.Millis = 800
-	// watchTimeout ends a watch whose connection failed without notice. It
-	// exceeds watchWaitMS.
-	watchTimeout = 1_200 * time.Millisecond
-	// searchTimeout ends a watch while the leader is unknown. The leader
-	// replies to such a watch at once.
-	searchTimeout = 400 * time.Millisecond
-	// unresponsiveTimeout is how long a host that failed to reply is skipped.
-	unresponsiveTimeout = 2 * time.Second
+	// minReplyTime and maxReplyTime bound how long a reply may take beyond the time for
+	// which the leader holds the watch open. A connection that failed without an error
+	// is noticed after that time.
+	minReplyTime rollout.Millis = 400
+	maxReplyTime rollout.Millis = 1_600
+	// replyTimeFactor is the allowed factor between the time for a reply and the
+	// usual one.
+	replyTimeFactor = 3
 	// retryDelay is the delay between attempts to reach control hosts.
 	retryDelay = 80 * time.Millisecond
 )
@@ -81,19 +79,17 @@
 	state atomic.Pointer[State]
 	// leader is the address of the leader, or empty if the last watch failed.
 	leader atomic.Value
-	// target is the address that the next watch is sent to.
+	// target is the address of the leader, or of the host to ask first for it.
 	target string
-	// addressIndex modulo the number of control hosts is the one to try next.
+	// addressIndex modulo the number of control hosts is the one to ask next.
 	addressIndex int
-	// searching is true until a watch succeeds.
-	searching bool
+	// replyTime is the time that the last reply took beyond the requested wait.
+	replyTime rollout.Millis
 	// sentConnectionsRevision is the revision of the broken connections that a
 	// leader last received, and sentConnectionsEpoch the epoch of that watch.
 	sentConnectionsRevision uint64
 	sentConnectionsEpoch    uint64
-	// unresponsive holds the time at which a host last failed to reply, by address.
-	unresponsive map[string]time.Time
-	metrics      *metrics
+	metrics                 *metrics
 	// lapse logs once that no leader has confirmed the copy for outdatedAge.
 	lapse *time.Timer
 	// waitingFor is the address of the host whose reply Run waits for.
@@ -102,7 +98,7 @@
 
 // NewWatcher returns a watcher with an empty state.
 func NewWatcher(opts Options) *Watcher {
-	w := &Watcher{opts: opts, addressIndex: rand.IntN(1 << 16), searching: true, unresponsive: make(map[string]time.Time), metrics: newMetrics(opts.Registry)}
+	w := &Watcher{opts: opts, addressIndex: rand.IntN(1 << 16), metrics: newMetrics(opts.Registry)}
 	w.state.Store(&State{Upstreams: map[string]discovery.Upstream{}})
 	w.leader.Store("")
 	w.waitingFor.Store("")
@@ -120,80 +116,80 @@
 
 // Run watches the control leader until the context ends.
 func (w *Watcher) Run(ctx context.Context) error {
-	reached := false
+	reached, silent := false, false
 	defer w.lapse.Stop()
 	for ctx.Err() == nil {
-		if w.opts.Active != nil && !w.opts.Active() {
+		if !w.isActive() {
 			w.lapse.Stop()
 			sleep(ctx, retryDelay)
 			continue
 		}
-		err := w.watch(ctx)
-		w.searching = err != nil
-		if err == nil {
-			w.leader.Store(w.target)
-			delete(w.unresponsive, w.target)
+		var err error
+		if reached {
+			err = w.watch(ctx)
 		} else {
-			w.leader.Store("")
+			err = w.search(ctx, silent)
 		}
-		if reached != (err == nil) && ctx.Err() == nil {
-			reached = err == nil
-			w.opts.Log.Info("ControlConnectionChanged", zap.Bool("Reached", reached), zap.String("Address", w.target), zap.Error(err))
+		if reached == (err == nil) || ctx.Err() != nil {
+			continue
 		}
-		if err != nil && !w.chooseTarget(err) {
-			sleep(ctx, retryDelay)
+		reached = err == nil
+		silent = !reached && rollout.AsError(err).Kind == rollout.KindDeadlineExceeded
+		w.opts.Log.Info("ControlConnectionChanged", zap.Bool("Reached", reached), zap.String("Address", w.target), zap.Error(err))
+		w.leader.Store("")
+		if reached {
+			w.leader.Store(w.target)
+		} else if leader := namedLeader(err); leader != "" {
+			w.target = leader
 		}
 	}
 	return nil
 }
 
-// chooseTarget sets the target after a failed watch: to the leader that a NotLeader
-// error names, or else to the next control host. It skips hosts that recently
-// failed to reply, unless all have. It reports whether the leader is known.
-func (w *Watcher) chooseTarget(err error) bool {
-	e := rollout.AsError(err)
-	if e.Kind != rollout.KindNotLeader {
-		w.unresponsive[w.target] = time.Now()
-	}
-	address := strings.TrimPrefix(e.Message, "leader is ")
-	if e.Kind == rollout.KindNotLeader && address != "" && address != w.target && !w.isUnresponsive(address) {
-		w.target = address
-		return true
-	}
-	addresses := slices.Clone(w.opts.Seeds())
-	for _, a := range w.State().Facts.Controls {
-		if !slices.Contains(addresses, a) {
-			addresses = append(addresses, a)
-		}
-	}
-	for range addresses {
-		w.addressIndex++
-		w.target = addresses[w.addressIndex%len(addresses)]
-		if !w.isUnresponsive(w.target) {
-			break
-		}
+func (w *Watcher) isActive() bool { return w.opts.Active == nil || w.opts.Active() }
+
+// watch sends one watch request to the leader and applies the reply.
+func (w *Watcher) watch(ctx context.Context) error {
+	allowed := min(max(replyTimeFactor*w.replyTime, minReplyTime), maxReplyTime)
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(watchWaitMS+allowed)*time.Millisecond)
+	defer cancel()
+	w.waitingFor.Store(w.target)
+	u, err := w.call(ctx, w.target, w.newRequest(watchWaitMS))
+	if err != nil {
+		return err
 	}
-	return false
+	w.commit(u)
+	return nil
 }
 
-func (w *Watcher) isUnresponsive(address string) bool {
-	at, known := w.unresponsive[address]
-	return known && time.Since(at) < unresponsiveTimeout
+// update is a reply with what was sent for it.
+type update struct {
+	reply Reply
+	// base is the state whose changes the reply holds.
+	base State
+	// confirmedMS is the time for which the reply confirms the state.
+	confirmedMS rollout.Millis
+	// replyTime is the time that the reply took beyond the requested wait.
+	replyTime           rollout.Millis
+	connectionsRevision uint64
 }
 
-// watch sends one watch request to the target and applies the reply.
-func (w *Watcher) watch(ctx context.Context) error {
-	if w.target == "" {
-		seeds := w.opts.Seeds()
-		w.target = seeds[w.addressIndex%len(seeds)]
-	}
-	old := w.State()
+// watchRequest is a request with the state that it was built from.
+type watchRequest struct {
+	Request
+	base                State
+	connectionsRevision uint64
+}
+
+// newRequest returns a request that the leader may hold for a time.
+func (w *Watcher) newRequest(wait rollout.Millis) watchRequest {
+	base := w.State()
 	req := Request{
 		Host: w.opts.Host, Role: w.opts.Role, Address: w.opts.Address, FailureDomain: w.opts.FailureDomain,
-		Epoch: old.Epoch, TableRevision: old.TableRevision, FactsRevision: old.FactsRevision, WaitMS: watchWaitMS, AcceptsPacked: true,
+		Epoch: base.Epoch, TableRevision: base.TableRevision, FactsRevision: base.FactsRevision, WaitMS: wait, AcceptsPacked: true,
 	}
-	if old.Index != nil {
-		req.DocumentVersion = old.Index.Document.Version
+	if base.Index != nil {
+		req.DocumentVersion = base.Index.Document.Version
 	}
 	if w.opts.Usage != nil {
 		req.Usage = w.opts.Usage()
@@ -201,30 +197,36 @@
 	if w.opts.Store != nil {
 		req.Store = w.opts.Store()
 	}
-	connectionsRevision := w.addBrokenConnections(&req)
-	timeout := watchTimeout
-	if w.searching {
-		req.WaitMS, timeout = 0, searchTimeout
-	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
+	revision := w.addBrokenConnections(&req)
+	return watchRequest{Request: req, base: base, connectionsRevision: revision}
+}
+
+// call sends a request to a control host. It may run beside other calls.
+func (w *Watcher) call(ctx context.Context, address string, req watchRequest) (update, error) {
+	u := update{base: req.base, connectionsRevision: req.connectionsRevision}
 	sent := w.opts.Clock.Now()
-	w.waitingFor.Store(w.target)
-	var reply Reply
-	if err := w.opts.Client.Call(ctx, w.target, MethodWatch, req, &reply); err != nil {
-		return err
+	if err := w.opts.Client.Call(ctx, address, MethodWatch, req.Request, &u.reply); err != nil {
+		return u, err
 	}
-	if err := reply.unpackDocument(fabric.Packer()); err != nil {
-		return err
+	if err := u.reply.unpackDocument(fabric.Packer()); err != nil {
+		return u, err
 	}
-	w.sentConnectionsRevision, w.sentConnectionsEpoch = connectionsRevision, req.Epoch
-	old.ConfirmedMS = sent + reply.HeldMS
-	if reply.DocumentAgeMS > 0 {
-		reply.DocumentAgeMS += w.opts.Clock.Now() - old.ConfirmedMS
+	received := w.opts.Clock.Now()
+	u.confirmedMS = sent + u.reply.HeldMS
+	u.replyTime = received - sent - min(u.reply.HeldMS, req.WaitMS)
+	if u.reply.DocumentAgeMS > 0 {
+		u.reply.DocumentAgeMS += received - u.confirmedMS
 	}
-	w.apply(old, reply)
+	return u, nil
+}
+
+// commit applies a reply of the leader.
+func (w *Watcher) commit(u update) {
+	w.replyTime = u.replyTime
+	w.sentConnectionsRevision, w.sentConnectionsEpoch = u.connectionsRevision, u.base.Epoch
+	u.base.ConfirmedMS = u.confirmedMS
+	w.apply(u.base, u.reply)
 	w.lapse.Reset(outdatedAge)
-	return nil
 }
 
 // addBrokenConnections adds the broken connections to a request if the leader may
--- a/internal/view/watcher_test.go
+++ b/internal/view/watcher_test.go
@@ -2,10 +2,10 @@
 
 import (
 	"testing"
+	"time"
 
 	"go.uber.org/zap"
 
-	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/clock"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/poison"
 )
@@ -17,40 +17,48 @@
 	return w
 }
 
-func notLeader(address string) error {
-	return rollout.NewError(rollout.KindNotLeader, "leader is %s", address)
+// testHosts are the control hosts of the tests of searchPlan.
+var testHosts = []string{"a", "b", "c"}
+
+func newTestPlan() *searchPlan { return &searchPlan{pending: make(map[string]pendingCall)} }
+
+// assertAsked checks which host is asked next.
+func assertAsked(t *testing.T, p *searchPlan, at time.Time, preferred, want string, wantAgain bool) {
+	t.Helper()
+	if got, again := p.next(at, preferred, testHosts); got != want || again != wantAgain {
+		t.Fatalf("asked %q, again %v; want %q, %v", got, again, want, wantAgain)
+	}
 }
 
 func TestTargetIsNamedLeader(t *testing.T) {
-	w := newTestWatcher("a", "b", "c")
-	if !w.chooseTarget(notLeader("c")) || w.target != "c" {
-		t.Fatalf("target is %s, want c", w.target)
-	}
+	assertAsked(t, newTestPlan(), time.Now(), "c", "c", false)
+	assertAsked(t, newTestPlan(), time.Now(), "host that is no seed", "host that is no seed", false)
 }
 
 // If the leader hangs, the other hosts name it as the leader until they elect a new
-// one. The watcher must not return to it.
+// one. The search must not wait for it.
 func TestUnresponsiveLeaderIsSkipped(t *testing.T) {
-	w := newTestWatcher("a", "b", "c")
-	w.chooseTarget(rollout.NewError(rollout.KindDeadlineExceeded, "watch at a"))
+	p, now := newTestPlan(), time.Now()
+	assertAsked(t, p, now, "a", "a", false)
 	for range 6 {
-		if w.target == "a" {
-			t.Fatal("target is the host that did not reply")
-		}
-		if w.chooseTarget(notLeader("a")) {
-			t.Fatal("the host that did not reply was accepted as the leader")
+		address, _ := p.next(now, "a", testHosts)
+		if address == "a" || address == "" {
+			t.Fatalf("asked %q while a has not replied, want b or c", address)
 		}
+		delete(p.pending, address)
 	}
 }
 
 func TestUnresponsiveHostIsTriedIfAllAreUnresponsive(t *testing.T) {
-	w := newTestWatcher("a", "b")
-	for range 4 {
-		w.chooseTarget(rollout.NewError(rollout.KindDeadlineExceeded, "watch"))
-	}
-	if w.target == "" {
-		t.Fatal("no target although there are control hosts")
+	p, now := newTestPlan(), time.Now()
+	for _, host := range []string{"b", "c", "a"} {
+		assertAsked(t, p, now, "", host, false)
 	}
+	assertAsked(t, p, now, "", "", false)
+	now = now.Add(firstPatience)
+	assertAsked(t, p, now, "", "b", true)
+	assertAsked(t, p, now, "b", "c", true)
+	assertAsked(t, p, now.Add(2*firstPatience), "b", "b", true)
 }
 
 func TestBrokenConnectionsAreSentOncePerLeader(t *testing.T) {
