Refuse requests for route, key or account only from a recent copy

An entry decided from whatever copy it held; every cause that delays a watch (a leader that is overloaded, frozen or new, a connection that went silent) became a wrong refusal, which callers don't try again. The own interface has a lease for this, the users' had none. Ruled out: no answer at all while control is away, since routes and keys that every version allows must be served in hosts that are cut off. A refusal needs a copy confirmed within half of configApplyMs; with an older one the entry waits for the confirmation that the watch brings, up to 0.4 s beyond that age, and looks again. Later it answers at once: 503, not run, with Retry-After.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -3,6 +3,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"encoding/hex"
@@ -30,6 +31,11 @@
 	// after which a repeatable request is also sent to a second upstream.
 	hedgeLatencyFraction = 0.6
 	statusServerError    = 500
+	defaultApplyMS       = 2_000
+	// refusalAgeDivisor sets the maximum age of a copy from which a request is refused
+	// as a fraction of the time within which a configuration must be in force. The rest
+	// is for the request itself and for what is on its way to control.
+	refusalAgeDivisor = 2
 	// incarnationIDBytes is the length of the random ID of a process.
 	incarnationIDBytes = 8
 )
@@ -42,7 +48,10 @@
 	// calls.
 	Controls func() []string
 	// WindowMS is the length of a usage window.
-	WindowMS  rollout.Millis
+	WindowMS rollout.Millis
+	// ApplyMS is the time within which a configuration must be in force after its
+	// acknowledgement. 0 selects defaultApplyMS.
+	ApplyMS   rollout.Millis
 	Upstreams rollout.UpstreamClient
 	Secret    string
 	Log       *zap.Logger
@@ -108,8 +117,28 @@
 // Run keeps the entry's copy of the control state up to date until ctx is done.
 func (g *Gateway) Run(ctx context.Context) error { return g.watcher.Run(ctx) }
 
-// Resolve returns the route of a request and the name of its client account.
-func (g *Gateway) Resolve(in Inbound) (document.Route, string, error) {
+// Resolve returns the route of a request and the name of its client account. It refuses
+// a request for its route, its key or its client account only from a recent copy of the
+// configuration, and fails with KindNoAuthority while there is none.
+func (g *Gateway) Resolve(ctx context.Context, in Inbound) (document.Route, string, error) {
+	route, account, err := g.resolve(in)
+	if err == nil || !followsFromCopy(err) {
+		return route, account, err
+	}
+	if err := g.confirmCopy(ctx); err != nil {
+		return document.Route{}, "", err
+	}
+	return g.resolve(in)
+}
+
+// confirmCopy waits until the copy of the configuration is recent enough to refuse
+// requests from it.
+func (g *Gateway) confirmCopy(ctx context.Context) error {
+	return g.watcher.Confirm(ctx, cmp.Or(g.opts.ApplyMS, defaultApplyMS)/refusalAgeDivisor)
+}
+
+// resolve looks up a request in the current copy of the configuration.
+func (g *Gateway) resolve(in Inbound) (document.Route, string, error) {
 	index := g.watcher.State().Index
 	if index == nil {
 		return document.Route{}, "", rollout.NewError(rollout.KindNoAuthority, "entry has not received a configuration yet").WithNotRun()
@@ -138,7 +167,7 @@
 
 // Do routes a request to an upstream and returns its response.
 func (g *Gateway) Do(ctx context.Context, in Inbound) (balance.Response, error) {
-	route, account, err := g.Resolve(in)
+	route, account, err := g.Resolve(ctx, in)
 	if err != nil {
 		g.logFailure(in, route, err)
 		return balance.Response{}, err
@@ -195,9 +224,11 @@
 		zap.String("Request", in.AttemptID), zap.String("Route", route.Name),
 		zap.Duration("Took", time.Since(in.Received)), zap.Error(err),
 	}
+	copyInfo := g.watcher.CopyInfo()
 	if followsFromCopy(err) {
-		copyInfo := g.watcher.CopyInfo()
 		g.metrics.refusalCopyAge.Observe((time.Duration(copyInfo.AgeMS) * time.Millisecond).Seconds())
+	}
+	if followsFromCopy(err) || rollout.AsError(err).Kind == rollout.KindNoAuthority {
 		fields = append(fields, zap.Inline(copyInfo))
 	}
 	g.opts.Log.Warn("Refused", fields...)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -46,10 +46,10 @@
 
 func TestResolveAndAccountForKeyFailWithoutConfiguration(t *testing.T) {
 	g := newTestGateway()
-	if _, _, err := g.Resolve(Inbound{Host: "h", Path: "/"}); err == nil {
+	if _, _, err := g.Resolve(t.Context(), Inbound{Host: "h", Path: "/"}); err == nil {
 		t.Fatal("Resolve succeeded without a configuration")
 	}
-	if _, err := g.AccountForKey("k"); err == nil {
+	if _, err := g.AccountForKey(t.Context(), "k"); err == nil {
 		t.Fatal("AccountForKey succeeded without a configuration")
 	}
 }
--- a/internal/gateway/jobs.go
+++ b/internal/gateway/jobs.go
@@ -53,8 +53,24 @@
 }
 
 // AccountForKey returns the name of the client account of a key. It is empty if
-// no accounts are configured.
-func (g *Gateway) AccountForKey(key string) (string, error) {
+// no accounts are configured. Like Resolve, it refuses a key only from a recent copy of
+// the configuration.
+func (g *Gateway) AccountForKey(ctx context.Context, key string) (string, error) {
+	account, err := g.accountForKey(key)
+	if err == nil || !followsFromCopy(err) {
+		return account, err
+	}
+	if err = g.confirmCopy(ctx); err == nil {
+		account, err = g.accountForKey(key)
+	}
+	if err != nil {
+		g.opts.Log.Warn("JobCallRefused", zap.Inline(g.watcher.CopyInfo()), zap.Error(err))
+	}
+	return account, err
+}
+
+// accountForKey looks up a key in the current copy of the configuration.
+func (g *Gateway) accountForKey(key string) (string, error) {
 	index := g.watcher.State().Index
 	if index == nil {
 		return "", rollout.NewError(rollout.KindNoAuthority, "entry has not received a configuration yet").WithNotRun()
@@ -64,9 +80,7 @@
 	}
 	account, ok := index.Account(key)
 	if !ok {
-		err := rollout.NewError(rollout.KindUnauthenticated, "unknown key").WithNotRun()
-		g.opts.Log.Warn("JobCallRefused", zap.Inline(g.watcher.CopyInfo()), zap.Error(err))
-		return "", err
+		return "", rollout.NewError(rollout.KindUnauthenticated, "unknown key").WithNotRun()
 	}
 	return account.Name, nil
 }
--- a/internal/view/freshness.go
+++ b/internal/view/freshness.go
@@ -1,6 +1,7 @@
 package view
 
 import (
+	"context"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -14,6 +15,10 @@
 // replies to a watch after watchWaitMS at the latest.
 const outdatedAge = time.Second
 
+// confirmationSlackMS is how long Confirm waits beyond the allowed age. It spans the
+// time until a lost connection to the leader is noticed and replaced.
+const confirmationSlackMS rollout.Millis = 400
+
 // neverConfirmedMS is the age of a copy that no leader has confirmed.
 const neverConfirmedMS rollout.Millis = -1
 
@@ -48,6 +53,42 @@
 	return info
 }
 
+// Confirm returns nil once a leader has confirmed the copy for a time that is at most
+// maxAge ago. If the copy is older, it waits, but only while a confirmation can be
+// expected soon; a host that has lost the leader for longer gets an error at once.
+func (w *Watcher) Confirm(ctx context.Context, maxAge rollout.Millis) error {
+	for {
+		w.confirmedMu.Lock()
+		confirmed := w.confirmed
+		w.confirmedMu.Unlock()
+		age := w.CopyInfo().AgeMS
+		if age != neverConfirmedMS && age <= maxAge {
+			return nil
+		}
+		left := maxAge + confirmationSlackMS - age
+		if age == neverConfirmedMS || left <= 0 {
+			return rollout.NewError(rollout.KindNoAuthority, "copy of the configuration was confirmed %d ms ago, want %d ms at most", age, maxAge).WithNotRun()
+		}
+		timer := time.NewTimer(time.Duration(left) * time.Millisecond)
+		select {
+		case <-confirmed:
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return rollout.NewError(rollout.KindNoAuthority, "caller left before the copy of the configuration was confirmed").WithCause(ctx.Err()).WithNotRun()
+		}
+		timer.Stop()
+	}
+}
+
+// notifyConfirmed wakes the callers of Confirm.
+func (w *Watcher) notifyConfirmed() {
+	w.confirmedMu.Lock()
+	defer w.confirmedMu.Unlock()
+	close(w.confirmed)
+	w.confirmed = make(chan struct{})
+}
+
 // logLapse logs that the copy is outdated and which host has not replied.
 func (w *Watcher) logLapse() {
 	w.metrics.lapses.Inc()
--- a/internal/view/watcher.go
+++ b/internal/view/watcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -94,11 +95,15 @@
 	lapse *time.Timer
 	// waitingFor is the address of the host whose reply Run waits for.
 	waitingFor atomic.Value
+
+	confirmedMu sync.Mutex
+	// confirmed is closed and replaced each time a leader confirms the copy.
+	confirmed chan struct{}
 }
 
 // NewWatcher returns a watcher with an empty state.
 func NewWatcher(opts Options) *Watcher {
-	w := &Watcher{opts: opts, addressIndex: rand.IntN(1 << 16), metrics: newMetrics(opts.Registry)}
+	w := &Watcher{opts: opts, addressIndex: rand.IntN(1 << 16), metrics: newMetrics(opts.Registry), confirmed: make(chan struct{})}
 	w.state.Store(&State{Upstreams: map[string]discovery.Upstream{}})
 	w.leader.Store("")
 	w.waitingFor.Store("")
@@ -226,6 +231,7 @@
 	w.sentConnectionsRevision, w.sentConnectionsEpoch = u.connectionsRevision, u.base.Epoch
 	u.base.ConfirmedMS = u.confirmedMS
 	w.apply(u.base, u.reply)
+	w.notifyConfirmed()
 	w.lapse.Reset(outdatedAge)
 }
 
