Let open jobs follow their route when the configuration arrives

The leader of the store took the route of a job from its own copy of the configuration when it opened the job, and never again. An entry with a newer copy accepts jobs of a route that the store does not know yet: its items got a route without a pool, so they were never placed, and one answer of 500 instead of maxAttempts ended them. Items that were queued while a route moved went on to the former pool. Ruled out: waiting with the acceptance until the store has the entry's version; the 202 has 400 ms, and a leader that fails over may be behind anyway. Change: a new configuration is applied to the routes of open jobs; their queued items are queued again with the new pool and due time. A job keeps a route that is removed. Before: TestJobOfRouteThatArrivesLaterRuns "timed out waiting for: all results", TestQueuedItemsFollowRouteToItsNewPool "item i2 ran at b, want the engine of the new pool". After: both pass.

--- a/internal/jobstore/runner.go
+++ b/internal/jobstore/runner.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"crypto/rand"
+	"reflect"
 	"slices"
 	"sync"
 	"time"
@@ -49,8 +50,11 @@
 	// the submission time, it does not depend on the clocks of other hosts and is
 	// never before the actual submission.
 	queuedMS rollout.Millis
-	// dueMS is when the result is due, by the clock of this leader. Jobs that a
-	// former leader accepted keep their distance in time from each other.
+	// ageMS is how long before queuedMS the job was submitted, as far as this leader
+	// knows. Jobs that a former leader accepted keep their distance in time from each
+	// other.
+	ageMS rollout.Millis
+	// dueMS is when the result is due, by the clock of this leader.
 	dueMS rollout.Millis
 	// queuePosition numbers the items in the order in which this leader opened
 	// them.
@@ -214,8 +218,8 @@
 	route, now := r.routeOf(&spec), r.store.clock.Now()
 	for _, w := range items {
 		r.lastQueuePosition++
-		w.route, w.queuePosition, w.queuedMS = route, r.lastQueuePosition, now
-		w.dueMS = now + route.ResultDeadlineMS - min(ageMS, route.ResultDeadlineMS)
+		w.queuePosition, w.queuedMS, w.ageMS = r.lastQueuePosition, now, ageMS
+		w.setRoute(route)
 		r.enqueue(w)
 	}
 	r.wakeUp()
@@ -254,8 +258,36 @@
 	return w.route.MaxQueueMS > 0 && r.store.clock.Now() > w.queuedMS+w.route.MaxQueueMS
 }
 
-// routeOf returns the route of a job, or a default if the configuration no
-// longer has it. The caller holds r.mu.
+// setRoute sets the route of an item and when its result is due.
+func (w *workItem) setRoute(route document.Route) {
+	w.route = route
+	w.dueMS = w.queuedMS + route.ResultDeadlineMS - min(w.ageMS, route.ResultDeadlineMS)
+}
+
+// updateRoutes applies the routes of the configuration to the open jobs. A job may have
+// been accepted by an entry with a newer copy of the configuration than this host had,
+// so its route may be unknown or outdated here at first. A job keeps a route that is
+// removed later. The caller holds r.mu.
+func (r *runner) updateRoutes() {
+	for jobID, items := range r.jobs {
+		route, ok := r.index.RouteByName(items[0].spec.Route)
+		if !ok || reflect.DeepEqual(route, items[0].route) {
+			continue
+		}
+		for _, w := range items {
+			w.setRoute(route)
+		}
+		for _, t := range r.sched.TakeJob(jobID) {
+			if w := r.findItem(t); w != nil {
+				r.enqueue(w)
+			}
+		}
+		r.store.opts.Log.Info("JobRouteChanged", zap.String("Job", jobID), zap.String("Route", route.Name), zap.String("Pool", route.PickPool(0)))
+	}
+}
+
+// routeOf returns the route of a job, or one without a pool if the configuration does
+// not have it. The caller holds r.mu.
 func (r *runner) routeOf(spec *job.Spec) document.Route {
 	if route, ok := r.index.RouteByName(spec.Route); ok {
 		return route
@@ -284,6 +316,7 @@
 		return false
 	}
 	first := r.index == nil
+	changed := r.index != v.Index
 	r.index = v.Index
 	models := make(map[string][]string)
 	for _, p := range v.Index.Document.Pools {
@@ -291,6 +324,9 @@
 	}
 	r.sched.SetTargets(v.Facts.Versions)
 	r.sched.Sync(r.store.clock.Now(), v.Upstreams, models)
+	if changed {
+		r.updateRoutes()
+	}
 	r.wakeUp()
 	return first
 }
--- a/internal/jobstore/runner_test.go
+++ b/internal/jobstore/runner_test.go
@@ -460,6 +460,65 @@
 	assertRuns(t, f, "score-i1", 0)
 }
 
+// withoutRoute returns a view without a route.
+func withoutRoute(v view.State, name string) view.State {
+	d := v.Index.Document
+	d.Version--
+	d.Routes = slices.DeleteFunc(slices.Clone(d.Routes), func(r document.Route) bool { return r.Name == name })
+	v.Index = document.NewIndex(d)
+	return v
+}
+
+// withPool returns a view in which a route leads to another pool, and an engine of it.
+func withPool(v view.State, route, pool string) view.State {
+	d := v.Index.Document
+	d.Version++
+	d.Pools = append(slices.Clone(d.Pools), document.Pool{Name: pool, Models: []string{"m"}})
+	d.Routes = slices.Clone(d.Routes)
+	for i := range d.Routes {
+		if d.Routes[i].Name == route {
+			d.Routes[i].Split = []document.Share{{Pool: pool, Weight: 1}}
+		}
+	}
+	v.Index = document.NewIndex(d)
+	v.Upstreams["new"] = discovery.Upstream{ID: "new", Pool: pool, Address: "new", State: discovery.StateReady, Slots: 4, Born: 1, Models: []discovery.Model{{Name: "m", Version: 1}}}
+	return v
+}
+
+// Guards against items that are never placed: an entry with a newer copy of the
+// configuration accepted the job, and the store's copy did not have its route yet.
+func TestJobOfRouteThatArrivesLaterRuns(t *testing.T) {
+	s, _ := newLeader(t, nil)
+	s.applyView(withoutRoute(testView(nil), "jobs"))
+	time.AfterFunc(200*time.Millisecond, func() { s.applyView(testView(nil)) })
+	for id, r := range runJob(t, s, newSpec("j", 1, "i1", "i2")) {
+		t.Run(id, func(t *testing.T) { assertCompleted(t, r) })
+	}
+}
+
+// Guards against items that run at the pool of an old copy of the configuration.
+func TestQueuedItemsFollowRouteToItsNewPool(t *testing.T) {
+	var addresses sync.Map
+	s, _ := newLeader(t, func(x rollout.UpstreamRequest, _ int) *fault {
+		addresses.Store(x.AttemptID, x.Address)
+		return nil
+	})
+	blocked := testView(nil)
+	for id, u := range blocked.Upstreams {
+		if u.Pool == "engines" {
+			u.State = discovery.StateDraining
+			blocked.Upstreams[id] = u
+		}
+	}
+	s.applyView(blocked)
+	time.AfterFunc(200*time.Millisecond, func() { s.applyView(withPool(testView(nil), "jobs", "new engines")) })
+	for id := range runJob(t, s, newSpec("j", 1, "i1", "i2")) {
+		if address, _ := addresses.Load(id); address != "new" {
+			t.Errorf("item %s ran at %v, want the engine of the new pool", id, address)
+		}
+	}
+}
+
 // The steps of a trainer overlap. After a change of the leader, the items of an
 // earlier step must still come before those of a later one.
 func TestEarlierStepsStayFirstAfterChangeOfLeader(t *testing.T) {
--- a/pkg/rollout/dispatch/dispatch.go
+++ b/pkg/rollout/dispatch/dispatch.go
@@ -187,6 +187,18 @@
 	s.waiting = slices.DeleteFunc(s.waiting, func(t Task) bool { return t.JobID == jobID })
 }
 
+// TakeJob removes the queued tasks of a job and returns them.
+func (s *Scheduler) TakeJob(jobID string) []Task {
+	var taken []Task
+	for _, t := range s.waiting {
+		if t.JobID == jobID {
+			taken = append(taken, t)
+		}
+	}
+	s.DropJob(jobID)
+	return taken
+}
+
 // RunEnded records the outcome of a run on an engine.
 func (s *Scheduler) RunEnded(now rollout.Millis, a Assignment, o Outcome) {
 	if r := s.running[a.Task.runKey()]; r != nil && o == OutcomeDone {
