Queue items again at once when engines crash under them

An item of a job whose engine ended before its first event three times in a row waited 4 s before each further run, also when engines were free. The pause was meant for requests that crash engines; items never do by themselves, they only run where engines crash. Nothing abandoned such an item, but a step with 7.5 s until its results are due loses it. Change: the pause is gone; an engine still pauses 0.24 to 3 s after a broken run.

--- a/internal/jobstore/item.go
+++ b/internal/jobstore/item.go
@@ -11,7 +11,6 @@
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/dispatch"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/job"
-	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/poison"
 )
 
 const (
@@ -29,10 +28,6 @@
 	savePollInterval = 10 * time.Millisecond
 	// proposeRetryDelay is the delay before a failed proposal is retried.
 	proposeRetryDelay = 100 * time.Millisecond
-	// crashRetryDelay is the delay before the next run of an item that appears to
-	// crash the engines that run it. The requirements ask for a run at least every
-	// 5 s.
-	crashRetryDelay = 4 * time.Second
 )
 
 // runItem runs an item on the assigned engine, then scores, abandons or queues
@@ -65,9 +60,6 @@
 	case complete:
 		r.score(ctx, w)
 	default:
-		if !sleep(ctx, w.retryDelay()) {
-			return
-		}
 		r.mu.Lock()
 		r.enqueue(w)
 		r.mu.Unlock()
@@ -106,9 +98,6 @@
 		if ctx.Err() != nil {
 			return dispatch.OutcomeCancelled
 		}
-		if !rollout.AsError(err).NotRun {
-			w.recordBrokenRun(0)
-		}
 		return dispatch.OutcomeBroken
 	}
 	defer func() { _ = resp.Body.Close() }()
@@ -124,12 +113,11 @@
 		return r.recordErrorStatus(w, resp.Status)
 	}
 	w.begun = true
-	version, events := resp.WeightVersion, 0
+	version := resp.WeightVersion
 	err = r.store.opts.Upstreams.ReadEvents(resp.Body, func(e rollout.StreamEvent) {
 		if e.WeightVersion != 0 {
 			version = e.WeightVersion
 		}
-		events++
 		r.mu.Lock()
 		w.text.add(e, version)
 		r.saveIfLong(w)
@@ -141,7 +129,6 @@
 		if ctx.Err() != nil {
 			return dispatch.OutcomeCancelled
 		}
-		w.recordBrokenRun(events)
 		return dispatch.OutcomeBroken
 	}
 	r.mu.Lock()
@@ -150,24 +137,6 @@
 	return dispatch.OutcomeDone
 }
 
-// recordBrokenRun records a run that broke off after a number of events. Runs
-// that broke off without an event may mean that the item crashes engines.
-func (w *workItem) recordBrokenRun(events int) {
-	if events > 0 {
-		w.brokenRuns = 0
-		return
-	}
-	w.brokenRuns++
-}
-
-// retryDelay returns the delay before the next run of an item.
-func (w *workItem) retryDelay() time.Duration {
-	if w.brokenRuns < poison.CrashLimit {
-		return 0
-	}
-	return crashRetryDelay
-}
-
 // recordErrorStatus records an error response of an engine. After a 422 the item
 // is abandoned without another run.
 func (r *runner) recordErrorStatus(w *workItem, status int) dispatch.Outcome {
--- a/internal/jobstore/runner.go
+++ b/internal/jobstore/runner.go
@@ -65,8 +65,6 @@
 	// failures counts responses with status 500. A response with status 422 sets
 	// it to the maximum.
 	failures int
-	// brokenRuns counts the consecutive runs that broke off before an event.
-	brokenRuns int
 	// cancel stops the work on the item.
 	cancel context.CancelFunc
 	// interrupt cancels the current run so that it can continue on another engine.
