Run items from the start when no engine serves the version of their text

Cause: an item on a route for samples of one version keeps the text of a run that broke off, and may only go on under its version. If the engines that served it end or load newer weights meanwhile, no engine is left for it: it was never placed again, though engines were free and its job allows the newer version. This fits the users' report (servers died under a sound item, later all was calm and the item was not placed), found by asking which requirement of a queued item can stop holding for good. Ruled out: waiting for engines at that version; they only go to newer ones. Change: a scheduling pass takes out the tasks whose only version no ready engine of the pool serves while another serves an allowed one; their text is discarded. Before: TestItemRunsAgainWhenNoEngineServesVersionOfItsText "the item was not placed within 5s though two engines are free". After: passes.

--- a/internal/jobstore/crash_test.go
+++ b/internal/jobstore/crash_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/coltsfootspoke/coltsfootspoke/internal/view"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/discovery"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/job"
 )
 
 const (
@@ -117,3 +119,47 @@
 		t.Fatalf("the item took %v for %d crashes, want %v at most: an engine was always free", took, crashesPerItem, placeBound)
 	}
 }
+
+// Guards against items that are never placed again: the kept text of an item is of a
+// version that no engine serves any more after crashes.
+func TestItemRunsAgainWhenNoEngineServesVersionOfItsText(t *testing.T) {
+	s, f := newLeader(t, func(x rollout.UpstreamRequest, run int) *fault {
+		if x.AttemptID == "i1" && run == 1 {
+			return &fault{breakAfter: 2}
+		}
+		return nil
+	})
+	blocked := testView(nil)
+	delete(blocked.Upstreams, "b")
+	s.applyView(blocked)
+	spec := newSpec("j", 1, "i1")
+	spec.Route = "single"
+	if _, err := s.submit(t.Context(), spec); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the first run has broken off", func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return f.runs["i1"] > 0
+	})
+	newer := testView(nil)
+	for id, u := range newer.Upstreams {
+		if u.Pool == "engines" {
+			u.Born, u.Models = 2, []discovery.Model{{Name: "m", Version: 2}}
+			newer.Upstreams[id] = u
+		}
+	}
+	s.applyView(newer)
+	start := time.Now()
+	var page Page
+	for time.Since(start) < placeBound && len(page.Results) == 0 {
+		page, _ = s.read(t.Context(), ReadRequest{JobID: "j", Account: "acc"})
+		time.Sleep(2 * time.Millisecond)
+	}
+	if len(page.Results) == 0 {
+		t.Fatalf("the item was not placed within %v though two engines are free", placeBound)
+	}
+	if r := page.Results[0]; r.State != job.StateCompleted {
+		t.Fatalf("result %+v, want completed", r)
+	}
+}
--- a/internal/jobstore/runner.go
+++ b/internal/jobstore/runner.go
@@ -348,6 +348,7 @@
 	if now-r.plannedMS >= planIntervalMS {
 		r.plannedMS = now
 		r.planOrdersAndMoves(ctx, now)
+		r.restartStranded()
 	}
 	defer func() { r.store.metrics.waitingItems.Set(float64(r.sched.Waiting())) }()
 	for _, a := range r.sched.AssignTasks(now) {
@@ -376,6 +377,21 @@
 	}
 }
 
+// restartStranded discards the text of queued items whose version no engine serves any
+// more, as after a crash of the last such engine, so that they run from the start. The
+// caller holds r.mu.
+func (r *runner) restartStranded() {
+	for _, t := range r.sched.TakeStranded() {
+		w := r.findItem(t)
+		if w == nil {
+			continue
+		}
+		r.store.opts.Log.Info("TextDiscarded", zap.String("Request", t.ItemID), zap.String("Job", t.JobID), zap.Uint64("Version", t.OnlyVersion))
+		w.text.discard()
+		r.enqueue(w)
+	}
+}
+
 // startItem runs an item in a new goroutine. The caller holds r.mu.
 func (r *runner) startItem(w *workItem, a dispatch.Assignment) {
 	ctx, cancel := context.WithCancel(r.ctx)
--- a/internal/jobstore/text.go
+++ b/internal/jobstore/text.go
@@ -67,10 +67,15 @@
 // versions that generated it.
 func (t *textBuffer) discardUnlessAllowed(minVersion uint64, single bool) {
 	if !job.VersionsAllowed(t.versions, minVersion, single) {
-		*t = textBuffer{rewrite: len(t.chunks) > 0 || t.rewrite || t.saving, saving: t.saving, discards: t.discards + 1}
+		t.discard()
 	}
 }
 
+// discard makes the text empty.
+func (t *textBuffer) discard() {
+	*t = textBuffer{rewrite: len(t.chunks) > 0 || t.rewrite || t.saving, saving: t.saving, discards: t.discards + 1}
+}
+
 // markSaved records that a piece has been stored.
 func (t *textBuffer) markSaved(p unsavedPiece) {
 	if p.discards != t.discards {
--- a/pkg/rollout/dispatch/dispatch.go
+++ b/pkg/rollout/dispatch/dispatch.go
@@ -199,6 +199,36 @@
 	return taken
 }
 
+// TakeStranded removes the queued tasks that may only run under a version that no engine
+// serves any more, though others could run them under an allowed one, and returns them.
+// Engines never go back to an earlier version.
+func (s *Scheduler) TakeStranded() []Task {
+	var stranded []Task
+	s.waiting = slices.DeleteFunc(s.waiting, func(t Task) bool {
+		if t.OnlyVersion == 0 || !s.isStranded(t) {
+			return false
+		}
+		stranded = append(stranded, t)
+		return true
+	})
+	return stranded
+}
+
+func (s *Scheduler) isStranded(t Task) bool {
+	allowed := false
+	for _, e := range s.pools[t.Pool] {
+		if e.State != discovery.StateReady {
+			continue
+		}
+		v := e.knownVersions[t.Model]
+		if v == t.OnlyVersion {
+			return false
+		}
+		allowed = allowed || v >= t.MinVersion
+	}
+	return allowed
+}
+
 // RunEnded records the outcome of a run on an engine.
 func (s *Scheduler) RunEnded(now rollout.Millis, a Assignment, o Outcome) {
 	if r := s.running[a.Task.runKey()]; r != nil && o == OutcomeDone {
