Log why an item is abandoned

Change: ItemAbandoned names Failures, Scorer or Age; the doc of StateAbandoned says what it may follow.

--- a/internal/jobstore/item.go
+++ b/internal/jobstore/item.go
@@ -56,7 +56,7 @@
 	case ctx.Err() != nil:
 		return
 	case abandon:
-		r.commitResult(ctx, w, job.Result{ItemID: w.item.ID, State: job.StateAbandoned})
+		r.abandon(ctx, w, abandonedForFailures)
 	case complete:
 		r.score(ctx, w)
 	default:
@@ -189,8 +189,12 @@
 			return
 		}
 		scoreFailures += failures
-		if scoreFailures >= r.maxScorerFailures(w.item.Scorer) || r.pastMaxQueue(w) {
-			r.commitResult(ctx, w, job.Result{ItemID: w.item.ID, State: job.StateAbandoned})
+		if scoreFailures >= r.maxScorerFailures(w.item.Scorer) {
+			r.abandon(ctx, w, abandonedForScorer)
+			return
+		}
+		if r.pastMaxQueue(w) {
+			r.abandon(ctx, w, abandonedForAge)
 			return
 		}
 		if !sleep(ctx, scoreRetryDelay) {
@@ -199,6 +203,25 @@
 	}
 }
 
+// The reasons for which an item is abandoned, as logged. The end of an engine under a run
+// is none of them.
+const (
+	// abandonedForFailures follows a 422 or as many responses with status 500 as the
+	// route allows attempts.
+	abandonedForFailures = "Failures"
+	// abandonedForScorer follows as many responses of the scorer with status 500 as
+	// its route allows attempts.
+	abandonedForScorer = "Scorer"
+	// abandonedForAge follows the maximum queueing time of the route.
+	abandonedForAge = "Age"
+)
+
+// abandon commits that an item has no result.
+func (r *runner) abandon(ctx context.Context, w *workItem, reason string) {
+	r.store.opts.Log.Info("ItemAbandoned", zap.String("Request", w.item.ID), zap.String("Job", w.spec.ID), zap.String("Reason", reason))
+	r.commitResult(ctx, w, job.Result{ItemID: w.item.ID, State: job.StateAbandoned})
+}
+
 // maxScorerFailures returns the number of scorer failures after which an item is
 // abandoned.
 func (r *runner) maxScorerFailures(sc *job.Scorer) int {
--- a/internal/jobstore/runner.go
+++ b/internal/jobstore/runner.go
@@ -240,7 +240,7 @@
 	}
 	if r.pastMaxQueue(w) {
 		r.goroutines.Go(func() {
-			r.commitResult(r.ctx, w, job.Result{ItemID: w.item.ID, State: job.StateAbandoned})
+			r.abandon(r.ctx, w, abandonedForAge)
 		})
 		return
 	}
--- a/pkg/rollout/job/job.go
+++ b/pkg/rollout/job/job.go
@@ -65,6 +65,8 @@
 // The final states.
 const (
 	StateCompleted ItemState = "Completed"
+	// StateAbandoned follows responses of engines or of the scorer, or the end of the
+	// queueing time. An item is not abandoned because engines end while they run it.
 	StateAbandoned ItemState = "Abandoned"
 )
 
