Send nothing new to upstreams whose responses say that they leave

Cause: an engine that leaves says so in all its responses (Server-Leaving: 1), and a request sent later than drainMs after a host passed one on must not reach it from that host, in touch or not. Nothing read the header; a host that is cut off from control went on sending. Ruled out: waiting for control to drain it, which a host that is cut off never learns. Change: platform reads the header from responses to requests, streams, reports, orders, refusals and invalid responses. Watches report it, control drains that incarnation in its table. A next incarnation at the address or ID is not affected. Before (without the mark): "41 of 41 requests went to the leaving upstream, want the first only", "6 items went to the leaving engine, want one at most".

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -73,6 +73,12 @@
 	router *routing.Router
 	// brokenConnections holds the requests whose connections broke.
 	brokenConnections poison.BrokenConnectionLog
+	// leaving holds the upstreams whose responses said that they leave.
+	leaving *discovery.LeavingLog
+	// known holds the upstreams as control knows them.
+	known map[string]discovery.Upstream
+	// nextSyncMS is when the router must be synced because of leaving upstreams, or 0.
+	nextSyncMS rollout.Millis
 }
 
 // globalRandom is the random source of the router. It uses the global generator.
@@ -86,7 +92,7 @@
 	cfg := routing.DefaultConfig(domain)
 	cfg.EjectAfter, cfg.EjectMS, cfg.MaxEjectMS = ejectAfter, ejectMS, maxEjectMS
 	cfg.LocalLoadLimit, cfg.ReuseMS = localLoadLimit, reuseMS
-	return &Balancer{upstreams: upstreams, clock: clock, log: log, router: routing.New(cfg, globalRandom{})}
+	return &Balancer{upstreams: upstreams, clock: clock, log: log, router: routing.New(cfg, globalRandom{}), leaving: discovery.NewLeavingLog()}
 }
 
 const (
@@ -105,6 +111,17 @@
 
 // Sync replaces the set of known upstreams.
 func (b *Balancer) Sync(us map[string]discovery.Upstream) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.known = us
+	b.syncRouter()
+}
+
+// syncRouter passes the known upstreams to the router, with those that leave draining.
+// The caller holds mu.
+func (b *Balancer) syncRouter() {
+	us, next := b.leaving.Apply(b.clock.Now(), b.known)
+	b.nextSyncMS = next
 	c := &catalog.Catalog{Upstreams: make(map[string]catalog.Upstream, len(us))}
 	for id, u := range us {
 		c.Upstreams[id] = catalog.Upstream{
@@ -112,9 +129,23 @@
 			Incarnation: strconv.FormatInt(u.Born, 10), Leaving: u.State != discovery.StateReady,
 		}
 	}
+	b.router.Sync(c)
+}
+
+// Leaving returns the log of the upstreams that leave.
+func (b *Balancer) Leaving() *discovery.LeavingLog { return b.leaving }
+
+// markLeaving records that an upstream said that it leaves.
+func (b *Balancer) markLeaving(id, incarnation string) {
+	// Parsing cannot fail: syncRouter formatted the number.
+	born, _ := strconv.ParseInt(incarnation, 10, 64)
+	if !b.leaving.Mark(b.clock.Now(), discovery.Incarnation{ID: id, Born: born}) {
+		return
+	}
+	b.log.Info("UpstreamLeaving", zap.String("Upstream", id), zap.Int64("Born", born))
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.router.Sync(c)
+	b.syncRouter()
 }
 
 // attempt is the result of sending a request to one upstream.
@@ -263,6 +294,9 @@
 	c.sends++
 	go func() {
 		a := c.balancer.send(sendCtx, req)
+		if a.response.Head.Leaving {
+			c.balancer.markLeaving(u.ID, u.Incarnation)
+		}
 		a.upstream, a.incarnation = u.ID, u.Incarnation
 		a.connectionBroken = a.mayHaveRun() && a.err != nil && sendCtx.Err() == nil
 		c.results <- a
@@ -354,6 +388,9 @@
 func (b *Balancer) selectUpstream(pool string, tried []string) (routing.Choice, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.nextSyncMS > 0 && b.clock.Now() >= b.nextSyncMS {
+		b.syncRouter()
+	}
 	return b.router.Pick(b.clock.Now(), routing.Query{Pool: pool, Exclude: tried})
 }
 
@@ -361,11 +398,11 @@
 func (b *Balancer) send(ctx context.Context, req rollout.UpstreamRequest) attempt {
 	a := attempt{started: time.Now()}
 	head, err := b.upstreams.SendRequest(ctx, req)
+	a.response.Head = head
 	if err != nil {
 		a.err = rollout.AsError(err)
 		return a
 	}
-	a.response.Head = head
 	if head.NotRun {
 		_ = head.Body.Close()
 		a.err = rollout.NewError(rollout.KindOverloaded, "upstream %s rejected the request with status %d", req.Instance, head.Status).
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -26,6 +26,8 @@
 	hang bool
 	// bytes is the length of the body, or 0 for the ID of the upstream.
 	bytes int
+	// leaving makes the upstream say that it leaves.
+	leaving bool
 }
 
 // fakeUpstreams simulates upstreams by ID and records the attempts.
@@ -47,24 +49,28 @@
 		return rollout.UpstreamResponse{}, ctx.Err()
 	}
 	if r.err != nil {
-		return rollout.UpstreamResponse{}, r.err
+		return rollout.UpstreamResponse{Leaving: r.leaving}, r.err
 	}
 	body := req.Instance
 	if r.bytes > 0 {
 		body = strings.Repeat("x", r.bytes)
 	}
-	return rollout.UpstreamResponse{Status: r.status, NotRun: r.notRun, Body: io.NopCloser(strings.NewReader(body))}, nil
+	return rollout.UpstreamResponse{Status: r.status, NotRun: r.notRun, Leaving: r.leaving, Body: io.NopCloser(strings.NewReader(body))}, nil
 }
 
 func newBalancer(behaviors map[string]behavior) (*balance.Balancer, *fakeUpstreams) {
 	f := &fakeUpstreams{behaviors: behaviors}
 	b := balance.New(f, clock.Boottime{}, "d", zap.NewNop())
+	b.Sync(readyUpstreams(behaviors))
+	return b, f
+}
+
+func readyUpstreams(behaviors map[string]behavior) map[string]discovery.Upstream {
 	us := make(map[string]discovery.Upstream)
 	for id := range behaviors {
 		us[id] = discovery.Upstream{ID: id, Pool: "p", FailureDomain: "d", State: discovery.StateReady, Slots: 4, Born: 1}
 	}
-	b.Sync(us)
-	return b, f
+	return us
 }
 
 func request(repeatable bool, attempts int) balance.Request {
@@ -266,3 +272,48 @@
 	}
 	assertSends(t, f, 4)
 }
+
+// Guards against requests that reach an upstream after it has said that it leaves (DRAIN).
+func TestLeavingUpstreamGetsNoNewRequests(t *testing.T) {
+	for name, leaves := range map[string]behavior{
+		"success":  {status: 200, leaving: true},
+		"failure":  {status: 500, leaving: true},
+		"refusal":  {status: 503, notRun: true, leaving: true},
+		"no reply": {err: errors.New("invalid response"), leaving: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b, f := newBalancer(map[string]behavior{"a": leaves})
+			_, _ = b.Do(t.Context(), request(true, 2))
+			f.behaviors["b"] = succeeds
+			b.Sync(readyUpstreams(f.behaviors))
+			for range 40 {
+				_, _ = b.Do(t.Context(), request(true, 2))
+			}
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			toA := 0
+			for _, id := range f.sends {
+				if id == "a" {
+					toA++
+				}
+			}
+			if toA != 1 {
+				t.Fatalf("%d of %d requests went to the leaving upstream, want the first only", toA, len(f.sends))
+			}
+		})
+	}
+}
+
+func TestLastLeavingUpstreamIsUsedForAMoment(t *testing.T) {
+	b, f := newBalancer(map[string]behavior{"a": {status: 200, leaving: true}})
+	for range 2 {
+		if _, err := b.Do(t.Context(), request(false, 1)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	// drainMs of the deployments is 2 s at least.
+	time.Sleep(2 * time.Second)
+	_, err := b.Do(t.Context(), request(false, 1))
+	assertError(t, err, true)
+	assertSends(t, f, 2)
+}
--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -236,3 +236,15 @@
 		t.Fatalf("got %d requests, want 7", got)
 	}
 }
+
+// Guards against requests that reach an upstream after it has said that it leaves (DRAIN):
+// the host that was told reports it, and the others learn it from control.
+func TestLeavingUpstreamReportedByAHostDrains(t *testing.T) {
+	d := newLocalDirector()
+	d.table.Announce(0, discovery.Upstream{ID: "a", Address: "a", Born: 1, Seq: 1, State: discovery.StateReady})
+	before := d.table.Revision()
+	d.recordWatchRequest(view.Request{Host: "entry-1", Role: view.RoleEntry, Leaving: &view.LeavingUpstreams{Incarnations: []discovery.Incarnation{{ID: "a", Born: 1}}}})
+	if us := d.table.RoutingChangedSince(before); len(us) != 1 || us[0].State != discovery.StateDraining {
+		t.Fatalf("changes %+v, want a draining", us)
+	}
+}
--- a/internal/director/watch.go
+++ b/internal/director/watch.go
@@ -194,6 +194,7 @@
 		d.poisonDetector.SetBrokenConnections(key, req.BrokenConnections.Connections)
 		d.updatePoisons()
 	}
+	d.drainLeaving(req)
 	s := req.Store
 	if s == nil || !s.Leading || s.Term < d.storeTerm {
 		return
@@ -208,6 +209,24 @@
 	d.notifyWatches()
 }
 
+// drainLeaving drains the upstreams that told the host of a request that they leave. The
+// caller holds mu.
+func (d *Director) drainLeaving(req view.Request) {
+	if req.Leaving == nil {
+		return
+	}
+	changed := false
+	for _, i := range req.Leaving.Incarnations {
+		if d.table.Drain(i.ID, i.Born) {
+			changed = true
+			d.opts.Log.Info("UpstreamLeaving", zap.String("Upstream", i.ID), zap.Int64("Born", i.Born), zap.String("Reporter", req.Host))
+		}
+	}
+	if changed {
+		d.notifyWatches()
+	}
+}
+
 // updatePoisons updates the set of requests to refuse. A broken connection
 // counts once its upstream is known to have ended or is silent. The caller holds
 // mu.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -96,7 +96,7 @@
 	g.meter = newMeter(hex.EncodeToString(id), opts.WindowMS)
 	g.watcher = view.NewWatcher(view.Options{
 		Host: opts.Host, Role: view.RoleEntry, FailureDomain: opts.FailureDomain, Seeds: opts.Controls,
-		Client: g.client, Clock: clock.Boottime{}, Log: opts.Log, Registry: opts.Registry, Usage: g.meter.totals, BrokenConnections: g.balancer.BrokenConnections,
+		Client: g.client, Clock: clock.Boottime{}, Log: opts.Log, Registry: opts.Registry, Usage: g.meter.totals, BrokenConnections: g.balancer.BrokenConnections, Leaving: g.balancer.Leaving().Report,
 		OnChange: func(v view.State) { g.balancer.Sync(v.Upstreams) },
 	})
 	return g
--- a/internal/jobstore/item.go
+++ b/internal/jobstore/item.go
@@ -93,6 +93,9 @@
 	x := r.newExchange(w, a)
 	started := time.Now()
 	resp, err := r.store.opts.Upstreams.SendRequest(ctx, x)
+	if resp.Leaving {
+		r.markLeaving(a.Engine)
+	}
 	if err != nil {
 		r.logRun(w, a, started, 0, err)
 		if ctx.Err() != nil {
--- a/internal/jobstore/load.go
+++ b/internal/jobstore/load.go
@@ -27,6 +27,9 @@
 			r.recordOrderOutcome(l, rollout.WeightOrderUnknown, err)
 			return
 		}
+		if report.Leaving {
+			r.markLeaving(l.Engine)
+		}
 		r.mu.Lock()
 		next, wanted := r.sched.ReportReceived(r.store.clock.Now(), l, report)
 		r.mu.Unlock()
@@ -42,11 +45,14 @@
 	r.store.mu.Lock()
 	r.store.orderCooldown.RecordAction(r.store.clock.Now(), r.term)
 	r.store.mu.Unlock()
-	outcome, err := r.store.opts.Upstreams.SendWeightOrder(ctx, rollout.WeightOrder{
+	reply, err := r.store.opts.Upstreams.SendWeightOrder(ctx, rollout.WeightOrder{
 		Address: l.Address, Instance: l.Engine, Model: l.Model, Version: l.Version,
 		Holder: r.store.opts.Host, Fencing: r.term, Accepted: l.Accepted, Drain: r.needsSingleVersion(l.Model),
 	})
-	r.recordOrderOutcome(l, outcome, err)
+	if reply.Leaving {
+		r.markLeaving(l.Engine)
+	}
+	r.recordOrderOutcome(l, reply.Outcome, err)
 }
 
 // needsSingleVersion reports whether an open job requires that each sample of a
--- a/internal/jobstore/runner.go
+++ b/internal/jobstore/runner.go
@@ -13,6 +13,7 @@
 
 	"github.com/coltsfootspoke/coltsfootspoke/internal/view"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/discovery"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/dispatch"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/document"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/job"
@@ -90,9 +91,14 @@
 
 	mu sync.Mutex
 	// The fields below are guarded by mu.
-	sched             *dispatch.Scheduler
-	jobs              map[string][]*workItem
-	index             *document.Index
+	sched *dispatch.Scheduler
+	jobs  map[string][]*workItem
+	index *document.Index
+	// models holds the models of each pool, and upstreams what control knows of them.
+	models    map[string][]string
+	upstreams map[string]discovery.Upstream
+	// nextSyncMS is when the scheduler must be synced because of leaving engines, or 0.
+	nextSyncMS        rollout.Millis
 	lastQueuePosition uint64
 	// plannedMS is the time of the last look for weight orders and moves.
 	plannedMS rollout.Millis
@@ -321,7 +327,8 @@
 		models[p.Name] = p.Models
 	}
 	r.sched.SetTargets(v.Facts.Versions)
-	r.sched.Sync(r.store.clock.Now(), v.Upstreams, models)
+	r.models, r.upstreams = models, v.Upstreams
+	r.syncUpstreams()
 	if changed {
 		r.updateRoutes()
 	}
@@ -329,6 +336,28 @@
 	return first
 }
 
+// syncUpstreams passes the known engines to the scheduler, with those that leave
+// draining. The caller holds r.mu.
+func (r *runner) syncUpstreams() {
+	now := r.store.clock.Now()
+	us, next := r.store.balancer.Leaving().Apply(now, r.upstreams)
+	r.nextSyncMS = next
+	r.sched.Sync(now, us, r.models)
+}
+
+// markLeaving records that an engine said that it leaves.
+func (r *runner) markLeaving(engine string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	u, known := r.upstreams[engine]
+	if !known || !r.store.balancer.Leaving().Mark(r.store.clock.Now(), discovery.Incarnation{ID: engine, Born: u.Born}) {
+		return
+	}
+	r.store.opts.Log.Info("UpstreamLeaving", zap.String("Upstream", engine), zap.Int64("Born", u.Born))
+	r.syncUpstreams()
+	r.wakeUp()
+}
+
 // wakeUp triggers a scheduling pass. It does not block.
 func (r *runner) wakeUp() {
 	select {
@@ -345,6 +374,9 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.nextSyncMS > 0 && now >= r.nextSyncMS {
+		r.syncUpstreams()
+	}
 	if now-r.plannedMS >= planIntervalMS {
 		r.plannedMS = now
 		r.planOrdersAndMoves(ctx, now)
--- a/internal/jobstore/runner_test.go
+++ b/internal/jobstore/runner_test.go
@@ -59,7 +59,10 @@
 	// misdirected is true if the engine serves another weight version or is
 	// another one.
 	misdirected bool
-	err         error
+	// leaving makes the engine say that it leaves, beside a normal response if there
+	// is no status.
+	leaving bool
+	err     error
 	// breakAfter is the number of events after which the stream breaks, or 0 for
 	// no stream.
 	breakAfter int
@@ -92,6 +95,9 @@
 				body.last, body.broken = ft.breakAfter, true
 				return rollout.UpstreamResponse{Status: 200, Streaming: true, WeightVersion: 1, Body: body}, nil
 			}
+			if ft.leaving {
+				return rollout.UpstreamResponse{Status: 200, Streaming: true, WeightVersion: 1, Leaving: true, Body: body}, nil
+			}
 			return rollout.UpstreamResponse{Status: ft.status, NotRun: ft.notRun, Misdirected: ft.misdirected, Body: body}, nil
 		}
 	}
@@ -131,11 +137,11 @@
 	return nil
 }
 
-func (f *fakeEngines) SendWeightOrder(_ context.Context, o rollout.WeightOrder) (rollout.WeightOrderOutcome, error) {
+func (f *fakeEngines) SendWeightOrder(_ context.Context, o rollout.WeightOrder) (rollout.WeightOrderReply, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.orders = append(f.orders, o)
-	return rollout.WeightOrderStarted, nil
+	return rollout.WeightOrderReply{Outcome: rollout.WeightOrderStarted}, nil
 }
 
 func (f *fakeEngines) FetchReport(context.Context, string) (rollout.EngineReport, error) {
@@ -605,3 +611,26 @@
 	assertCompleted(t, runJob(t, s, newSpec("j", 1, "i1"))["i1"])
 	assertRuns(t, f, "i1", 4)
 }
+
+// Guards against items that reach an engine after it has said that it leaves (DRAIN).
+func TestLeavingEngineGetsNoMoreItems(t *testing.T) {
+	var runsOfA atomic.Int32
+	s, _ := newLeader(t, func(x rollout.UpstreamRequest, _ int) *fault {
+		if x.Address != "a" {
+			return nil
+		}
+		runsOfA.Add(1)
+		return &fault{leaving: true}
+	})
+	for step := range 6 {
+		for _, r := range runJob(t, s, newSpec(fmt.Sprintf("j%d", step), 1, fmt.Sprintf("i%d", step))) {
+			assertCompleted(t, r)
+		}
+	}
+	if got := runsOfA.Load(); got > 1 {
+		t.Fatalf("%d items went to the leaving engine, want one at most", got)
+	}
+	if _, marked := s.balancer.Leaving().Report(); runsOfA.Load() == 1 && !slices.Equal(marked, []discovery.Incarnation{{ID: "a", Born: 1}}) {
+		t.Fatalf("reported to control: %v, want a", marked)
+	}
+}
--- a/internal/jobstore/store.go
+++ b/internal/jobstore/store.go
@@ -106,7 +106,7 @@
 	}
 	s.watcher = view.NewWatcher(view.Options{
 		Host: opts.Host, Role: view.RoleStore, Address: opts.Address, FailureDomain: opts.FailureDomain,
-		Seeds: opts.Controls, Client: s.client, Clock: s.clock, Log: opts.Log, Registry: opts.Registry, Store: s.status, OnChange: s.applyView,
+		Seeds: opts.Controls, Client: s.client, Clock: s.clock, Log: opts.Log, Registry: opts.Registry, Store: s.status, Leaving: s.balancer.Leaving().Report, OnChange: s.applyView,
 	})
 	return s, nil
 }
--- a/internal/view/protocol.go
+++ b/internal/view/protocol.go
@@ -50,6 +50,13 @@
 	Store *StoreStatus `json:",omitempty"`
 	// BrokenConnections is nil if the leader has received the current ones.
 	BrokenConnections *BrokenConnections `json:"Crashes,omitempty"`
+	// Leaving is nil if the leader has received the current ones.
+	Leaving *LeavingUpstreams `json:",omitempty"`
+}
+
+// LeavingUpstreams holds the upstreams whose responses to a host said that they leave.
+type LeavingUpstreams struct {
+	Incarnations []discovery.Incarnation
 }
 
 // BrokenConnections holds the requests of a host whose connections broke while an
--- a/internal/view/watcher.go
+++ b/internal/view/watcher.go
@@ -67,6 +67,9 @@
 	// BrokenConnections returns the broken connections to report and a revision that
 	// changes with them, or is nil.
 	BrokenConnections func() (uint64, []poison.BrokenConnection)
+	// Leaving returns the leaving upstreams to report and a revision that changes with
+	// them, or is nil.
+	Leaving func() (uint64, []discovery.Incarnation)
 	// OnChange is called after each change, on the goroutine of Run.
 	OnChange func(State)
 	// Active reports whether to watch. If it is nil, the watcher is always
@@ -86,11 +89,9 @@
 	addressIndex int
 	// replyTime is the time that the last reply took beyond the requested wait.
 	replyTime rollout.Millis
-	// sentConnectionsRevision is the revision of the broken connections that a
-	// leader last received, and sentConnectionsEpoch the epoch of that watch.
-	sentConnectionsRevision uint64
-	sentConnectionsEpoch    uint64
-	metrics                 *metrics
+	// sent is what a leader last received of the reports.
+	sent    sentReports
+	metrics *metrics
 	// lapse logs once that no leader has confirmed the copy for outdatedAge.
 	lapse *time.Timer
 	// waitingFor is the address of the host whose reply Run waits for.
@@ -175,15 +176,15 @@
 	// confirmedMS is the time for which the reply confirms the state.
 	confirmedMS rollout.Millis
 	// replyTime is the time that the reply took beyond the requested wait.
-	replyTime           rollout.Millis
-	connectionsRevision uint64
+	replyTime rollout.Millis
+	sent      sentReports
 }
 
 // watchRequest is a request with the state that it was built from.
 type watchRequest struct {
 	Request
-	base                State
-	connectionsRevision uint64
+	base State
+	sent sentReports
 }
 
 // newRequest returns a request that the leader may hold for a time.
@@ -202,13 +203,13 @@
 	if w.opts.Store != nil {
 		req.Store = w.opts.Store()
 	}
-	revision := w.addBrokenConnections(&req)
-	return watchRequest{Request: req, base: base, connectionsRevision: revision}
+	sent := w.addReports(&req)
+	return watchRequest{Request: req, base: base, sent: sent}
 }
 
 // call sends a request to a control host. It may run beside other calls.
 func (w *Watcher) call(ctx context.Context, address string, req watchRequest) (update, error) {
-	u := update{base: req.base, connectionsRevision: req.connectionsRevision}
+	u := update{base: req.base, sent: req.sent}
 	sent := w.opts.Clock.Now()
 	if err := w.opts.Client.Call(ctx, address, MethodWatch, req.Request, &u.reply); err != nil {
 		return u, err
@@ -228,24 +229,40 @@
 // commit applies a reply of the leader.
 func (w *Watcher) commit(u update) {
 	w.replyTime = u.replyTime
-	w.sentConnectionsRevision, w.sentConnectionsEpoch = u.connectionsRevision, u.base.Epoch
+	w.sent = u.sent
 	u.base.ConfirmedMS = u.confirmedMS
 	w.apply(u.base, u.reply)
 	w.notifyConfirmed()
 	w.lapse.Reset(outdatedAge)
 }
 
-// addBrokenConnections adds the broken connections to a request if the leader may
-// not have them, and returns their revision. A new leader has none.
-func (w *Watcher) addBrokenConnections(req *Request) uint64 {
-	if w.opts.BrokenConnections == nil {
-		return 0
+// sentReports identifies the reports of a request.
+type sentReports struct {
+	// epoch is the epoch of the request.
+	epoch                uint64
+	connections, leaving uint64
+}
+
+// addReports adds to a request the reports that the leader may not have, and returns
+// what identifies them. A new leader has none.
+func (w *Watcher) addReports(req *Request) sentReports {
+	sent := sentReports{epoch: req.Epoch}
+	due := func(revision, sentRevision uint64) bool {
+		return revision != sentRevision || (revision != 0 && req.Epoch != w.sent.epoch)
 	}
-	revision, connections := w.opts.BrokenConnections()
-	if revision != w.sentConnectionsRevision || (revision != 0 && req.Epoch != w.sentConnectionsEpoch) {
-		req.BrokenConnections = &BrokenConnections{Connections: connections}
+	if w.opts.BrokenConnections != nil {
+		revision, connections := w.opts.BrokenConnections()
+		if sent.connections = revision; due(revision, w.sent.connections) {
+			req.BrokenConnections = &BrokenConnections{Connections: connections}
+		}
+	}
+	if w.opts.Leaving != nil {
+		revision, incarnations := w.opts.Leaving()
+		if sent.leaving = revision; due(revision, w.sent.leaving) {
+			req.Leaving = &LeavingUpstreams{Incarnations: incarnations}
+		}
 	}
-	return revision
+	return sent
 }
 
 // apply merges a reply into the state, logs the changes and calls OnChange.
--- a/internal/view/watcher_test.go
+++ b/internal/view/watcher_test.go
@@ -81,7 +81,7 @@
 	} {
 		revision = step.revision
 		req := Request{Epoch: step.epoch}
-		w.sentConnectionsRevision, w.sentConnectionsEpoch = w.addBrokenConnections(&req), req.Epoch
+		w.sent = w.addReports(&req)
 		if sent := req.BrokenConnections != nil; sent != step.sent {
 			t.Errorf("%s: broken connections sent: %v, want %v", step.name, sent, step.sent)
 		}
--- a/pkg/rollout/discovery/discovery.go
+++ b/pkg/rollout/discovery/discovery.go
@@ -135,6 +135,18 @@
 	return true
 }
 
+// Drain marks a ready incarnation as draining and reports whether the table changed. It
+// is for news that does not come from the upstream's announcements.
+func (t *Table) Drain(id string, born int64) bool {
+	r := t.byID[id]
+	if r == nil || r.State != StateReady || r.Born != born {
+		return false
+	}
+	r.State = StateDraining
+	t.bumpRevision(r)
+	return true
+}
+
 // Restore replaces all upstreams with those of another host's table at a revision.
 // All of them count as seen now. Later changes get higher revisions, also if the
 // upstreams that changed last have left the table since.
--- a/pkg/rollout/upstream.go
+++ b/pkg/rollout/upstream.go
@@ -49,6 +49,9 @@
 	// Closing is true if the upstream accepts no more requests on the
 	// connection.
 	Closing bool
+	// Leaving is true if the upstream is about to end. It is also set beside an error
+	// that concerns the rest of the response.
+	Leaving bool
 	// Stamp is the upstream's signature of the response.
 	Stamp string
 	// WeightVersion is the version that generates the first event, or 0.
@@ -103,6 +106,13 @@
 	WeightOrderRefused
 )
 
+// WeightOrderReply is an engine's reply to a weight order.
+type WeightOrderReply struct {
+	Outcome WeightOrderOutcome
+	// Leaving is true if the engine is about to end.
+	Leaving bool
+}
+
 // String returns the name of the outcome.
 func (o WeightOrderOutcome) String() string {
 	names := [...]string{"Unknown", "Started", "Holds", "Conflict", "Fenced", "Refused"}
@@ -118,6 +128,8 @@
 	Busy     bool
 	// Accepted is the number of weight orders accepted since the engine started.
 	Accepted uint64
+	// Leaving is true if the engine is about to end.
+	Leaving bool
 	// Versions holds the weight version of each model that the engine serves.
 	Versions map[string]uint64
 }
@@ -126,12 +138,12 @@
 // NotRun set means that no byte of the request was sent.
 type UpstreamClient interface {
 	// SendRequest sends a request and returns the head of the response with its
-	// unread body.
+	// unread body. The head of an invalid response is returned beside the error.
 	SendRequest(ctx context.Context, req UpstreamRequest) (UpstreamResponse, error)
 	// ReadEvents reads a stream and calls handle for each complete event. It
 	// returns nil only if the stream was not truncated.
 	ReadEvents(body io.Reader, handle func(StreamEvent)) error
-	SendWeightOrder(ctx context.Context, o WeightOrder) (WeightOrderOutcome, error)
+	SendWeightOrder(ctx context.Context, o WeightOrder) (WeightOrderReply, error)
 	FetchReport(ctx context.Context, address string) (EngineReport, error)
 }
 
