--- a/pkg/rollout/quorum/cluster_test.go
+++ b/pkg/rollout/quorum/cluster_test.go
@@ -57,9 +57,11 @@
 	// applied holds the data that the last host to apply an index found there.
 	applied map[uint64]string
 	// terms holds the leader of each term.
-	terms         map[uint64]MemberID
-	proposed      int
-	joining       *host
+	terms    map[uint64]MemberID
+	proposed int
+	joining  *host
+	// emptied holds the hosts that lost their disks together with joining.
+	emptied       []*host
 	faultsEnabled bool
 }
 
@@ -172,6 +174,9 @@
 			_ = h.node.ProposeMembers(c.localTime(h), h.node.Members().WithLearner(Member{ID: j.id, Address: j.address}))
 		} else if h.node.Members().IsVoter(j.id) {
 			c.joining = nil
+			if len(c.emptied) > 0 {
+				c.joining, c.emptied = c.emptied[0], c.emptied[1:]
+			}
 		}
 	}
 }
@@ -360,11 +365,56 @@
 	if !c.allOthersVote(h) {
 		return
 	}
+	c.empty(h)
+	c.joining = h
+}
+
+// empty restarts a host under a new ID with an empty disk.
+func (c *cluster) empty(h *host) {
 	h.incarnations++
 	h.id = MemberID(fmt.Sprintf("%s-life%d", h.address, h.incarnations))
 	h.saved = SavedState{}
 	c.start(h)
-	c.joining = h
+}
+
+// losePowerWithDisks empties the disks of as many hosts as the quorum tolerates while all
+// others lose power. It waits for a moment at which a majority of the disks remains, right
+// after an acknowledgement, and reports whether there was one.
+func (c *cluster) losePowerWithDisks() bool {
+	tolerated := (len(c.hosts) - 1) / 2
+	first := c.rand.IntN(len(c.hosts))
+	for range 30_000 {
+		before := len(c.acked)
+		c.step()
+		if len(c.acked) == before || c.joining != nil || !c.allVote() {
+			continue
+		}
+		for i := range c.hosts {
+			h := c.hosts[(first+i)%len(c.hosts)]
+			if i < tolerated {
+				c.empty(h)
+				c.emptied = append(c.emptied, h)
+				continue
+			}
+			h.node = nil
+			h.downUntil = c.now + rollout.Millis(c.rand.IntN(3_000))
+		}
+		c.joining, c.emptied = c.emptied[0], c.emptied[1:]
+		c.inTransit = nil
+		return true
+	}
+	return false
+}
+
+// allVote reports whether all hosts are up and voters by their own knowledge and that of
+// the leader.
+func (c *cluster) allVote() bool {
+	for _, h := range c.hosts {
+		if h.node == nil || !h.node.Members().IsVoter(h.id) || len(h.node.Members().Voters) != len(c.hosts) {
+			return false
+		}
+	}
+	return true
 }
 
 // partitionLeaderFrom drops messages from the leader to one host.
--- a/pkg/rollout/quorum/node_test.go
+++ b/pkg/rollout/quorum/node_test.go
@@ -18,6 +18,37 @@
 	firstSeed = flag.Int("first-seed", 1, "first seed of the cluster test")
 )
 
+// TestPowerLostWithDisks loses the disks of as many hosts as the quorum tolerates right
+// after an acknowledgement, while all others lose power.
+func TestPowerLostWithDisks(t *testing.T) {
+	const seeds, faultMS = 40, 4_000
+	for _, size := range []int{3, 5, 7} {
+		lost := 0
+		for seed := range uint64(seeds) {
+			t.Run(fmt.Sprintf("%d hosts, seed %d", size, seed), func(t *testing.T) {
+				c := newCluster(t, 700_000+seed, size)
+				for range faultMS {
+					c.step()
+				}
+				if !c.losePowerWithDisks() {
+					t.Log("no moment at which all hosts vote")
+					return
+				}
+				lost++
+				c.healAndCheck()
+				for _, h := range c.hosts {
+					if !h.node.Members().IsVoter(h.id) {
+						t.Fatalf("%s is no voter again", h.address)
+					}
+				}
+			})
+		}
+		if lost < seeds/2 {
+			t.Errorf("%d hosts: power and disks were lost in %d of %d seeds, want half", size, lost, seeds)
+		}
+	}
+}
+
 // TestClusterUnderFaults injects message loss, delay, duplication and
 // reordering, one-way partitions, frozen hosts, crashes between any two steps
 // and lost disks. Clock rates differ by up to 4%.
