Remember a leaving upstream while it is unknown

Cause: found when reading the change. A host forgot that an incarnation leaves as soon as control no longer listed it. A late announcement that reaches a new leader of control, which has no record of its end, brings it back as ready, and the host would send to it again. Ruled out: keeping the end of upstreams in control's log, one entry for each upstream that ends. Change: the mark stays until a later incarnation takes the ID, or for the 120 s for which control keeps the record of an end. Two names in the watcher say what they hold. Before: "a at 6000 ms is Ready, want Draining". After: TestLeavingUpstreamThatComesBackIsShunned passes.

--- a/internal/view/search.go
+++ b/internal/view/search.go
@@ -50,7 +50,7 @@
 			delete(p.pending, r.address)
 			if r.err == nil {
 				w.target, w.addressIndex = r.address, p.index
-				w.commit(r.update)
+				w.accept(r.update)
 				return nil
 			}
 			last, preferred = r.err, namedLeader(r.err)
--- a/internal/view/watcher.go
+++ b/internal/view/watcher.go
@@ -164,7 +164,7 @@
 	if err != nil {
 		return err
 	}
-	w.commit(u)
+	w.accept(u)
 	return nil
 }
 
@@ -210,24 +210,24 @@
 // call sends a request to a control host. It may run beside other calls.
 func (w *Watcher) call(ctx context.Context, address string, req watchRequest) (update, error) {
 	u := update{base: req.base, sent: req.sent}
-	sent := w.opts.Clock.Now()
+	sentMS := w.opts.Clock.Now()
 	if err := w.opts.Client.Call(ctx, address, MethodWatch, req.Request, &u.reply); err != nil {
 		return u, err
 	}
 	if err := u.reply.unpackDocument(fabric.Packer()); err != nil {
 		return u, err
 	}
-	received := w.opts.Clock.Now()
-	u.confirmedMS = sent + u.reply.HeldMS
-	u.replyTime = received - sent - min(u.reply.HeldMS, req.WaitMS)
+	receivedMS := w.opts.Clock.Now()
+	u.confirmedMS = sentMS + u.reply.HeldMS
+	u.replyTime = receivedMS - sentMS - min(u.reply.HeldMS, req.WaitMS)
 	if u.reply.DocumentAgeMS > 0 {
-		u.reply.DocumentAgeMS += received - u.confirmedMS
+		u.reply.DocumentAgeMS += receivedMS - u.confirmedMS
 	}
 	return u, nil
 }
 
-// commit applies a reply of the leader.
-func (w *Watcher) commit(u update) {
+// accept applies a reply of the leader.
+func (w *Watcher) accept(u update) {
 	w.replyTime = u.replyTime
 	w.sent = u.sent
 	u.base.ConfirmedMS = u.confirmedMS
@@ -236,7 +236,7 @@
 	w.lapse.Reset(outdatedAge)
 }
 
-// sentReports identifies the reports of a request.
+// sentReports identifies the reports that a request or a leader has.
 type sentReports struct {
 	// epoch is the epoch of the request.
 	epoch                uint64
--- a/pkg/rollout/discovery/leaving.go
+++ b/pkg/rollout/discovery/leaving.go
@@ -9,6 +9,10 @@
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 )
 
+// markRetentionMS is how long the mark of an incarnation that is no longer known is kept. A
+// late announcement may bring the incarnation back.
+const markRetentionMS = tombstoneRetentionMS
+
 // lastResortMS is how long an upstream that has said that it leaves still gets work that
 // no other upstream of its pool can take. Upstreams serve for 2 s or longer after they
 // begin to leave.
@@ -58,16 +62,11 @@
 // Apply returns the upstreams with the incarnations of the log draining, and the time from
 // which the result differs, or 0 if it stays as it is. An incarnation that is marked for
 // less than lastResortMS stays ready while its pool has no other ready upstream. Apply
-// forgets incarnations that are no longer among the upstreams.
+// forgets incarnations that a later one replaced or that have been unknown for long.
 func (l *LeavingLog) Apply(now rollout.Millis, us map[string]Upstream) (map[string]Upstream, rollout.Millis) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for i := range l.markedMS {
-		if u, ok := us[i.ID]; !ok || u.Born != i.Born {
-			delete(l.markedMS, i)
-			l.revision++
-		}
-	}
+	l.forget(now, us)
 	if len(l.markedMS) == 0 {
 		return us, 0
 	}
@@ -80,7 +79,10 @@
 	us = maps.Clone(us)
 	until := rollout.Millis(0)
 	for i, markedMS := range l.markedMS {
-		u := us[i.ID]
+		u, known := us[i.ID]
+		if !known || u.Born != i.Born {
+			continue
+		}
 		if end := markedMS + lastResortMS; !others[u.Pool] && now < end {
 			if until == 0 || end < until {
 				until = end
@@ -94,3 +96,13 @@
 	}
 	return us, until
 }
+
+func (l *LeavingLog) forget(now rollout.Millis, us map[string]Upstream) {
+	for i, markedMS := range l.markedMS {
+		u, known := us[i.ID]
+		if (known && u.Born > i.Born) || (!known && now-markedMS > markRetentionMS) {
+			delete(l.markedMS, i)
+			l.revision++
+		}
+	}
+}
