Confirm copies for the end of a watch, not for its beginning

The leader built the reply to a watch before it waited for changes and returned that one when none came, with a HeldMS of 0. Age went up to 1.6 s in each calm second, beyond the 1.0 s from which requests may be refused, so callers with a wrong key or path waited up to 0.6 s or got 503. Ruled out: a lost leader (no CopyOutdated and no ControlConnectionChanged at that time). Change: when the wait is over the leader builds the reply anew and says how long it held the request by then; a change at the same moment is no longer left to the next watch. Before: "held for 0 ms, error <nil>; want 200 ms". After: TestWatchWithoutChangesConfirmsCopyForItsEnd and TestWatchEndsWithFirstChange pass.

--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -248,3 +248,33 @@
 		t.Fatalf("changes %+v, want a draining", us)
 	}
 }
+
+// Guards against refusals that wait, and end with 503, while control is well: a watch without
+// changes must confirm the caller's copy for its end, not for its beginning.
+func TestWatchWithoutChangesConfirmsCopyForItsEnd(t *testing.T) {
+	const waitMS, slackMS = 200, 50
+	d := newLocalDirector()
+	req := view.Request{Host: "entry-1", Role: view.RoleEntry, Epoch: 1, WaitMS: waitMS}
+	reply, err := d.holdWatch(t.Context(), 1, req)
+	if err != nil || reply.HeldMS < waitMS-slackMS {
+		t.Fatalf("held for %d ms, error %v; want %d ms", reply.HeldMS, err, waitMS)
+	}
+	if reply.Document != nil || reply.PackedDocument != nil || len(reply.Upstreams) > 0 {
+		t.Fatalf("reply %+v, want no changes", reply)
+	}
+}
+
+func TestWatchEndsWithFirstChange(t *testing.T) {
+	const waitMS = 10_000
+	d := newLocalDirector()
+	time.AfterFunc(50*time.Millisecond, func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.state.Document.Version = 2
+		d.notifyWatches()
+	})
+	reply, err := d.holdWatch(t.Context(), 1, view.Request{Host: "entry-1", Role: view.RoleEntry, Epoch: 1, DocumentVersion: 1, WaitMS: waitMS})
+	if err != nil || reply.Document == nil || reply.HeldMS >= waitMS {
+		t.Fatalf("reply %+v, error %v; want a document before %d ms", reply, err, waitMS)
+	}
+}
--- a/internal/director/watch.go
+++ b/internal/director/watch.go
@@ -23,23 +23,37 @@
 	if !leads {
 		return view.Reply{}, d.replica.NotLeader()
 	}
+	reply, err := d.holdWatch(ctx, term, req)
+	if err != nil {
+		return view.Reply{}, err
+	}
+	if _, leads := d.replica.Leading(0); !leads {
+		return view.Reply{}, d.replica.NotLeader()
+	}
+	return reply, nil
+}
+
+// holdWatch returns the reply to a long poll of a leader of a term. The reply is built
+// after the wait, also if nothing has changed, because it confirms the caller's copy for
+// the time at which it is built.
+func (d *Director) holdWatch(ctx context.Context, term uint64, req view.Request) (view.Reply, error) {
 	received := d.clock.Now()
 	d.recordWatchRequest(req)
 	timeout := time.NewTimer(time.Duration(req.WaitMS) * time.Millisecond)
 	defer timeout.Stop()
+	expired := false
 	for {
+		held := d.clock.Now() - received
 		reply, hasChanges, changed := d.buildReply(term, req)
-		reply.HeldMS = d.clock.Now() - received
-		if _, leads := d.replica.Leading(0); !leads {
-			return view.Reply{}, d.replica.NotLeader()
-		}
-		if hasChanges {
+		reply.HeldMS = held
+		if hasChanges || expired {
 			return reply, nil
 		}
 		select {
 		case <-changed:
 		case <-timeout.C:
-			return reply, nil
+			expired = true
+			continue
 		case <-ctx.Done():
 			return view.Reply{}, ctx.Err()
 		}
