Test items under crashed engines through a change of the store's leader

Cause: the tests of crashing engines ran under one leader; a change of leader between the crashes forgets which items had crashes and reopens all jobs. Ruled out by the test: that an item is lost or placed late then.

--- a/internal/jobstore/crash_test.go
+++ b/internal/jobstore/crash_test.go
@@ -107,6 +107,48 @@
 	}
 }
 
+// Guards against items that are never placed again: the leader of the store changes between
+// the crashes of engines.
+func TestItemsUnderCrashedEnginesRunAgainAfterChangeOfLeader(t *testing.T) {
+	t.Parallel()
+	c := newCrashingEngines("a", "b")
+	dir, engines := t.TempDir(), newFakeEngines(c.faultFor)
+	first, stopFirst := startLeader(t, dir, engines)
+	c.mu.Lock()
+	c.store = first
+	c.mu.Unlock()
+	spec := newSpec("j", 1, "i1", "i2", "i3", "i4")
+	if _, err := first.submit(t.Context(), spec); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "crashes under several items", func() bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return len(c.crashes) > 1
+	})
+	stopFirst()
+	second, _ := startLeader(t, dir, engines)
+	c.mu.Lock()
+	c.store = second
+	v := c.view()
+	c.mu.Unlock()
+	second.applyView(v)
+	var page Page
+	eventually(t, "all results", func() bool {
+		var err error
+		page, err = second.read(t.Context(), ReadRequest{JobID: "j", Account: "acc"})
+		return err == nil && len(page.Results) == len(spec.Items)
+	})
+	for _, r := range page.Results {
+		assertCompleted(t, r)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.calmAfter > placeBound {
+		t.Fatalf("an item was placed %v after the last crash, want %v at most", c.calmAfter, placeBound)
+	}
+}
+
 // Guards against samples that come late: an item waited 4 s for its next run after three
 // engines had crashed under it, while other engines were free.
 func TestItemUnderCrashedEnginesDoesNotWaitForFreeEngine(t *testing.T) {
--- a/internal/jobstore/runner_test.go
+++ b/internal/jobstore/runner_test.go
@@ -153,14 +153,26 @@
 func newLeader(t *testing.T, faultFor func(x rollout.UpstreamRequest, run int) *fault) (*Store, *fakeEngines) {
 	t.Helper()
 	t.Parallel()
-	engines := &fakeEngines{runs: make(map[string]int), resumedAfter: make(map[string]string), faultFor: faultFor}
+	engines := newFakeEngines(faultFor)
+	s, _ := startLeader(t, t.TempDir(), engines)
+	return s, engines
+}
+
+func newFakeEngines(faultFor func(x rollout.UpstreamRequest, run int) *fault) *fakeEngines {
+	return &fakeEngines{runs: make(map[string]int), resumedAfter: make(map[string]string), faultFor: faultFor}
+}
+
+// startLeader starts the leader of a quorum of one member on a data directory. The returned
+// function stops it.
+func startLeader(t *testing.T, dir string, engines *fakeEngines) (*Store, func()) {
+	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	s, err := New(ctx, Options{
-		Host: "h", Dir: t.TempDir(), Address: l.Addr().String(), FailureDomain: "d",
+		Host: "h", Dir: dir, Address: l.Addr().String(), FailureDomain: "d",
 		Controls: func() []string { return []string{"127.0.0.1:1"} }, Upstreams: engines, RetentionMS: 1_000, Log: zap.NewNop(), Registry: prometheus.NewRegistry(),
 	})
 	if err != nil {
@@ -168,10 +180,11 @@
 	}
 	var wait sync.WaitGroup
 	wait.Go(func() { _ = s.Serve(ctx, l) })
-	t.Cleanup(func() {
+	stop := func() {
 		cancel()
 		wait.Wait()
-	})
+	}
+	t.Cleanup(stop)
 	// A blank store whose member ID is among the founders founds the quorum, even
 	// if an earlier process of the host was killed before it learned of this.
 	s.applyView(view.State{Facts: view.Facts{Founders: []quorum.Member{{ID: s.replica.Status().Member, Address: l.Addr().String()}}}})
@@ -187,7 +200,7 @@
 		return r.isWriter
 	})
 	s.applyView(testView(nil))
-	return s, engines
+	return s, stop
 }
 
 // testView returns a view with two engines, one scorer and the given target
