Log how the crashes of a request are recorded, counted and forgotten

No log told when an entry records a broken connection, when control counts it as the crash of an upstream, or when it is forgotten, so a refusal that came late could not be told from evidence that was lost. Entries log BrokenConnectionRecorded, BrokenConnectionsCleared and PoisonFound with the fingerprint; control logs BrokenConnectionsReported and CrashCounted with the number of crashes that count so far. No decision changes.

--- a/internal/balance/broken_connections.go
+++ b/internal/balance/broken_connections.go
@@ -6,6 +6,8 @@
 	"io"
 	"strconv"
 
+	"go.uber.org/zap"
+
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/poison"
 )
@@ -35,9 +37,16 @@
 	case a.connectionBroken:
 		// Parsing cannot fail: Sync formatted the number.
 		born, _ := strconv.ParseInt(a.incarnation, 10, 64)
-		b.brokenConnections.Record(b.clock.Now(), poison.BrokenConnection{Fingerprint: FingerprintOf(c.req.UpstreamRequest), Upstream: a.upstream, Born: born})
+		fingerprint := FingerprintOf(c.req.UpstreamRequest)
+		b.brokenConnections.Record(b.clock.Now(), poison.BrokenConnection{Fingerprint: fingerprint, Upstream: a.upstream, Born: born})
+		b.log.Warn("BrokenConnectionRecorded", zap.String("Request", c.req.UpstreamRequest.AttemptID), zap.String("Fingerprint", fingerprint),
+			zap.String("Upstream", a.upstream), zap.Int64("Born", born))
 	case a.err == nil && !a.response.Head.Streaming && !b.brokenConnections.Empty():
-		b.brokenConnections.Clear(FingerprintOf(c.req.UpstreamRequest))
+		fingerprint := FingerprintOf(c.req.UpstreamRequest)
+		if b.brokenConnections.Clear(fingerprint) {
+			b.log.Info("BrokenConnectionsCleared", zap.String("Request", c.req.UpstreamRequest.AttemptID), zap.String("Fingerprint", fingerprint),
+				zap.String("Upstream", a.upstream), zap.Int("Status", a.response.Head.Status))
+		}
 	}
 }
 
--- a/internal/director/watch.go
+++ b/internal/director/watch.go
@@ -205,6 +205,7 @@
 		}
 	}
 	if req.BrokenConnections != nil {
+		d.opts.Log.Info("BrokenConnectionsReported", zap.String("Reporter", key), zap.Int("Connections", len(req.BrokenConnections.Connections)))
 		d.poisonDetector.SetBrokenConnections(key, req.BrokenConnections.Connections)
 		d.updatePoisons()
 	}
@@ -245,7 +246,12 @@
 // counts once its upstream is known to have ended or is silent. The caller holds
 // mu.
 func (d *Director) updatePoisons() {
-	if !d.poisonDetector.UpdateRefused(d.clock.Now(), func(c poison.BrokenConnection) bool { return d.table.EndedOrSilent(c.Upstream, c.Born) }) {
+	changed := d.poisonDetector.UpdateRefused(d.clock.Now(), func(c poison.BrokenConnection) bool { return d.table.EndedOrSilent(c.Upstream, c.Born) })
+	for _, c := range d.poisonDetector.NewCrashes() {
+		d.opts.Log.Info("CrashCounted", zap.String("Fingerprint", c.Fingerprint), zap.String("Upstream", c.Upstream), zap.Int64("Born", c.Born),
+			zap.Int("Crashes", d.poisonDetector.Crashes(c.Fingerprint)))
+	}
+	if !changed {
 		return
 	}
 	d.opts.Log.Warn("PoisonsChanged", zap.Strings("Fingerprints", d.poisonDetector.Refused()))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -213,9 +213,14 @@
 // leader found to crash upstreams.
 func (g *Gateway) checkPoison(x rollout.UpstreamRequest) error {
 	poisons := g.watcher.State().Facts.Poisons
-	if len(poisons) == 0 || !slices.Contains(poisons, balance.FingerprintOf(x)) {
+	if len(poisons) == 0 {
 		return nil
 	}
+	fingerprint := balance.FingerprintOf(x)
+	if !slices.Contains(poisons, fingerprint) {
+		return nil
+	}
+	g.opts.Log.Info("PoisonFound", zap.String("Request", x.AttemptID), zap.String("Fingerprint", fingerprint))
 	return rollout.NewError(rollout.KindPoisoned, "request refused: %d upstreams crashed while running it", poison.CrashLimit).WithNotRun()
 }
 
--- a/pkg/rollout/poison/poison.go
+++ b/pkg/rollout/poison/poison.go
@@ -71,17 +71,20 @@
 	l.revision++
 }
 
-// Clear removes the broken connections of a request. It is called once an
-// upstream has answered the request.
-func (l *BrokenConnectionLog) Clear(fingerprint string) {
-	l.deleteFunc(func(old logRecord) bool { return old.Fingerprint == fingerprint })
+// Clear removes the broken connections of a request and reports whether there were
+// any. It is called once an upstream has answered the request.
+func (l *BrokenConnectionLog) Clear(fingerprint string) bool {
+	return l.deleteFunc(func(old logRecord) bool { return old.Fingerprint == fingerprint })
 }
 
-func (l *BrokenConnectionLog) deleteFunc(drop func(logRecord) bool) {
+// deleteFunc removes records and reports whether there were any to remove.
+func (l *BrokenConnectionLog) deleteFunc(drop func(logRecord) bool) bool {
 	before := len(l.records)
-	if l.records = slices.DeleteFunc(l.records, drop); len(l.records) != before {
-		l.revision++
+	if l.records = slices.DeleteFunc(l.records, drop); len(l.records) == before {
+		return false
 	}
+	l.revision++
+	return true
 }
 
 // Empty reports whether the log has no records.
@@ -101,6 +104,10 @@
 // requests are refused. It is not safe for concurrent use.
 type Detector struct {
 	byDaemon map[string][]BrokenConnection
+	// crashes holds the broken connections that counted as crashes at the last update,
+	// by fingerprint. newCrashes holds those that did not count before it.
+	crashes    map[string]map[BrokenConnection]bool
+	newCrashes []BrokenConnection
 	// refusedUntil maps the fingerprint of a refused request to the time at
 	// which the refusal expires.
 	refusedUntil map[string]rollout.Millis
@@ -122,6 +129,7 @@
 // of the upstream has ended, because it does not prove a crash by itself.
 func (d *Detector) UpdateRefused(now rollout.Millis, ended func(BrokenConnection) bool) bool {
 	crashed := make(map[string]map[BrokenConnection]bool)
+	d.newCrashes = nil
 	for _, connections := range d.byDaemon {
 		for _, c := range connections {
 			if !ended(c) {
@@ -130,9 +138,13 @@
 			if crashed[c.Fingerprint] == nil {
 				crashed[c.Fingerprint] = make(map[BrokenConnection]bool)
 			}
+			if !crashed[c.Fingerprint][c] && !d.crashes[c.Fingerprint][c] {
+				d.newCrashes = append(d.newCrashes, c)
+			}
 			crashed[c.Fingerprint][c] = true
 		}
 	}
+	d.crashes = crashed
 	changed := false
 	for fingerprint, until := range d.refusedUntil {
 		if until <= now {
@@ -149,6 +161,12 @@
 	return changed
 }
 
+// NewCrashes returns the broken connections that began to count at the last update.
+func (d *Detector) NewCrashes() []BrokenConnection { return d.newCrashes }
+
+// Crashes returns how many crashes of upstreams count against a request.
+func (d *Detector) Crashes(fingerprint string) int { return len(d.crashes[fingerprint]) }
+
 // Refused returns the fingerprints of the refused requests, sorted.
 func (d *Detector) Refused() []string {
 	return slices.Sorted(maps.Keys(d.refusedUntil))
