--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -317,3 +317,31 @@
 	assertError(t, err, true)
 	assertSends(t, f, 2)
 }
+
+// Guards against evidence of crashes that is forgotten when another upstream answers with
+// a failure: only a response that shows that the request can be served clears it.
+func TestFailureKeepsBrokenConnections(t *testing.T) {
+	for name, c := range map[string]struct {
+		answer behavior
+		want   int
+	}{
+		"500":     {behavior{status: 500}, 1},
+		"502":     {behavior{status: 502}, 1},
+		"504":     {behavior{status: 504}, 1},
+		"success": {succeeds, 0},
+		"404":     {behavior{status: 404}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b, f := newBalancer(map[string]behavior{"a": disconnects})
+			_, _ = b.Do(t.Context(), request(true, 1))
+			f.behaviors = map[string]behavior{"b": c.answer}
+			b.Sync(readyUpstreams(f.behaviors))
+			if _, err := b.Do(t.Context(), request(true, 1)); err != nil {
+				t.Fatal(err)
+			}
+			if _, connections := b.BrokenConnections(); len(connections) != c.want {
+				t.Fatalf("%d broken connections after the response, want %d", len(connections), c.want)
+			}
+		})
+	}
+}
--- a/internal/gateway/refusal_test.go
+++ b/internal/gateway/refusal_test.go
@@ -14,6 +14,7 @@
 	"github.com/coltsfootspoke/coltsfootspoke/internal/link"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/view"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/discovery"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/document"
 )
 
@@ -23,7 +24,10 @@
 type controlHost struct {
 	address  string
 	document atomic.Pointer[document.Document]
-	withheld atomic.Bool
+	// facts and upstreams may be nil.
+	facts     atomic.Pointer[view.Facts]
+	upstreams atomic.Pointer[[]discovery.Upstream]
+	withheld  atomic.Bool
 }
 
 func newControlHost(t *testing.T, d document.Document) *controlHost {
@@ -50,7 +54,11 @@
 	}
 	wait := time.Duration(min(req.WaitMS, 20)) * time.Millisecond
 	time.Sleep(wait)
-	return view.Reply{Epoch: 1, HeldMS: rollout.Millis(wait.Milliseconds()), Document: c.document.Load()}, nil
+	reply := view.Reply{Epoch: 1, HeldMS: rollout.Millis(wait.Milliseconds()), Document: c.document.Load(), Facts: c.facts.Load()}
+	if us := c.upstreams.Load(); us != nil {
+		reply.Upstreams = *us
+	}
+	return reply, nil
 }
 
 // runUntilEnd runs a function until the test ends and waits for it.
