Count the crash of an upstream as soon as its port is closed

Callers saw requests that had crashed three upstreams sent on to more of them, as soon as these were back. Control counted a broken connection only once the upstream had missed three announcements (3.0 s) or another one had announced its address, looked at that every 0.25 s, and got the evidence of an entry with its next watch request, up to 0.8 s later.

The host whose connection broke now connects to the upstream's port once. A refused connection proves that the process has ended, and the entry reports it to the leader at once, beside its watch. A connection that was only reset, or a host that does not reply, counts as before. Reports carry a revision, since they may overtake watch requests, and are kept by incarnation of the reporter, so that an entry that starts again does not erase what it reported before.

Ruled out: counting each broken connection, as resets by upstreams that run on would refuse sound requests; waiting for the next announcement or tick, as both come when the upstreams are back.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -73,6 +73,9 @@
 	router *routing.Router
 	// brokenConnections holds the requests whose connections broke.
 	brokenConnections poison.BrokenConnectionLog
+	// crashRecorded receives a value when a connection to an upstream that has ended was
+	// recorded.
+	crashRecorded chan struct{}
 	// leaving holds the upstreams whose responses said that they leave.
 	leaving *discovery.LeavingLog
 	// known holds the upstreams as control knows them.
@@ -92,7 +95,7 @@
 	cfg := routing.DefaultConfig(domain)
 	cfg.EjectAfter, cfg.EjectMS, cfg.MaxEjectMS = ejectAfter, ejectMS, maxEjectMS
 	cfg.LocalLoadLimit, cfg.ReuseMS = localLoadLimit, reuseMS
-	return &Balancer{upstreams: upstreams, clock: clock, log: log, router: routing.New(cfg, globalRandom{}), leaving: discovery.NewLeavingLog()}
+	return &Balancer{upstreams: upstreams, clock: clock, log: log, router: routing.New(cfg, globalRandom{}), leaving: discovery.NewLeavingLog(), crashRecorded: make(chan struct{}, 1)}
 }
 
 const (
@@ -158,6 +161,9 @@
 	// connectionBroken is true if the connection broke, other than by
 	// cancellation, while the upstream may have run the request.
 	connectionBroken bool
+	// upstreamEnded is true if the upstream accepted no connections right after the
+	// connection broke.
+	upstreamEnded bool
 }
 
 // mayHaveRun reports whether the upstream may have run the request.
@@ -178,6 +184,8 @@
 	balancer *Balancer
 	req      Request
 	results  chan attempt
+	// addresses holds the addresses of the upstreams that the request was sent to.
+	addresses map[string]string
 	// cancels holds the attempts that can be cancelled by upstream ID.
 	cancels map[string]cancellable
 	// tried holds the IDs of the upstreams that the request was sent to.
@@ -203,7 +211,7 @@
 // request.
 func (b *Balancer) Do(ctx context.Context, req Request) (Response, error) {
 	c := &call{
-		balancer: b, req: req, results: make(chan attempt, maxSends), cancels: make(map[string]cancellable),
+		balancer: b, req: req, results: make(chan attempt, maxSends), cancels: make(map[string]cancellable), addresses: make(map[string]string),
 		best: attempt{err: rollout.NewError(rollout.KindNoUpstream, "pool %s has no upstream", req.Pool).WithNotRun()},
 	}
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
@@ -290,6 +298,7 @@
 	sendCtx, cancel := context.WithCancel(ctx)
 	c.cancels[u.ID] = cancellable{cancel, u.Incarnation}
 	c.tried = append(c.tried, u.ID)
+	c.addresses[u.ID] = u.Address
 	c.running++
 	c.sends++
 	go func() {
@@ -299,6 +308,9 @@
 		}
 		a.upstream, a.incarnation = u.ID, u.Incarnation
 		a.connectionBroken = a.mayHaveRun() && a.err != nil && sendCtx.Err() == nil
+		if a.connectionBroken {
+			a.upstreamEnded = c.balancer.hasEnded(u.ID, u.Address)
+		}
 		c.results <- a
 	}()
 	return true
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -58,6 +58,9 @@
 	return rollout.UpstreamResponse{Status: r.status, NotRun: r.notRun, Leaving: r.leaving, Body: io.NopCloser(strings.NewReader(body))}, nil
 }
 
+// IsListening implements rollout.UpstreamClient. All upstreams keep running.
+func (f *fakeUpstreams) IsListening(context.Context, string) (bool, error) { return true, nil }
+
 func newBalancer(behaviors map[string]behavior) (*balance.Balancer, *fakeUpstreams) {
 	f := &fakeUpstreams{behaviors: behaviors}
 	b := balance.New(f, clock.Boottime{}, "d", zap.NewNop())
--- a/internal/balance/broken_connections.go
+++ b/internal/balance/broken_connections.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"strconv"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -26,6 +27,27 @@
 	return b.brokenConnections.Report()
 }
 
+// CrashRecorded returns a channel that receives a value when a request broke off at an
+// upstream that has ended.
+func (b *Balancer) CrashRecorded() <-chan struct{} { return b.crashRecorded }
+
+// endCheckTimeout bounds the check of an upstream whose connection broke. It spans some
+// round trips between failure domains; a process that has ended refuses after one.
+const endCheckTimeout = 100 * time.Millisecond
+
+// hasEnded reports whether an upstream accepts no connections any more. It returns false if
+// that is unknown, as for a host without power; control then learns it from the silence.
+func (b *Balancer) hasEnded(upstream, address string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), endCheckTimeout)
+	defer cancel()
+	listening, err := b.upstreams.IsListening(ctx, address)
+	if err != nil {
+		b.log.Info("UpstreamCheckFailed", zap.String("Upstream", upstream), zap.String("Address", address), zap.Error(err))
+		return false
+	}
+	return !listening
+}
+
 // updateBrokenConnections records the connection of an attempt if it broke, and
 // clears the broken connections of a request that was answered. It computes the
 // fingerprint of an answered request only while there are broken connections.
@@ -38,9 +60,15 @@
 		// Parsing cannot fail: Sync formatted the number.
 		born, _ := strconv.ParseInt(a.incarnation, 10, 64)
 		fingerprint := FingerprintOf(c.req.UpstreamRequest)
-		b.brokenConnections.Record(b.clock.Now(), poison.BrokenConnection{Fingerprint: fingerprint, Upstream: a.upstream, Born: born})
+		b.brokenConnections.Record(b.clock.Now(), poison.BrokenConnection{Fingerprint: fingerprint, Upstream: a.upstream, Born: born, Ended: a.upstreamEnded})
 		b.log.Warn("BrokenConnectionRecorded", zap.String("Request", c.req.UpstreamRequest.AttemptID), zap.String("Fingerprint", fingerprint),
-			zap.String("Upstream", a.upstream), zap.Int64("Born", born))
+			zap.String("Upstream", a.upstream), zap.Int64("Born", born), zap.Bool("Ended", a.upstreamEnded))
+		if a.upstreamEnded {
+			select {
+			case b.crashRecorded <- struct{}{}:
+			default:
+			}
+		}
 	case a.err == nil && !a.response.Head.Streaming && !b.brokenConnections.Empty():
 		fingerprint := FingerprintOf(c.req.UpstreamRequest)
 		if b.brokenConnections.Clear(fingerprint) {
@@ -57,6 +85,9 @@
 		return
 	}
 	a.connectionBroken, a.response.Head.Streaming = !errors.Is(err, io.EOF), false
+	if a.connectionBroken {
+		a.upstreamEnded = c.balancer.hasEnded(a.upstream, c.addresses[a.upstream])
+	}
 	c.updateBrokenConnections(a)
 }
 
--- a/internal/director/operator.go
+++ b/internal/director/operator.go
@@ -56,6 +56,7 @@
 // register adds the handlers of the calls that only the leader answers.
 func (d *Director) register(mux *fabric.Mux) {
 	fabric.Handle(mux, view.MethodWatch, d.watch)
+	fabric.Handle(mux, view.MethodReportCrashes, d.reportCrashes)
 	fabric.Handle(mux, methodPutConfig, d.putConfig)
 	fabric.Handle(mux, methodReadConfig, d.readConfig)
 	fabric.Handle(mux, methodNameVersion, d.nameVersion)
--- a/internal/director/watch.go
+++ b/internal/director/watch.go
@@ -183,7 +183,7 @@
 func (d *Director) recordWatchRequest(req view.Request) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	key := req.Host + "/" + string(req.Role)
+	key := daemonKey(req.Host, req.Role)
 	if _, known := d.daemons[key]; !known && req.Role == view.RoleStore {
 		d.storeRevision++
 		d.notifyWatches()
@@ -205,9 +205,7 @@
 		}
 	}
 	if req.BrokenConnections != nil {
-		d.opts.Log.Info("BrokenConnectionsReported", zap.String("Reporter", key), zap.Int("Connections", len(req.BrokenConnections.Connections)))
-		d.poisonDetector.SetBrokenConnections(key, req.BrokenConnections.Connections)
-		d.updatePoisons()
+		d.recordBrokenConnections(key, *req.BrokenConnections)
 	}
 	d.drainLeaving(req)
 	s := req.Store
@@ -224,6 +222,29 @@
 	d.notifyWatches()
 }
 
+// reportCrashes records the broken connections that a daemon reports beside its watch.
+func (d *Director) reportCrashes(_ context.Context, r view.CrashReport) (struct{}, error) {
+	if _, leads := d.replica.Leading(0); !leads {
+		return struct{}{}, d.replica.NotLeader()
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.recordBrokenConnections(daemonKey(r.Host, r.Role), r.BrokenConnections)
+	return struct{}{}, nil
+}
+
+// recordBrokenConnections replaces the broken connections of a daemon. The caller holds
+// mu.
+func (d *Director) recordBrokenConnections(daemon string, b view.BrokenConnections) {
+	d.opts.Log.Info("BrokenConnectionsReported", zap.String("Reporter", daemon), zap.Int("Connections", len(b.Connections)))
+	d.poisonDetector.SetReport(d.clock.Now(), poison.Reporter{Daemon: daemon, Incarnation: b.Incarnation},
+		poison.Report{Revision: b.Revision, Connections: b.Connections})
+	d.updatePoisons()
+}
+
+// daemonKey returns the key of a daemon in Director.daemons.
+func daemonKey(host string, role view.Role) string { return host + "/" + string(role) }
+
 // drainLeaving drains the upstreams that told the host of a request that they leave. The
 // caller holds mu.
 func (d *Director) drainLeaving(req view.Request) {
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -34,6 +34,9 @@
 	return rollout.UpstreamResponse{Status: 200, Body: io.NopCloser(strings.NewReader("ok"))}, nil
 }
 
+// IsListening implements rollout.UpstreamClient. All upstreams keep running.
+func (u *scriptedUpstreams) IsListening(context.Context, string) (bool, error) { return true, nil }
+
 var errReset = errors.New("connection reset")
 
 // crashableDocument has one repeatable route with a target latency.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -96,12 +96,18 @@
 	g.meter = newMeter(hex.EncodeToString(id), opts.WindowMS)
 	g.watcher = view.NewWatcher(view.Options{
 		Host: opts.Host, Role: view.RoleEntry, FailureDomain: opts.FailureDomain, Seeds: opts.Controls,
-		Client: g.client, Clock: clock.Boottime{}, Log: opts.Log, Registry: opts.Registry, Usage: g.meter.totals, BrokenConnections: g.balancer.BrokenConnections, Leaving: g.balancer.Leaving().Report,
+		Client: g.client, Clock: clock.Boottime{}, Log: opts.Log, Registry: opts.Registry, Usage: g.meter.totals, BrokenConnections: g.brokenConnections, CrashRecorded: g.balancer.CrashRecorded(), Leaving: g.balancer.Leaving().Report,
 		OnChange: func(v view.State) { g.balancer.Sync(v.Upstreams) },
 	})
 	return g
 }
 
+// brokenConnections returns the broken connections to report to control.
+func (g *Gateway) brokenConnections() view.BrokenConnections {
+	revision, connections := g.balancer.BrokenConnections()
+	return view.BrokenConnections{Incarnation: g.meter.incarnation, Revision: revision, Connections: connections}
+}
+
 // Ready reports whether the entry has a configuration and is not draining.
 func (g *Gateway) Ready() bool { return !g.Draining() && g.watcher.State().Index != nil }
 
--- a/internal/jobstore/runner_test.go
+++ b/internal/jobstore/runner_test.go
@@ -144,6 +144,9 @@
 	return rollout.WeightOrderReply{Outcome: rollout.WeightOrderStarted}, nil
 }
 
+// IsListening implements rollout.UpstreamClient. All engines keep running.
+func (f *fakeEngines) IsListening(context.Context, string) (bool, error) { return true, nil }
+
 func (f *fakeEngines) FetchReport(context.Context, string) (rollout.EngineReport, error) {
 	return rollout.EngineReport{}, nil
 }
--- a/internal/view/protocol.go
+++ b/internal/view/protocol.go
@@ -18,6 +18,10 @@
 // leader.
 const MethodWatch = "Control.Watch"
 
+// MethodReportCrashes sends broken connections to the control leader that can't wait for
+// the next watch request.
+const MethodReportCrashes = "Control.ReportCrashes"
+
 // Role is the function of a daemon in the deployment.
 type Role string
 
@@ -62,9 +66,20 @@
 // BrokenConnections holds the requests of a host whose connections broke while an
 // upstream ran them.
 type BrokenConnections struct {
+	// Incarnation identifies the process of the daemon that saw them.
+	Incarnation string `json:",omitempty"`
+	// Revision increases with each change of the connections.
+	Revision    uint64                    `json:",omitempty"`
 	Connections []poison.BrokenConnection `json:"Sightings"`
 }
 
+// CrashReport is a request that sends the broken connections of a daemon.
+type CrashReport struct {
+	Host              string
+	Role              Role
+	BrokenConnections BrokenConnections
+}
+
 // Usage holds the request totals of one incarnation of an entry.
 type Usage struct {
 	Incarnation string
--- a/internal/view/watcher.go
+++ b/internal/view/watcher.go
@@ -14,7 +14,6 @@
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/discovery"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/document"
-	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/poison"
 )
 
 const (
@@ -64,9 +63,11 @@
 	Usage func() *Usage
 	// Store returns the status of the host's job store, or is nil.
 	Store func() *StoreStatus
-	// BrokenConnections returns the broken connections to report and a revision that
-	// changes with them, or is nil.
-	BrokenConnections func() (uint64, []poison.BrokenConnection)
+	// BrokenConnections returns the broken connections to report, or is nil.
+	BrokenConnections func() BrokenConnections
+	// CrashRecorded receives a value when the broken connections must be reported at
+	// once. It may be nil.
+	CrashRecorded <-chan struct{}
 	// Leaving returns the leaving upstreams to report and a revision that changes with
 	// them, or is nil.
 	Leaving func() (uint64, []discovery.Incarnation)
@@ -124,6 +125,12 @@
 func (w *Watcher) Run(ctx context.Context) error {
 	reached, silent := false, false
 	defer w.lapse.Stop()
+	reporterEnded := make(chan struct{})
+	go func() {
+		defer close(reporterEnded)
+		w.reportCrashes(ctx)
+	}()
+	defer func() { <-reporterEnded }()
 	for ctx.Err() == nil {
 		if !w.isActive() {
 			w.lapse.Stop()
@@ -152,6 +159,29 @@
 	return nil
 }
 
+// reportCrashes sends the broken connections to the leader each time a crash is recorded,
+// until the context ends. The next watch request repeats a report that fails.
+func (w *Watcher) reportCrashes(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-w.opts.CrashRecorded:
+		}
+		leader := w.Leader()
+		if leader == "" {
+			continue
+		}
+		report := CrashReport{Host: w.opts.Host, Role: w.opts.Role, BrokenConnections: w.opts.BrokenConnections()}
+		callCtx, cancel := context.WithTimeout(ctx, time.Duration(minReplyTime)*time.Millisecond)
+		err := w.opts.Client.Call(callCtx, leader, MethodReportCrashes, report, &struct{}{})
+		cancel()
+		if err != nil {
+			w.opts.Log.Warn("CrashReportFailed", zap.String("Address", leader), zap.Int("Connections", len(report.BrokenConnections.Connections)), zap.Error(err))
+		}
+	}
+}
+
 func (w *Watcher) isActive() bool { return w.opts.Active == nil || w.opts.Active() }
 
 // watch sends one watch request to the leader and applies the reply.
@@ -251,9 +281,9 @@
 		return revision != sentRevision || (revision != 0 && req.Epoch != w.sent.epoch)
 	}
 	if w.opts.BrokenConnections != nil {
-		revision, connections := w.opts.BrokenConnections()
-		if sent.connections = revision; due(revision, w.sent.connections) {
-			req.BrokenConnections = &BrokenConnections{Connections: connections}
+		broken := w.opts.BrokenConnections()
+		if sent.connections = broken.Revision; due(broken.Revision, w.sent.connections) {
+			req.BrokenConnections = &broken
 		}
 	}
 	if w.opts.Leaving != nil {
--- a/internal/view/watcher_test.go
+++ b/internal/view/watcher_test.go
@@ -64,8 +64,8 @@
 func TestBrokenConnectionsAreSentOncePerLeader(t *testing.T) {
 	w := newTestWatcher("a")
 	revision := uint64(0)
-	w.opts.BrokenConnections = func() (uint64, []poison.BrokenConnection) {
-		return revision, []poison.BrokenConnection{{Fingerprint: "f"}}
+	w.opts.BrokenConnections = func() BrokenConnections {
+		return BrokenConnections{Revision: revision, Connections: []poison.BrokenConnection{{Fingerprint: "f"}}}
 	}
 	for _, step := range []struct {
 		name            string
--- a/pkg/rollout/poison/poison.go
+++ b/pkg/rollout/poison/poison.go
@@ -31,8 +31,18 @@
 	Upstream    string
 	// Born identifies the incarnation of the upstream.
 	Born int64
+	// Ended is true if the upstream accepted no connections any more right after.
+	Ended bool `json:",omitempty"`
 }
 
+// crash is the end of an incarnation of an upstream.
+type crash struct {
+	upstream string
+	born     int64
+}
+
+func (c BrokenConnection) crash() crash { return crash{c.Upstream, c.Born} }
+
 // Fingerprint returns the hex SHA-256 of the parts of a request that stay the
 // same when it is retried: its client account, method, target and body. Callers
 // pass an empty account to count the requests of all accounts together.
@@ -63,7 +73,9 @@
 // Record adds a broken connection and removes expired ones. When the log is
 // full, it evicts the oldest one.
 func (l *BrokenConnectionLog) Record(now rollout.Millis, c BrokenConnection) {
-	l.deleteFunc(func(old logRecord) bool { return old.BrokenConnection == c || now-old.atMS > retentionMS })
+	l.deleteFunc(func(old logRecord) bool {
+		return (old.Fingerprint == c.Fingerprint && old.crash() == c.crash()) || now-old.atMS > retentionMS
+	})
 	if len(l.records) == maxBrokenConnections {
 		l.records = slices.Delete(l.records, 0, 1)
 	}
@@ -100,13 +112,32 @@
 	return l.revision, connections
 }
 
+// Reporter identifies a process that reports broken connections.
+type Reporter struct {
+	Daemon string
+	// Incarnation differs each time the daemon starts.
+	Incarnation string
+}
+
+// Report holds all broken connections that a reporter keeps.
+type Report struct {
+	// Revision increases with each change of the connections.
+	Revision    uint64
+	Connections []BrokenConnection
+}
+
+type timedReport struct {
+	Report
+	atMS rollout.Millis
+}
+
 // Detector combines the broken connections of all daemons and decides which
 // requests are refused. It is not safe for concurrent use.
 type Detector struct {
-	byDaemon map[string][]BrokenConnection
-	// crashes holds the broken connections that counted as crashes at the last update,
-	// by fingerprint. newCrashes holds those that did not count before it.
-	crashes    map[string]map[BrokenConnection]bool
+	reports map[Reporter]timedReport
+	// crashes holds the crashes that counted at the last update, by fingerprint.
+	// newCrashes holds the broken connections that did not count before it.
+	crashes    map[string]map[crash]bool
 	newCrashes []BrokenConnection
 	// refusedUntil maps the fingerprint of a refused request to the time at
 	// which the refusal expires.
@@ -115,33 +146,40 @@
 
 // NewDetector returns a detector without broken connections.
 func NewDetector() *Detector {
-	return &Detector{byDaemon: make(map[string][]BrokenConnection), refusedUntil: make(map[string]rollout.Millis)}
+	return &Detector{reports: make(map[Reporter]timedReport), refusedUntil: make(map[string]rollout.Millis)}
 }
 
-// SetBrokenConnections replaces the broken connections that a daemon
-// reported before.
-func (d *Detector) SetBrokenConnections(daemon string, connections []BrokenConnection) {
-	d.byDaemon[daemon] = connections
+// SetReport replaces what a reporter reported before. Reports may overtake each other;
+// one that is older than the last is ignored.
+func (d *Detector) SetReport(now rollout.Millis, from Reporter, r Report) {
+	if last, ok := d.reports[from]; !ok || r.Revision >= last.Revision {
+		d.reports[from] = timedReport{r, now}
+	}
 }
 
 // UpdateRefused recomputes the refused requests and reports whether they have
-// changed. A broken connection counts only if ended reports that the incarnation
-// of the upstream has ended, because it does not prove a crash by itself.
+// changed. A broken connection does not prove a crash by itself. It counts if the
+// reporter found that the upstream had ended, or once ended reports that its incarnation
+// has.
 func (d *Detector) UpdateRefused(now rollout.Millis, ended func(BrokenConnection) bool) bool {
-	crashed := make(map[string]map[BrokenConnection]bool)
+	crashed := make(map[string]map[crash]bool)
 	d.newCrashes = nil
-	for _, connections := range d.byDaemon {
-		for _, c := range connections {
-			if !ended(c) {
+	for from, r := range d.reports {
+		if now-r.atMS > retentionMS {
+			delete(d.reports, from)
+			continue
+		}
+		for _, c := range r.Connections {
+			if !c.Ended && !ended(c) {
 				continue
 			}
 			if crashed[c.Fingerprint] == nil {
-				crashed[c.Fingerprint] = make(map[BrokenConnection]bool)
+				crashed[c.Fingerprint] = make(map[crash]bool)
 			}
-			if !crashed[c.Fingerprint][c] && !d.crashes[c.Fingerprint][c] {
+			if !crashed[c.Fingerprint][c.crash()] && !d.crashes[c.Fingerprint][c.crash()] {
 				d.newCrashes = append(d.newCrashes, c)
 			}
-			crashed[c.Fingerprint][c] = true
+			crashed[c.Fingerprint][c.crash()] = true
 		}
 	}
 	d.crashes = crashed
--- a/pkg/rollout/poison/poison_test.go
+++ b/pkg/rollout/poison/poison_test.go
@@ -20,8 +20,8 @@
 }
 
 func reportLog(d *Detector, daemon string, l *BrokenConnectionLog) {
-	_, connections := l.Report()
-	d.SetBrokenConnections(daemon, connections)
+	revision, connections := l.Report()
+	d.SetReport(1, Reporter{Daemon: daemon}, Report{Revision: revision, Connections: connections})
 }
 
 func assertRefused(t *testing.T, d *Detector, want ...string) {
@@ -45,8 +45,9 @@
 	if d.UpdateRefused(3, allEnded) {
 		t.Fatal("change reported without new broken connections")
 	}
-	d.SetBrokenConnections("daemon-2", nil)
-	d.SetBrokenConnections("daemon-3", nil)
+	for _, daemon := range []string{"daemon-2", "daemon-3"} {
+		d.SetReport(3, Reporter{Daemon: daemon}, Report{Revision: 9})
+	}
 	d.UpdateRefused(2+retentionMS, allEnded)
 	assertRefused(t, d)
 }
@@ -97,3 +98,38 @@
 		}
 	}
 }
+
+func TestBrokenConnectionAtEndedUpstreamCountsAtOnce(t *testing.T) {
+	d := NewDetector()
+	l := &BrokenConnectionLog{}
+	for _, upstream := range []string{"a", "b", "c"} {
+		l.Record(1, BrokenConnection{Fingerprint: "boom", Upstream: upstream, Ended: true})
+		l.Record(1, BrokenConnection{Fingerprint: "reset", Upstream: upstream})
+	}
+	reportLog(d, "daemon", l)
+	d.UpdateRefused(1, func(BrokenConnection) bool { return false })
+	assertRefused(t, d, "boom")
+}
+
+// A report that is sent at once may overtake a watch request, and the reverse.
+func TestOvertakenReportIsIgnored(t *testing.T) {
+	d := NewDetector()
+	from := Reporter{Daemon: "daemon", Incarnation: "first"}
+	_, connections := newLog("boom", "a", "b", "c").Report()
+	d.SetReport(1, from, Report{Revision: 3, Connections: connections})
+	d.SetReport(1, from, Report{Revision: 2, Connections: connections[:2]})
+	d.UpdateRefused(1, allEnded)
+	assertRefused(t, d, "boom")
+}
+
+// A daemon that starts again has forgotten what it reported.
+func TestReportOutlivesIncarnationOfReporter(t *testing.T) {
+	d := NewDetector()
+	_, connections := newLog("boom", "a", "b", "c").Report()
+	d.SetReport(1, Reporter{Daemon: "daemon", Incarnation: "first"}, Report{Revision: 2, Connections: connections[:2]})
+	d.SetReport(2, Reporter{Daemon: "daemon", Incarnation: "second"}, Report{Revision: 1, Connections: connections[2:]})
+	d.UpdateRefused(2, allEnded)
+	assertRefused(t, d, "boom")
+	d.UpdateRefused(2+2*retentionMS, allEnded)
+	assertRefused(t, d)
+}
--- a/pkg/rollout/upstream.go
+++ b/pkg/rollout/upstream.go
@@ -145,6 +145,9 @@
 	ReadEvents(body io.Reader, handle func(StreamEvent)) error
 	SendWeightOrder(ctx context.Context, o WeightOrder) (WeightOrderReply, error)
 	FetchReport(ctx context.Context, address string) (EngineReport, error)
+	// IsListening reports whether a process accepts connections at an address. It
+	// fails if the host does not respond.
+	IsListening(ctx context.Context, address string) (bool, error)
 }
 
 // WindowReport is the number of requests in a closed usage window. It is sent to
