Keep the evidence of crashes when another upstream fails

An entry forgot the broken connections of a request as soon as any response was passed on, also a 500 or 504 of an upstream that had not run it, for instance because its deadline had passed in the queue. The count then started again, and the request crashed further upstreams.

Only a response below 500 shows that the request can be served, so only that clears its record. TestFailureKeepsBrokenConnections failed for 500, 502 and 504.

--- a/internal/balance/broken_connections.go
+++ b/internal/balance/broken_connections.go
@@ -49,7 +49,8 @@
 }
 
 // updateBrokenConnections records the connection of an attempt if it broke, and
-// clears the broken connections of a request that was answered. It computes the
+// clears the broken connections of a request that was answered. A failure does not
+// clear them: the upstream may have failed before it ran the request. It computes the
 // fingerprint of an answered request only while there are broken connections.
 func (c *call) updateBrokenConnections(a attempt) {
 	b := c.balancer
@@ -69,7 +70,7 @@
 			default:
 			}
 		}
-	case a.err == nil && !a.response.Head.Streaming && !b.brokenConnections.Empty():
+	case a.isFinal() && !a.response.Head.Streaming && !b.brokenConnections.Empty():
 		fingerprint := FingerprintOf(c.req.UpstreamRequest)
 		if b.brokenConnections.Clear(fingerprint) {
 			b.log.Info("BrokenConnectionsCleared", zap.String("Request", c.req.UpstreamRequest.AttemptID), zap.String("Fingerprint", fingerprint),
