Check before each attempt whether a request is refused

A call was checked once, before its first attempt. Its retries and hedges went on, up to six of them, after control had refused the request: in the users' record one call reaches a second upstream 176 ms after its first.

The balancer asks before every attempt now. A call whose request has run ends with its best result so far, one that has not run with the refusal.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -48,6 +48,9 @@
 	// HedgeAfter is the delay after which a repeatable request is also sent to
 	// another upstream. Zero disables hedging.
 	HedgeAfter time.Duration
+	// Permit is called before each attempt. An error ends the request without further
+	// attempts. It may be nil.
+	Permit func() error
 	// OnStarted is called once, after the first attempt that may have run the
 	// request has returned. It may be nil.
 	OnStarted func()
@@ -280,9 +283,9 @@
 }
 
 // startAttempt sends the request to an upstream that has not been tried. It
-// reports whether there was one and maxSends allowed it.
+// reports whether there was one, and maxSends and Permit allowed it.
 func (c *call) startAttempt(ctx context.Context) bool {
-	if c.sends >= maxSends {
+	if c.sends >= maxSends || !c.isPermitted() {
 		return false
 	}
 	choice, ok := c.balancer.selectUpstream(c.req.Pool, c.tried)
@@ -316,6 +319,22 @@
 	return true
 }
 
+// isPermitted reports whether Permit allows another attempt. If it does not and the
+// request has not run, the caller gets its error.
+func (c *call) isPermitted() bool {
+	if c.req.Permit == nil {
+		return true
+	}
+	err := c.req.Permit()
+	if err == nil {
+		return true
+	}
+	if c.running == 0 && c.best.err != nil && c.best.err.NotRun {
+		c.best.err = rollout.AsError(err)
+	}
+	return false
+}
+
 // canRetry reports whether the request may be sent again after an attempt.
 func (c *call) canRetry(a attempt) bool {
 	if !a.mayHaveRun() {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -196,10 +196,7 @@
 		HedgeAfter:  time.Duration(hedgeLatencyFraction * float64(route.TargetLatencyMS) * float64(time.Millisecond)),
 		OnStarted:   func() { g.meter.count(account) },
 	}
-	if err := g.checkPoison(req.UpstreamRequest); err != nil {
-		g.logFailure(in, route, err)
-		return balance.Response{}, err
-	}
+	req.Permit = func() error { return g.checkPoison(req.UpstreamRequest) }
 	response, err := g.balancer.Do(ctx, req)
 	g.metrics.observe(in.Received, err)
 	if err != nil {
