Do not count the crashes under a refused request against its company

Requests that run beside one that crashes its upstreams break off with it, and are retried when it is. After three such crashes a sound request was refused for ten minutes, as nothing told the two apart.

Crashes at which a refused request was running no longer count against others. Two requests that were running together at each of their crashes can't be told apart; they are refused after five crashes, which leaves one of the three retries that the requirements allow after the third.

Ruled out: exonerating by a later success alone, since a sound request is refused before it gets the chance.

--- a/pkg/rollout/poison/poison.go
+++ b/pkg/rollout/poison/poison.go
@@ -16,6 +16,10 @@
 	// CrashLimit is the number of upstream crashes after which a request is
 	// refused. The requirements limit retries after the third crash.
 	CrashLimit = 3
+	// sharedCrashLimit replaces CrashLimit for requests that were running together at
+	// each crash, since only one of them may be the cause. The requirements allow three
+	// retries after the third crash.
+	sharedCrashLimit = CrashLimit + 2
 	// retentionMS is how long a broken connection or a refusal is kept. Callers that
 	// retry a request do so within minutes.
 	retentionMS rollout.Millis = 10 * 60 * 1_000
@@ -190,13 +194,60 @@
 			changed = true
 		}
 	}
-	for fingerprint, crashes := range crashed {
-		if _, known := d.refusedUntil[fingerprint]; !known && len(crashes) >= CrashLimit {
-			d.refusedUntil[fingerprint] = now + retentionMS
-			changed = true
+	for {
+		fingerprint, found := d.nextToRefuse()
+		if !found {
+			return changed
+		}
+		d.refusedUntil[fingerprint] = now + retentionMS
+		changed = true
+	}
+}
+
+// nextToRefuse returns a request that must be refused and is not yet. Crashes at which a
+// refused request was running count against no other one.
+func (d *Detector) nextToRefuse() (fingerprint string, found bool) {
+	explained := make(map[crash]bool)
+	for f := range d.refusedUntil {
+		maps.Copy(explained, d.crashes[f])
+	}
+	for _, f := range slices.Sorted(maps.Keys(d.crashes)) {
+		if _, refused := d.refusedUntil[f]; refused || len(d.crashes[f]) < CrashLimit {
+			continue
+		}
+		own := maps.Clone(d.crashes[f])
+		maps.DeleteFunc(own, func(c crash, _ bool) bool { return explained[c] })
+		if len(d.crashes[f]) >= sharedCrashLimit || (len(own) >= CrashLimit && !d.sharesAll(f, own)) {
+			return f, true
+		}
+	}
+	return "", false
+}
+
+// sharesAll reports whether another request was running at all the given crashes of a
+// request.
+func (d *Detector) sharesAll(fingerprint string, crashes map[crash]bool) bool {
+	for other, others := range d.crashes {
+		if other == fingerprint || len(others) < len(crashes) {
+			continue
+		}
+		shared := 0
+		for c := range crashes {
+			if others[c] {
+				shared++
+			}
+		}
+		if shared == len(crashes) {
+			return true
 		}
 	}
-	return changed
+	return false
+}
+
+// Refuses reports whether a request is refused.
+func (d *Detector) Refuses(now rollout.Millis, fingerprint string) bool {
+	until, refused := d.refusedUntil[fingerprint]
+	return refused && now < until
 }
 
 // NewCrashes returns the broken connections that began to count at the last update.
--- a/pkg/rollout/poison/poison_test.go
+++ b/pkg/rollout/poison/poison_test.go
@@ -133,3 +133,39 @@
 	d.UpdateRefused(2+2*retentionMS, allEnded)
 	assertRefused(t, d)
 }
+
+// reportRuns reports, for each request, the crashed upstreams at which it was running.
+func reportRuns(d *Detector, runs map[string][]string) {
+	l := &BrokenConnectionLog{}
+	for fingerprint, upstreams := range runs {
+		for _, u := range upstreams {
+			l.Record(1, BrokenConnection{Fingerprint: fingerprint, Upstream: u, Ended: true})
+		}
+	}
+	reportLog(d, "daemon", l)
+	d.UpdateRefused(1, allEnded)
+}
+
+// Guards against refusing sound requests that were running beside one that crashes its
+// upstreams.
+func TestRequestIsNotRefusedForItsCompany(t *testing.T) {
+	for name, c := range map[string]struct {
+		runs map[string][]string
+		want []string
+	}{
+		"fewer crashes":             {map[string][]string{"boom": {"a", "b", "c"}, "sound": {"a", "b"}}, []string{"boom"}},
+		"all but one crash":         {map[string][]string{"boom": {"a", "b", "c", "d"}, "sound": {"b", "c", "d"}}, []string{"boom"}},
+		"company and another crash": {map[string][]string{"boom": {"a", "b", "c"}, "sound": {"b", "c", "e"}}, []string{"boom"}},
+		"unknown which":             {map[string][]string{"boom": {"a", "b", "c"}, "sound": {"a", "b", "c"}}, nil},
+		"unknown for too long":      {map[string][]string{"boom": {"a", "b", "c", "d", "e"}, "sound": {"a", "b", "c", "d", "e"}}, []string{"boom", "sound"}},
+		"two of them":               {map[string][]string{"boom": {"a", "b", "c"}, "bang": {"c", "d", "e"}}, []string{"bang"}},
+		"two of them, one more":     {map[string][]string{"boom": {"a", "b", "c", "f"}, "bang": {"c", "d", "e"}}, []string{"bang", "boom"}},
+		"a domain is lost":          {map[string][]string{"f": {"a"}, "g": {"a"}, "h": {"b"}, "i": {"b", "c"}, "j": {"c"}}, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := NewDetector()
+			reportRuns(d, c.runs)
+			assertRefused(t, d, c.want...)
+		})
+	}
+}
