Decide from own crashes at the host, and run suspects one by one and apart

Three gaps on the way from the crashes of a request to its refusal, all at the host that saw them:

- A host that had itself seen three crashes went on sending while control had no leader or did not answer.
It now decides from its own evidence with the same detector as control.
Suspects are not hedged.
- Suspects of one host were retried at the same upstream, the sound ones beside the crashing one.
Each gets an upstream without another suspect while there is one.

TestHostRefusesFromItsOwnCrashes, TestSuspectIsNotHedged and TestSuspectsRunApart guard these; the latter two fail when no request counts as a suspect.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -7,7 +7,9 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -76,6 +78,10 @@
 	router *routing.Router
 	// brokenConnections holds the requests whose connections broke.
 	brokenConnections poison.BrokenConnectionLog
+	// crashes decides from the broken connections of this host alone.
+	crashes *poison.Detector
+	// suspectRuns counts the attempts of suspects that run, by upstream ID.
+	suspectRuns map[string]int
 	// crashRecorded receives a value when a connection to an upstream that has ended was
 	// recorded.
 	crashRecorded chan struct{}
@@ -98,7 +104,7 @@
 	cfg := routing.DefaultConfig(domain)
 	cfg.EjectAfter, cfg.EjectMS, cfg.MaxEjectMS = ejectAfter, ejectMS, maxEjectMS
 	cfg.LocalLoadLimit, cfg.ReuseMS = localLoadLimit, reuseMS
-	return &Balancer{upstreams: upstreams, clock: clock, log: log, router: routing.New(cfg, globalRandom{}), leaving: discovery.NewLeavingLog(), crashRecorded: make(chan struct{}, 1)}
+	return &Balancer{upstreams: upstreams, clock: clock, log: log, router: routing.New(cfg, globalRandom{}), leaving: discovery.NewLeavingLog(), crashes: poison.NewDetector(), suspectRuns: make(map[string]int), crashRecorded: make(chan struct{}, 1)}
 }
 
 const (
@@ -236,7 +242,7 @@
 			c.cancelExcept("", errors.Is(ctx.Err(), context.DeadlineExceeded))
 			return Response{}, c.deadlineError()
 		case <-hedge.C:
-			if c.hasRunsLeft() && c.startAttempt(ctx) {
+			if c.hasRunsLeft() && !c.isSuspect() && c.startAttempt(ctx) {
 				b.log.Info("Hedged", zap.String("Request", req.UpstreamRequest.AttemptID), zap.Strings("Tried", c.tried))
 				hedge.Reset(req.HedgeAfter)
 			}
@@ -288,7 +294,8 @@
 	if c.sends >= maxSends || !c.isPermitted() {
 		return false
 	}
-	choice, ok := c.balancer.selectUpstream(c.req.Pool, c.tried)
+	suspect := c.isSuspect()
+	choice, ok := c.balancer.selectUpstream(c.req.Pool, c.tried, suspect)
 	if !ok {
 		return false
 	}
@@ -306,6 +313,9 @@
 	c.sends++
 	go func() {
 		a := c.balancer.send(sendCtx, req)
+		if suspect {
+			c.balancer.endSuspectRun(u.ID)
+		}
 		if a.response.Head.Leaving {
 			c.balancer.markLeaving(u.ID, u.Incarnation)
 		}
@@ -416,13 +426,29 @@
 	b.router.Finished(b.clock.Now(), id, routing.Outcome{Incarnation: incarnation, Failed: failed, Running: -1})
 }
 
-func (b *Balancer) selectUpstream(pool string, tried []string) (routing.Choice, bool) {
+// selectUpstream returns the upstream for the next attempt of a request. A suspect gets
+// one at which no other suspect runs, if there is one, so that the next crash tells
+// apart requests that were running together at the last.
+func (b *Balancer) selectUpstream(pool string, tried []string, suspect bool) (routing.Choice, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.nextSyncMS > 0 && b.clock.Now() >= b.nextSyncMS {
 		b.syncRouter()
 	}
-	return b.router.Pick(b.clock.Now(), routing.Query{Pool: pool, Exclude: tried})
+	query := routing.Query{Pool: pool, Exclude: tried}
+	if !suspect {
+		return b.router.Pick(b.clock.Now(), query)
+	}
+	apart := query
+	apart.Exclude = slices.AppendSeq(slices.Clone(tried), maps.Keys(b.suspectRuns))
+	choice, ok := b.router.Pick(b.clock.Now(), apart)
+	if !ok {
+		choice, ok = b.router.Pick(b.clock.Now(), query)
+	}
+	if ok {
+		b.suspectRuns[choice.Upstream.ID]++
+	}
+	return choice, ok
 }
 
 // send runs one attempt. It reads the whole body unless the response is a stream.
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -22,6 +22,10 @@
 	status int
 	notRun bool
 	err    error
+	// ended makes the upstream accept no connections.
+	ended bool
+	// delay is the time before the response.
+	delay time.Duration
 	// hang blocks until the context ends.
 	hang bool
 	// bytes is the length of the body, or 0 for the ID of the upstream.
@@ -48,6 +52,7 @@
 		<-ctx.Done()
 		return rollout.UpstreamResponse{}, ctx.Err()
 	}
+	time.Sleep(r.delay)
 	if r.err != nil {
 		return rollout.UpstreamResponse{Leaving: r.leaving}, r.err
 	}
@@ -58,8 +63,16 @@
 	return rollout.UpstreamResponse{Status: r.status, NotRun: r.notRun, Leaving: r.leaving, Body: io.NopCloser(strings.NewReader(body))}, nil
 }
 
-// IsListening implements rollout.UpstreamClient. All upstreams keep running.
-func (f *fakeUpstreams) IsListening(context.Context, string) (bool, error) { return true, nil }
+// IsListening implements rollout.UpstreamClient. Addresses are the IDs.
+func (f *fakeUpstreams) IsListening(_ context.Context, address string) (bool, error) {
+	return !f.behaviors[address].ended, nil
+}
+
+func (f *fakeUpstreams) countSends() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.sends)
+}
 
 func newBalancer(behaviors map[string]behavior) (*balance.Balancer, *fakeUpstreams) {
 	f := &fakeUpstreams{behaviors: behaviors}
@@ -71,7 +84,7 @@
 func readyUpstreams(behaviors map[string]behavior) map[string]discovery.Upstream {
 	us := make(map[string]discovery.Upstream)
 	for id := range behaviors {
-		us[id] = discovery.Upstream{ID: id, Pool: "p", FailureDomain: "d", State: discovery.StateReady, Slots: 4, Born: 1}
+		us[id] = discovery.Upstream{ID: id, Pool: "p", Address: id, FailureDomain: "d", State: discovery.StateReady, Slots: 4, Born: 1}
 	}
 	return us
 }
@@ -100,6 +113,7 @@
 var (
 	succeeds    = behavior{status: 200}
 	overloaded  = behavior{status: 503, notRun: true}
+	crashes     = behavior{err: errors.New("connection reset"), ended: true}
 	disconnects = behavior{err: errors.New("connection reset")}
 	fails       = behavior{status: 500}
 )
@@ -348,3 +362,75 @@
 		})
 	}
 }
+
+// crash makes requests of an account crash upstreams, and returns the number of sends.
+func crash(t *testing.T, b *balance.Balancer, f *fakeUpstreams, account string, attempts int) int {
+	t.Helper()
+	req := request(true, attempts)
+	req.UpstreamRequest.Account = account
+	req.HedgeAfter = 10 * time.Millisecond
+	before := len(f.sends)
+	_, err := b.Do(t.Context(), req)
+	assertError(t, err, false)
+	return len(f.sends) - before
+}
+
+// Guards against an entry that goes on sending a request although it has itself seen three
+// upstreams crash under it, as while control has no leader.
+func TestHostRefusesFromItsOwnCrashes(t *testing.T) {
+	b, f := newBalancer(nil)
+	fingerprint := balance.FingerprintOf(rollout.UpstreamRequest{Account: "farm"})
+	for i, id := range []string{"a", "b", "c"} {
+		if b.Refuses(fingerprint) {
+			t.Fatalf("refused after %d crashes, want 3", i)
+		}
+		f.behaviors = map[string]behavior{id: crashes}
+		b.Sync(readyUpstreams(f.behaviors))
+		crash(t, b, f, "farm", 1)
+	}
+	if !b.Refuses(fingerprint) || b.Refuses(balance.FingerprintOf(rollout.UpstreamRequest{Account: "other"})) {
+		t.Fatal("want the request of the account refused after three crashes, and no other one")
+	}
+}
+
+// Guards against hedges of a request that may crash its upstreams: each would end another
+// one before the first has ended.
+func TestSuspectIsNotHedged(t *testing.T) {
+	slowCrash := behavior{err: crashes.err, ended: true, delay: 50 * time.Millisecond}
+	b, f := newBalancer(map[string]behavior{"a": crashes})
+	crash(t, b, f, "farm", 1)
+	f.behaviors = map[string]behavior{"b": slowCrash, "c": slowCrash, "d": slowCrash}
+	b.Sync(readyUpstreams(f.behaviors))
+	if sends := crash(t, b, f, "farm", 1); sends != 1 {
+		t.Fatalf("a suspect was sent to %d upstreams, want 1", sends)
+	}
+}
+
+// Guards against sound requests that follow a crashing one from upstream to upstream.
+func TestSuspectsRunApart(t *testing.T) {
+	b, f := newBalancer(map[string]behavior{"a": crashes})
+	for _, account := range []string{"boom", "sound"} {
+		crash(t, b, f, account, 1)
+	}
+	f.behaviors = map[string]behavior{"b": {hang: true}, "c": {hang: true}}
+	b.Sync(readyUpstreams(f.behaviors))
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{}, 2)
+	for _, account := range []string{"boom", "sound"} {
+		go func() {
+			req := request(true, 1)
+			req.UpstreamRequest.Account = account
+			_, _ = b.Do(ctx, req)
+			done <- struct{}{}
+		}()
+	}
+	for f.countSends() < 4 {
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+	<-done
+	<-done
+	if last := f.sends[2:]; last[0] == last[1] {
+		t.Fatalf("both suspects ran at %s, want one at each upstream", last[0])
+	}
+}
--- a/internal/balance/broken_connections.go
+++ b/internal/balance/broken_connections.go
@@ -27,6 +27,50 @@
 	return b.brokenConnections.Report()
 }
 
+// updateCrashes decides anew which requests are refused. The caller holds mu.
+func (b *Balancer) updateCrashes() {
+	revision, connections := b.brokenConnections.Report()
+	b.crashes.SetReport(b.clock.Now(), poison.Reporter{}, poison.Report{Revision: revision, Connections: connections})
+	b.crashes.UpdateRefused(b.clock.Now(), func(poison.BrokenConnection) bool { return false })
+}
+
+// HasBrokenConnections reports whether there are any. While there are none, no request
+// is refused.
+func (b *Balancer) HasBrokenConnections() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return !b.brokenConnections.Empty()
+}
+
+// Refuses reports whether the crashes that this host has seen suffice to refuse a
+// request.
+func (b *Balancer) Refuses(fingerprint string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.crashes.Refuses(b.clock.Now(), fingerprint)
+}
+
+// isSuspect reports whether an upstream has crashed while it ran the request.
+func (c *call) isSuspect() bool {
+	b := c.balancer
+	if !b.HasBrokenConnections() {
+		return false
+	}
+	fingerprint := FingerprintOf(c.req.UpstreamRequest)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.crashes.Crashes(fingerprint) > 0
+}
+
+// endSuspectRun records that an attempt of a suspect has ended.
+func (b *Balancer) endSuspectRun(upstream string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.suspectRuns[upstream]--; b.suspectRuns[upstream] <= 0 {
+		delete(b.suspectRuns, upstream)
+	}
+}
+
 // CrashRecorded returns a channel that receives a value when a request broke off at an
 // upstream that has ended.
 func (b *Balancer) CrashRecorded() <-chan struct{} { return b.crashRecorded }
@@ -64,6 +108,7 @@
 		b.brokenConnections.Record(b.clock.Now(), poison.BrokenConnection{Fingerprint: fingerprint, Upstream: a.upstream, Born: born, Ended: a.upstreamEnded})
 		b.log.Warn("BrokenConnectionRecorded", zap.String("Request", c.req.UpstreamRequest.AttemptID), zap.String("Fingerprint", fingerprint),
 			zap.String("Upstream", a.upstream), zap.Int64("Born", born), zap.Bool("Ended", a.upstreamEnded))
+		b.updateCrashes()
 		if a.upstreamEnded {
 			select {
 			case b.crashRecorded <- struct{}{}:
@@ -75,6 +120,7 @@
 		if b.brokenConnections.Clear(fingerprint) {
 			b.log.Info("BrokenConnectionsCleared", zap.String("Request", c.req.UpstreamRequest.AttemptID), zap.String("Fingerprint", fingerprint),
 				zap.String("Upstream", a.upstream), zap.Int("Status", a.response.Head.Status))
+			b.updateCrashes()
 		}
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -212,18 +212,19 @@
 	return response, nil
 }
 
-// checkPoison returns an error if the request is one of those that the control
-// leader found to crash upstreams.
+// checkPoison returns an error if the request is one of those that crash upstreams,
+// as the control leader or this host alone has found.
 func (g *Gateway) checkPoison(x rollout.UpstreamRequest) error {
 	poisons := g.watcher.State().Facts.Poisons
-	if len(poisons) == 0 {
+	if len(poisons) == 0 && !g.balancer.HasBrokenConnections() {
 		return nil
 	}
 	fingerprint := balance.FingerprintOf(x)
-	if !slices.Contains(poisons, fingerprint) {
+	byControl := slices.Contains(poisons, fingerprint)
+	if !byControl && !g.balancer.Refuses(fingerprint) {
 		return nil
 	}
-	g.opts.Log.Info("PoisonFound", zap.String("Request", x.AttemptID), zap.String("Fingerprint", fingerprint))
+	g.opts.Log.Info("PoisonFound", zap.String("Request", x.AttemptID), zap.String("Fingerprint", fingerprint), zap.Bool("ByControl", byControl))
 	return rollout.NewError(rollout.KindPoisoned, "request refused: %d upstreams crashed while running it", poison.CrashLimit).WithNotRun()
 }
 
