--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -41,12 +41,21 @@
 
 	mu    sync.Mutex
 	sends []string
+	// running counts the attempts that run, and maxRunning is the most at once.
+	running, maxRunning int
 }
 
 func (f *fakeUpstreams) SendRequest(ctx context.Context, req rollout.UpstreamRequest) (rollout.UpstreamResponse, error) {
 	f.mu.Lock()
 	f.sends = append(f.sends, req.Instance)
+	f.running++
+	f.maxRunning = max(f.maxRunning, f.running)
 	f.mu.Unlock()
+	defer func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.running--
+	}()
 	r := f.behaviors[req.Instance]
 	if r.hang {
 		<-ctx.Done()
@@ -401,8 +410,9 @@
 	crash(t, b, f, "farm", 1)
 	f.behaviors = map[string]behavior{"b": slowCrash, "c": slowCrash, "d": slowCrash}
 	b.Sync(readyUpstreams(f.behaviors))
-	if sends := crash(t, b, f, "farm", 1); sends != 1 {
-		t.Fatalf("a suspect was sent to %d upstreams, want 1", sends)
+	f.maxRunning = 0
+	if sends := crash(t, b, f, "farm", 3); sends != 3 || f.maxRunning != 1 {
+		t.Fatalf("a suspect was sent to %d upstreams and ran at %d at once, want 3 and 1", sends, f.maxRunning)
 	}
 }
 
