Keep refusals of crashing requests through changes of the control leader

A new leader began with an empty detector. It lifted each refusal of the leader before until the entries had reported again, for good if these had started again since. And it never counted crashes of upstreams that it did not know, as those that ended before it led.

The leader replicates its refusals within a tick, with the time at which they expire; a follower applies them and refuses from the first watch on. An upstream that has not announced itself to a leader counts as ended once it would have (three announcements). Counts below three stay with the entries, which report them to each new leader.

Ruled out: replicating each crash, since the loss of a failure domain breaks hundreds of requests at once, and an entry that restarts costs two crashes at most.

--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -107,6 +107,8 @@
 	// increases when the set of refused requests changes.
 	poisonDetector *poison.Detector
 	poisonRevision uint64
+	// refusalsToPropose holds the refused requests that the replicated state lacks.
+	refusalsToPropose []string
 	// usageCooldown decides when this host may send usage reports to the
 	// platform.
 	usageCooldown authority.Cooldown
@@ -227,6 +229,7 @@
 	d.daemons = make(map[string]watchingDaemon)
 	d.usage = make(map[uint64]map[string]map[string]uint64)
 	d.poisonDetector = poison.NewDetector()
+	d.refusalsToPropose = nil
 	d.notifyWatches()
 	d.mu.Unlock()
 	d.runLeaderTasks(ctx, term)
--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -1,6 +1,7 @@
 package director
 
 import (
+	"context"
 	"fmt"
 	"slices"
 	"testing"
@@ -278,3 +279,40 @@
 		t.Fatalf("reply %+v, error %v; want a document before %d ms", reply, err, waitMS)
 	}
 }
+
+// Guards against a leader that lifts the refusals of the leader before because the daemons
+// that saw the crashes have started again.
+func TestRefusalOutlivesLeader(t *testing.T) {
+	d := newLocalDirector()
+	for _, id := range []string{"a", "b", "c"} {
+		c := poison.BrokenConnection{Fingerprint: "boom", Upstream: id, Born: 1, Ended: true}
+		d.recordBrokenConnections("host-"+id+"/Entry", view.BrokenConnections{Revision: 1, Connections: []poison.BrokenConnection{c}})
+	}
+	d.state.Apply(registry.Command{Refuse: &registry.RefuseRequests{NowMS: 1, UntilMS: 2, Fingerprints: d.refusalsToPropose}})
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	d.runAsLeader(ended, 2)
+	if got := d.refusedRequests(); !slices.Equal(got, []string{"boom"}) {
+		t.Fatalf("the next leader refuses %v, want [boom]", got)
+	}
+}
+
+// Guards against crashes that a leader never counts because it does not know the upstreams
+// that crashed before it led.
+func TestCrashOfUpstreamUnknownToLeaderCounts(t *testing.T) {
+	d := newLocalDirector()
+	d.leadStartMS = d.clock.Now()
+	for _, id := range []string{"a", "b", "c"} {
+		d.recordWatchRequest(requestWithBrokenConnection("host-"+id, id))
+	}
+	for _, c := range []struct {
+		ledMS rollout.Millis
+		want  []string
+	}{{d.table.SilenceMS() / 2, nil}, {2 * d.table.SilenceMS(), []string{"boom"}}} {
+		d.leadStartMS = d.clock.Now() - c.ledMS
+		d.updatePoisons()
+		if got := d.refusedRequests(); !slices.Equal(got, c.want) {
+			t.Fatalf("refused %v after %d ms of leadership, want %v", got, c.ledMS, c.want)
+		}
+	}
+}
--- a/internal/director/watch.go
+++ b/internal/director/watch.go
@@ -12,7 +12,6 @@
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/discovery"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/document"
-	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/poison"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/quorum"
 )
 
@@ -153,7 +152,7 @@
 // facts returns the current facts. The caller holds mu.
 func (d *Director) facts() view.Facts {
 	f := view.Facts{
-		Poisons:  d.poisonDetector.Refused(),
+		Poisons:  d.refusedRequests(),
 		Versions: d.state.Versions, Founders: d.state.Founders,
 		StoreLeader: d.storeLeader, Stores: slices.Clone(d.storeAddresses), StoreDomains: make(map[string]string),
 	}
@@ -222,26 +221,6 @@
 	d.notifyWatches()
 }
 
-// reportCrashes records the broken connections that a daemon reports beside its watch.
-func (d *Director) reportCrashes(_ context.Context, r view.CrashReport) (struct{}, error) {
-	if _, leads := d.replica.Leading(0); !leads {
-		return struct{}{}, d.replica.NotLeader()
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.recordBrokenConnections(daemonKey(r.Host, r.Role), r.BrokenConnections)
-	return struct{}{}, nil
-}
-
-// recordBrokenConnections replaces the broken connections of a daemon. The caller holds
-// mu.
-func (d *Director) recordBrokenConnections(daemon string, b view.BrokenConnections) {
-	d.opts.Log.Info("BrokenConnectionsReported", zap.String("Reporter", daemon), zap.Int("Connections", len(b.Connections)))
-	d.poisonDetector.SetReport(d.clock.Now(), poison.Reporter{Daemon: daemon, Incarnation: b.Incarnation},
-		poison.Report{Revision: b.Revision, Connections: b.Connections})
-	d.updatePoisons()
-}
-
 // daemonKey returns the key of a daemon in Director.daemons.
 func daemonKey(host string, role view.Role) string { return host + "/" + string(role) }
 
@@ -263,23 +242,6 @@
 	}
 }
 
-// updatePoisons updates the set of requests to refuse. A broken connection
-// counts once its upstream is known to have ended or is silent. The caller holds
-// mu.
-func (d *Director) updatePoisons() {
-	changed := d.poisonDetector.UpdateRefused(d.clock.Now(), func(c poison.BrokenConnection) bool { return d.table.EndedOrSilent(c.Upstream, c.Born) })
-	for _, c := range d.poisonDetector.NewCrashes() {
-		d.opts.Log.Info("CrashCounted", zap.String("Fingerprint", c.Fingerprint), zap.String("Upstream", c.Upstream), zap.Int64("Born", c.Born),
-			zap.Int("Crashes", d.poisonDetector.Crashes(c.Fingerprint)))
-	}
-	if !changed {
-		return
-	}
-	d.opts.Log.Warn("PoisonsChanged", zap.Strings("Fingerprints", d.poisonDetector.Refused()))
-	d.poisonRevision++
-	d.notifyWatches()
-}
-
 // memberAddresses returns the addresses of the voters and learners.
 func memberAddresses(m quorum.Members) []string {
 	var addresses []string
--- a/pkg/rollout/discovery/discovery.go
+++ b/pkg/rollout/discovery/discovery.go
@@ -169,6 +169,14 @@
 // models of an upstream.
 func (t *Table) RoutingRevision() uint64 { return t.routingRevision }
 
+// Knows reports whether an incarnation of an upstream is in the table, also if it has
+// ended.
+func (t *Table) Knows(id string) bool { return t.byID[id] != nil }
+
+// SilenceMS returns the time without an announcement after which an upstream is marked
+// silent.
+func (t *Table) SilenceMS() rollout.Millis { return silentAfterIntervals * t.announceIntervalMS }
+
 // EndedOrSilent reports whether an incarnation is known to have ended or to be
 // silent.
 func (t *Table) EndedOrSilent(id string, born int64) bool {
@@ -205,7 +213,7 @@
 			t.remove(r)
 			continue
 		}
-		if r.State != StateGone && !r.Silent && now-r.lastSeenMS > silentAfterIntervals*t.announceIntervalMS {
+		if r.State != StateGone && !r.Silent && now-r.lastSeenMS > t.SilenceMS() {
 			r.Silent = true
 			t.bumpRevision(r)
 		}
--- a/pkg/rollout/poison/poison.go
+++ b/pkg/rollout/poison/poison.go
@@ -20,9 +20,9 @@
 	// each crash, since only one of them may be the cause. The requirements allow three
 	// retries after the third crash.
 	sharedCrashLimit = CrashLimit + 2
-	// retentionMS is how long a broken connection or a refusal is kept. Callers that
+	// RetentionMS is how long a broken connection or a refusal is kept. Callers that
 	// retry a request do so within minutes.
-	retentionMS rollout.Millis = 10 * 60 * 1_000
+	RetentionMS rollout.Millis = 10 * 60 * 1_000
 	// maxBrokenConnections bounds the broken connections of one daemon. The
 	// loss of a failure domain of engines breaks a few hundred requests at once.
 	maxBrokenConnections = 512
@@ -78,7 +78,7 @@
 // full, it evicts the oldest one.
 func (l *BrokenConnectionLog) Record(now rollout.Millis, c BrokenConnection) {
 	l.deleteFunc(func(old logRecord) bool {
-		return (old.Fingerprint == c.Fingerprint && old.crash() == c.crash()) || now-old.atMS > retentionMS
+		return (old.Fingerprint == c.Fingerprint && old.crash() == c.crash()) || now-old.atMS > RetentionMS
 	})
 	if len(l.records) == maxBrokenConnections {
 		l.records = slices.Delete(l.records, 0, 1)
@@ -169,7 +169,7 @@
 	crashed := make(map[string]map[crash]bool)
 	d.newCrashes = nil
 	for from, r := range d.reports {
-		if now-r.atMS > retentionMS {
+		if now-r.atMS > RetentionMS {
 			delete(d.reports, from)
 			continue
 		}
@@ -199,7 +199,7 @@
 		if !found {
 			return changed
 		}
-		d.refusedUntil[fingerprint] = now + retentionMS
+		d.refusedUntil[fingerprint] = now + RetentionMS
 		changed = true
 	}
 }
--- a/pkg/rollout/poison/poison_test.go
+++ b/pkg/rollout/poison/poison_test.go
@@ -48,7 +48,7 @@
 	for _, daemon := range []string{"daemon-2", "daemon-3"} {
 		d.SetReport(3, Reporter{Daemon: daemon}, Report{Revision: 9})
 	}
-	d.UpdateRefused(2+retentionMS, allEnded)
+	d.UpdateRefused(2+RetentionMS, allEnded)
 	assertRefused(t, d)
 }
 
@@ -79,7 +79,7 @@
 	if _, connections := l.Report(); len(connections) != maxBrokenConnections || connections[0].Fingerprint != fmt.Sprint(maxBrokenConnections) {
 		t.Fatalf("got %d broken connections, the oldest %v", len(connections), connections[0])
 	}
-	l.Record(2*maxBrokenConnections+retentionMS+1, BrokenConnection{Fingerprint: "late", Upstream: "a"})
+	l.Record(2*maxBrokenConnections+RetentionMS+1, BrokenConnection{Fingerprint: "late", Upstream: "a"})
 	if _, connections := l.Report(); len(connections) != 1 {
 		t.Fatalf("got %d broken connections after the others expired, want 1", len(connections))
 	}
@@ -130,7 +130,7 @@
 	d.SetReport(2, Reporter{Daemon: "daemon", Incarnation: "second"}, Report{Revision: 1, Connections: connections[2:]})
 	d.UpdateRefused(2, allEnded)
 	assertRefused(t, d, "boom")
-	d.UpdateRefused(2+2*retentionMS, allEnded)
+	d.UpdateRefused(2+2*RetentionMS, allEnded)
 	assertRefused(t, d)
 }
 
--- a/pkg/rollout/registry/registry.go
+++ b/pkg/rollout/registry/registry.go
@@ -17,6 +17,9 @@
 // one.
 const windowRetention = 64
 
+// MaxRefusals bounds the refused requests. Each costs every host 64 bytes.
+const MaxRefusals = 512
+
 // Command is a change of the state. Exactly one field is set.
 type Command struct {
 	Put    *PutDocument    `json:",omitempty"`
@@ -25,6 +28,7 @@
 	Sent   *MarkWindowSent `json:",omitempty"`
 	Found  *FoundStore     `json:",omitempty"`
 	Retire *RetireHost     `json:",omitempty"`
+	Refuse *RefuseRequests `json:",omitempty"`
 }
 
 // PutDocument activates a configuration.
@@ -62,6 +66,14 @@
 	Address string
 }
 
+// RefuseRequests refuses requests that crash upstreams, and ends the refusals that have
+// expired.
+type RefuseRequests struct {
+	// NowMS and UntilMS are wall clock times of the leader.
+	NowMS, UntilMS rollout.Millis
+	Fingerprints   []string
+}
+
 // Window is a closed usage window.
 type Window struct {
 	Requests map[string]uint64
@@ -83,6 +95,9 @@
 	Founders []quorum.Member
 	// Retiring maps the name of each retired host to its address.
 	Retiring map[string]string
+	// RefusedUntilMS maps the fingerprint of each refused request to the wall clock time
+	// at which the refusal expires.
+	RefusedUntilMS map[string]rollout.Millis `json:",omitempty"`
 	// Revision increases with every change except those of windows.
 	Revision uint64
 }
@@ -122,6 +137,8 @@
 		s.Retiring = maps.Clone(s.Retiring)
 		s.Retiring[c.Retire.Host] = c.Retire.Address
 		s.Revision++
+	case c.Refuse != nil:
+		s.refuse(*c.Refuse)
 	}
 }
 
@@ -162,6 +179,33 @@
 	}
 }
 
+// refuse adds refusals and removes those that have expired. If there are too many, those
+// that expire first are removed.
+func (s *State) refuse(r RefuseRequests) {
+	next := maps.Clone(s.RefusedUntilMS)
+	if next == nil {
+		next = make(map[string]rollout.Millis)
+	}
+	for _, f := range r.Fingerprints {
+		next[f] = r.UntilMS
+	}
+	maps.DeleteFunc(next, func(_ string, until rollout.Millis) bool { return until <= r.NowMS })
+	for len(next) > MaxRefusals {
+		first := ""
+		for f, until := range next {
+			if first == "" || until < next[first] || (until == next[first] && f < first) {
+				first = f
+			}
+		}
+		delete(next, first)
+	}
+	if maps.Equal(next, s.RefusedUntilMS) {
+		return
+	}
+	s.RefusedUntilMS = next
+	s.Revision++
+}
+
 // putDocument activates a configuration with a higher version. If two have the
 // same version, the first is kept.
 func (s *State) putDocument(p PutDocument) {
--- a/pkg/rollout/registry/registry_test.go
+++ b/pkg/rollout/registry/registry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"testing"
 
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/document"
@@ -93,3 +94,29 @@
 		t.Fatalf("restored %+v", restored)
 	}
 }
+
+func TestRefusalsExpireAndAreBounded(t *testing.T) {
+	s := registry.New()
+	s.Apply(registry.Command{Refuse: &registry.RefuseRequests{NowMS: 1, UntilMS: 10, Fingerprints: []string{"old"}}})
+	before := s.Revision
+	s.Apply(registry.Command{Refuse: &registry.RefuseRequests{NowMS: 2, UntilMS: 10, Fingerprints: []string{"old"}}})
+	if s.Revision != before {
+		t.Fatal("revision changed without a change of refusals")
+	}
+	s.Apply(registry.Command{Refuse: &registry.RefuseRequests{NowMS: 5, UntilMS: 20, Fingerprints: []string{"new"}}})
+	if len(s.RefusedUntilMS) != 2 || s.RefusedUntilMS["new"] != 20 {
+		t.Fatalf("refused %v, want old until 10 and new until 20", s.RefusedUntilMS)
+	}
+	s.Apply(registry.Command{Refuse: &registry.RefuseRequests{NowMS: 10}})
+	if _, refused := s.RefusedUntilMS["old"]; refused || len(s.RefusedUntilMS) != 1 || s.Revision == before {
+		t.Fatalf("refused %v at revision %d, want new alone at another revision than %d", s.RefusedUntilMS, s.Revision, before)
+	}
+	var many []string
+	for i := range 2 * registry.MaxRefusals {
+		many = append(many, fmt.Sprint(i))
+	}
+	s.Apply(registry.Command{Refuse: &registry.RefuseRequests{NowMS: 11, UntilMS: 21, Fingerprints: many}})
+	if len(s.RefusedUntilMS) != registry.MaxRefusals {
+		t.Fatalf("%d refusals, want %d", len(s.RefusedUntilMS), registry.MaxRefusals)
+	}
+}
