--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -7,9 +7,7 @@
 	"context"
 	"errors"
 	"io"
-	"maps"
 	"math/rand/v2"
-	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -19,6 +17,7 @@
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/catalog"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/discovery"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/limit"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/poison"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/routing"
 )
@@ -53,6 +52,11 @@
 	// Permit is called before each attempt. An error ends the request without further
 	// attempts. It may be nil.
 	Permit func() error
+	// Priority ranks requests that wait for an upstream with a limit; 0 is the highest.
+	Priority int
+	// LimitPatience is how long the request may wait for an upstream with a limit if no
+	// other one is free.
+	LimitPatience time.Duration
 	// OnStarted is called once, after the first attempt that may have run the
 	// request has returned. It may be nil.
 	OnStarted func()
@@ -87,6 +91,8 @@
 	crashRecorded chan struct{}
 	// leaving holds the upstreams whose responses said that they leave.
 	leaving *discovery.LeavingLog
+	// limits holds requests to upstreams that name a limit.
+	limits *limit.Gate
 	// known holds the upstreams as control knows them.
 	known map[string]discovery.Upstream
 	// nextSyncMS is when the router must be synced because of leaving upstreams, or 0.
@@ -104,7 +110,7 @@
 	cfg := routing.DefaultConfig(domain)
 	cfg.EjectAfter, cfg.EjectMS, cfg.MaxEjectMS = ejectAfter, ejectMS, maxEjectMS
 	cfg.LocalLoadLimit, cfg.ReuseMS = localLoadLimit, reuseMS
-	return &Balancer{upstreams: upstreams, clock: clock, log: log, router: routing.New(cfg, globalRandom{}), leaving: discovery.NewLeavingLog(), crashes: poison.NewDetector(), suspectRuns: make(map[string]int), crashRecorded: make(chan struct{}, 1)}
+	return &Balancer{upstreams: upstreams, clock: clock, log: log, router: routing.New(cfg, globalRandom{}), leaving: discovery.NewLeavingLog(), limits: limit.NewGate(clock), crashes: poison.NewDetector(), suspectRuns: make(map[string]int), crashRecorded: make(chan struct{}, 1)}
 }
 
 const (
@@ -126,6 +132,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.known = us
+	b.limits.Sync(us)
 	b.syncRouter()
 }
 
@@ -144,13 +151,22 @@
 	b.router.Sync(c)
 }
 
+// Limits returns the gate for upstreams that name a limit.
+func (b *Balancer) Limits() *limit.Gate { return b.limits }
+
 // Leaving returns the log of the upstreams that leave.
 func (b *Balancer) Leaving() *discovery.LeavingLog { return b.leaving }
 
-// markLeaving records that an upstream said that it leaves.
-func (b *Balancer) markLeaving(id, incarnation string) {
+// bornOf returns the start time of an incarnation.
+func bornOf(incarnation string) int64 {
 	// Parsing cannot fail: syncRouter formatted the number.
 	born, _ := strconv.ParseInt(incarnation, 10, 64)
+	return born
+}
+
+// markLeaving records that an upstream said that it leaves.
+func (b *Balancer) markLeaving(id, incarnation string) {
+	born := bornOf(incarnation)
 	if !b.leaving.Mark(b.clock.Now(), discovery.Incarnation{ID: id, Born: born}) {
 		return
 	}
@@ -230,7 +246,7 @@
 			cancel()
 		}
 	}()
-	if !c.startAttempt(ctx) {
+	if !c.startAttempt(ctx, false) {
 		return Response{}, c.best.err
 	}
 	hedge := newHedgeTimer(req)
@@ -242,7 +258,7 @@
 			c.cancelExcept("", errors.Is(ctx.Err(), context.DeadlineExceeded))
 			return Response{}, c.deadlineError()
 		case <-hedge.C:
-			if c.hasRunsLeft() && !c.isSuspect() && c.startAttempt(ctx) {
+			if c.hasRunsLeft() && !c.isSuspect() && c.startAttempt(ctx, true) {
 				b.log.Info("Hedged", zap.String("Request", req.UpstreamRequest.AttemptID), zap.Strings("Tried", c.tried))
 				hedge.Reset(req.HedgeAfter)
 			}
@@ -254,7 +270,7 @@
 				return c.callerResponse(a, cancel), nil
 			}
 			if c.canRetry(a) {
-				c.startAttempt(ctx)
+				c.startAttempt(ctx, false)
 			}
 		}
 	}
@@ -289,14 +305,18 @@
 }
 
 // startAttempt sends the request to an upstream that has not been tried. It
-// reports whether there was one, and maxSends and Permit allowed it.
-func (c *call) startAttempt(ctx context.Context) bool {
+// reports whether there was one, and maxSends and Permit allowed it. A hedge does not use
+// upstreams with a limit.
+func (c *call) startAttempt(ctx context.Context, hedge bool) bool {
 	if c.sends >= maxSends || !c.isPermitted() {
 		return false
 	}
 	suspect := c.isSuspect()
-	choice, ok := c.balancer.selectUpstream(c.req.Pool, c.tried, suspect)
-	if !ok {
+	choice, err := c.balancer.selectUpstream(selection{pool: c.req.Pool, tried: c.tried, suspect: suspect, hedge: hedge, patience: c.req.LimitPatience})
+	if err != nil {
+		if c.sends == 0 {
+			c.refuse(err)
+		}
 		return false
 	}
 	u := choice.Upstream
@@ -304,7 +324,6 @@
 		zap.String("Reason", string(choice.Reason)), zap.Float64("Load", choice.Load), zap.Int("Sends", c.sends+1), zap.Int("Running", c.running))
 	req := c.req.UpstreamRequest
 	req.Address, req.Instance = u.Address, u.ID
-	req.BudgetMS = max(1, rollout.Millis(time.Until(c.req.Deadline).Milliseconds()))
 	sendCtx, cancel := context.WithCancel(ctx)
 	c.cancels[u.ID] = cancellable{cancel, u.Incarnation}
 	c.tried = append(c.tried, u.ID)
@@ -312,7 +331,7 @@
 	c.running++
 	c.sends++
 	go func() {
-		a := c.balancer.send(sendCtx, req)
+		a := c.balancer.sendWithinLimit(sendCtx, req, u, c.req)
 		if suspect {
 			c.balancer.endSuspectRun(u.ID)
 		}
@@ -339,10 +358,16 @@
 	if err == nil {
 		return true
 	}
+	c.refuse(err)
+	return false
+}
+
+// refuse sets the error that the caller gets if the request has not run and no attempt
+// is in progress.
+func (c *call) refuse(err error) {
 	if c.running == 0 && c.best.err != nil && c.best.err.NotRun {
 		c.best.err = rollout.AsError(err)
 	}
-	return false
 }
 
 // canRetry reports whether the request may be sent again after an attempt.
@@ -426,31 +451,6 @@
 	b.router.Finished(b.clock.Now(), id, routing.Outcome{Incarnation: incarnation, Failed: failed, Running: -1})
 }
 
-// selectUpstream returns the upstream for the next attempt of a request. A suspect gets
-// one at which no other suspect runs, if there is one, so that the next crash tells
-// apart requests that were running together at the last.
-func (b *Balancer) selectUpstream(pool string, tried []string, suspect bool) (routing.Choice, bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.nextSyncMS > 0 && b.clock.Now() >= b.nextSyncMS {
-		b.syncRouter()
-	}
-	query := routing.Query{Pool: pool, Exclude: tried}
-	if !suspect {
-		return b.router.Pick(b.clock.Now(), query)
-	}
-	apart := query
-	apart.Exclude = slices.AppendSeq(slices.Clone(tried), maps.Keys(b.suspectRuns))
-	choice, ok := b.router.Pick(b.clock.Now(), apart)
-	if !ok {
-		choice, ok = b.router.Pick(b.clock.Now(), query)
-	}
-	if ok {
-		b.suspectRuns[choice.Upstream.ID]++
-	}
-	return choice, ok
-}
-
 // send runs one attempt. It reads the whole body unless the response is a stream.
 func (b *Balancer) send(ctx context.Context, req rollout.UpstreamRequest) attempt {
 	a := attempt{started: time.Now()}
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -22,6 +22,7 @@
 	status int
 	notRun bool
 	err    error
+	limit  rollout.RateLimit
 	// ended makes the upstream accept no connections.
 	ended bool
 	// delay is the time before the response.
@@ -69,7 +70,7 @@
 	if r.bytes > 0 {
 		body = strings.Repeat("x", r.bytes)
 	}
-	return rollout.UpstreamResponse{Status: r.status, NotRun: r.notRun, Leaving: r.leaving, Body: io.NopCloser(strings.NewReader(body))}, nil
+	return rollout.UpstreamResponse{Status: r.status, NotRun: r.notRun, Leaving: r.leaving, Limit: r.limit, Body: io.NopCloser(strings.NewReader(body))}, nil
 }
 
 // IsListening implements rollout.UpstreamClient. Addresses are the IDs.
--- a/internal/balance/broken_connections.go
+++ b/internal/balance/broken_connections.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -62,15 +61,6 @@
 	return b.crashes.Crashes(fingerprint) > 0
 }
 
-// endSuspectRun records that an attempt of a suspect has ended.
-func (b *Balancer) endSuspectRun(upstream string) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.suspectRuns[upstream]--; b.suspectRuns[upstream] <= 0 {
-		delete(b.suspectRuns, upstream)
-	}
-}
-
 // CrashRecorded returns a channel that receives a value when a request broke off at an
 // upstream that has ended.
 func (b *Balancer) CrashRecorded() <-chan struct{} { return b.crashRecorded }
@@ -102,8 +92,7 @@
 	defer b.mu.Unlock()
 	switch {
 	case a.connectionBroken:
-		// Parsing cannot fail: Sync formatted the number.
-		born, _ := strconv.ParseInt(a.incarnation, 10, 64)
+		born := bornOf(a.incarnation)
 		fingerprint := FingerprintOf(c.req.UpstreamRequest)
 		b.brokenConnections.Record(b.clock.Now(), poison.BrokenConnection{Fingerprint: fingerprint, Upstream: a.upstream, Born: born, Ended: a.upstreamEnded})
 		b.log.Warn("BrokenConnectionRecorded", zap.String("Request", c.req.UpstreamRequest.AttemptID), zap.String("Fingerprint", fingerprint),
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -22,6 +22,7 @@
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/authority"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/clock"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/discovery"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/limit"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/poison"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/registry"
 )
@@ -107,6 +108,8 @@
 	// increases when the set of refused requests changes.
 	poisonDetector *poison.Detector
 	poisonRevision uint64
+	// divider divides the limits of upstreams among the hosts.
+	divider *limit.Divider
 	// refusalsToPropose holds the refused requests that the replicated state lacks.
 	refusalsToPropose []string
 	// usageCooldown decides when this host may send usage reports to the
@@ -135,7 +138,7 @@
 		opts: opts, clock: clock.Boottime{}, dialer: link.NewDialer(opts.Secret),
 		state: registry.New(), table: discovery.New(opts.AnnounceIntervalMS),
 		daemons: make(map[string]watchingDaemon), usage: make(map[uint64]map[string]map[string]uint64),
-		poisonDetector: poison.NewDetector(), changed: make(chan struct{}), routingChanged: make(chan struct{}),
+		poisonDetector: poison.NewDetector(), divider: limit.NewDivider(), changed: make(chan struct{}), routingChanged: make(chan struct{}),
 	}
 	d.usageCooldown = authority.NewCooldown(d.clock.Now(), opts.CooldownMS)
 	d.client = fabric.NewClient(d.dialer)
@@ -230,6 +233,7 @@
 	d.usage = make(map[uint64]map[string]map[string]uint64)
 	d.poisonDetector = poison.NewDetector()
 	d.refusalsToPropose = nil
+	d.divider = limit.NewDivider()
 	d.notifyWatches()
 	d.mu.Unlock()
 	d.runLeaderTasks(ctx, term)
--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -9,11 +9,13 @@
 
 	"go.uber.org/zap"
 
+	"github.com/coltsfootspoke/coltsfootspoke/internal/permits"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/view"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/clock"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/discovery"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/document"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/limit"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/poison"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/registry"
 )
@@ -22,7 +24,7 @@
 func newLocalDirector() *Director {
 	return &Director{
 		opts: Options{Log: zap.NewNop()}, clock: clock.Boottime{}, state: registry.New(), table: discovery.New(1_000),
-		daemons: make(map[string]watchingDaemon), poisonDetector: poison.NewDetector(), changed: make(chan struct{}), routingChanged: make(chan struct{}),
+		daemons: make(map[string]watchingDaemon), poisonDetector: poison.NewDetector(), divider: limit.NewDivider(), changed: make(chan struct{}), routingChanged: make(chan struct{}),
 	}
 }
 
@@ -316,3 +318,35 @@
 		}
 	}
 }
+
+func TestLimitReachesOtherHosts(t *testing.T) {
+	d := newLocalDirector()
+	d.table.Announce(0, discovery.Upstream{ID: "a", Address: "a", Born: 1, Seq: 1, State: discovery.StateReady})
+	u := discovery.Incarnation{ID: "a", Born: 1}
+	before := d.table.Revision()
+	reply := d.grantPermits(permits.Request{Host: "h", Wants: []limit.Want{{Upstream: u, Limit: 3, Said: true}}})
+	if us := d.table.RoutingChangedSince(before); len(us) != 1 || us[0].Limit != 3 || len(reply.Grants) != 1 {
+		t.Fatalf("changes %v, grants %v, want the limit for all hosts and a grant", us, reply.Grants)
+	}
+	reply = d.grantPermits(permits.Request{Host: "h", Wants: []limit.Want{{Upstream: u, Limit: 0, Said: true}}})
+	if perSecond, _ := d.table.Limit("a", 1); perSecond != 0 || len(reply.Grants) != 0 {
+		t.Fatalf("limit %g, grants %v after it has ended, want none", perSecond, reply.Grants)
+	}
+}
+
+// A host that lost control sends at its own fixed share.
+func TestAbsentHostsReduceWhatOthersGet(t *testing.T) {
+	d := newLocalDirector()
+	for _, host := range []string{"g", "h"} {
+		d.recordWatchRequest(view.Request{Host: host, Role: view.RoleEntry})
+	}
+	if present, absent := d.senders(d.clock.Now()); present != 2 || absent != 0 {
+		t.Fatalf("%d present, %d absent, want 2 and 0", present, absent)
+	}
+	if present, absent := d.senders(d.clock.Now() + absentAfterMS + 100); present != 0 || absent != 2 {
+		t.Fatalf("%d present, %d absent after silence, want 0 and 2", present, absent)
+	}
+	if present, absent := d.senders(d.clock.Now() + absentForMS + 100); present != 0 || absent != 0 {
+		t.Fatalf("%d present, %d absent after a long silence, want none", present, absent)
+	}
+}
--- a/internal/director/leader.go
+++ b/internal/director/leader.go
@@ -54,6 +54,7 @@
 			d.notifyWatches()
 		}
 		d.updatePoisons()
+		d.forgetLimits()
 		d.mu.Unlock()
 		d.proposeRefusals(ctx)
 		d.foundStore(ctx)
--- a/internal/director/operator.go
+++ b/internal/director/operator.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/coltsfootspoke/coltsfootspoke/internal/fabric"
+	"github.com/coltsfootspoke/coltsfootspoke/internal/permits"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/view"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/discovery"
@@ -57,6 +58,7 @@
 func (d *Director) register(mux *fabric.Mux) {
 	fabric.Handle(mux, view.MethodWatch, d.watch)
 	fabric.Handle(mux, view.MethodReportCrashes, d.reportCrashes)
+	fabric.Handle(mux, permits.MethodAsk, d.askPermits)
 	fabric.Handle(mux, methodPutConfig, d.putConfig)
 	fabric.Handle(mux, methodReadConfig, d.readConfig)
 	fabric.Handle(mux, methodNameVersion, d.nameVersion)
--- /dev/null
+++ b/internal/director/permits.go
@@ -0,0 +1,85 @@
+package director
+
+import (
+	"context"
+
+	"go.uber.org/zap"
+
+	"github.com/coltsfootspoke/coltsfootspoke/internal/permits"
+	"github.com/coltsfootspoke/coltsfootspoke/internal/view"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
+)
+
+const (
+	// absentAfterMS is how long after its last watch request a host counts as absent. It
+	// then sends to limited upstreams at its fixed share.
+	absentAfterMS rollout.Millis = 1_300
+	// absentForMS is how long an absent host may still be running.
+	absentForMS rollout.Millis = 60_000
+)
+
+// askPermits grants permits to a host.
+func (d *Director) askPermits(_ context.Context, r permits.Request) (permits.Reply, error) {
+	if _, leads := d.replica.Leading(0); !leads {
+		return permits.Reply{}, d.replica.NotLeader()
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.grantPermits(r), nil
+}
+
+// grantPermits records the limits that a host was told, and grants the permits that it
+// wants. The caller holds mu.
+func (d *Director) grantPermits(r permits.Request) permits.Reply {
+	now := d.clock.Now()
+	present, absent := d.senders(now)
+	reply := permits.Reply{Hosts: max(1, present+absent)}
+	changed := false
+	for _, w := range r.Wants {
+		if w.Said && d.table.SetLimit(w.Upstream.ID, w.Upstream.Born, w.Limit) {
+			changed = true
+			d.opts.Log.Info("LimitChanged", zap.String("Upstream", w.Upstream.ID), zap.Int64("Born", w.Upstream.Born),
+				zap.Float64("PerSecond", w.Limit), zap.String("Reporter", r.Host))
+		}
+		perSecond, known := d.table.Limit(w.Upstream.ID, w.Upstream.Born)
+		if !known {
+			perSecond = w.Limit
+		}
+		d.divider.SetLimit(now, w.Upstream, perSecond)
+		if grant, limited := d.divider.Grant(now, r.Host, w.Upstream, w.Count, float64(absent)/float64(reply.Hosts)); limited {
+			reply.Grants = append(reply.Grants, grant)
+		}
+	}
+	if changed {
+		d.notifyWatches()
+	}
+	return reply
+}
+
+// senders returns the number of hosts that send requests to upstreams: those that follow
+// this leader, and those that did a short time ago. The caller holds mu.
+func (d *Director) senders(now rollout.Millis) (present, absent int) {
+	for _, daemon := range d.daemons {
+		if daemon.lastRequest.Role == view.RoleControl {
+			continue
+		}
+		switch age := now - daemon.lastSeenMS; {
+		case age <= absentAfterMS:
+			present++
+		case age <= absentForMS:
+			absent++
+		}
+	}
+	return present, absent
+}
+
+// forgetLimits ends the limits of upstreams to which nothing is sent any more. The caller
+// holds mu.
+func (d *Director) forgetLimits() {
+	for _, u := range d.divider.Forget(d.clock.Now()) {
+		if d.table.SetLimit(u.ID, u.Born, 0) {
+			d.opts.Log.Info("LimitForgotten", zap.String("Upstream", u.ID), zap.Int64("Born", u.Born))
+			d.notifyWatches()
+		}
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,10 +15,12 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/coltsfootspoke/coltsfootspoke/internal/balance"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/fabric"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/link"
+	"github.com/coltsfootspoke/coltsfootspoke/internal/permits"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/view"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/clock"
@@ -121,7 +123,16 @@
 }
 
 // Run keeps the entry's copy of the control state up to date until ctx is done.
-func (g *Gateway) Run(ctx context.Context) error { return g.watcher.Run(ctx) }
+func (g *Gateway) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return g.watcher.Run(ctx) })
+	group.Go(func() error {
+		return permits.New(permits.Options{
+			Host: g.opts.Host, Gate: g.balancer.Limits(), Clock: clock.Boottime{}, Client: g.client, Leader: g.watcher.Leader, Log: g.opts.Log,
+		}).Run(ctx)
+	})
+	return group.Wait()
+}
 
 // Resolve returns the route of a request and the name of its client account. It refuses
 // a request for its route, its key or its client account only from a recent copy of the
@@ -196,6 +207,7 @@
 		HedgeAfter:  time.Duration(hedgeLatencyFraction * float64(route.TargetLatencyMS) * float64(time.Millisecond)),
 		OnStarted:   func() { g.meter.count(account) },
 	}
+	req.Priority, req.LimitPatience = g.priorityOf(route, in.Key), req.HedgeAfter
 	req.Permit = func() error { return g.checkPoison(req.UpstreamRequest) }
 	response, err := g.balancer.Do(ctx, req)
 	g.metrics.observe(in.Received, err)
@@ -212,6 +224,17 @@
 	return response, nil
 }
 
+// priorityOf returns the priority of a request: that of its client account if it has one,
+// or else that of its route.
+func (g *Gateway) priorityOf(route document.Route, key string) int {
+	if index := g.watcher.State().Index; index != nil {
+		if account, ok := index.Account(key); ok && account.Priority != nil {
+			return *account.Priority
+		}
+	}
+	return route.Priority
+}
+
 // checkPoison returns an error if the request is one of those that crash upstreams,
 // as the control leader or this host alone has found.
 func (g *Gateway) checkPoison(x rollout.UpstreamRequest) error {
--- a/internal/jobstore/item.go
+++ b/internal/jobstore/item.go
@@ -20,6 +20,10 @@
 	scoreRetryDelay = 150 * time.Millisecond
 	// scoreTimeout limits one call to a scorer.
 	scoreTimeout = 3 * time.Second
+	// itemLimitPatience and scoreLimitPatience are how long an item and a call to a scorer
+	// wait for an upstream that has reached the limit that it names.
+	itemLimitPatience  = 300 * time.Millisecond
+	scoreLimitPatience = time.Second
 	// saveThreshold is the number of unsaved events of an item at which they are
 	// stored. An engine generates that many in about a second.
 	saveThreshold = 20
@@ -90,12 +94,22 @@
 // generate sends an item to an engine and appends the events of the stream to
 // its text.
 func (r *runner) generate(ctx context.Context, w *workItem, a dispatch.Assignment) dispatch.Outcome {
-	x := r.newExchange(w, a)
 	started := time.Now()
+	if err := r.acquire(ctx, a.Engine, w.route.Priority, itemLimitPatience); err != nil {
+		r.logRun(w, a, started, 0, err)
+		if ctx.Err() != nil {
+			return dispatch.OutcomeCancelled
+		}
+		return dispatch.OutcomeTurnedAway
+	}
+	x := r.newExchange(w, a)
 	resp, err := r.store.opts.Upstreams.SendRequest(ctx, x)
 	if resp.Leaving {
 		r.markLeaving(a.Engine)
 	}
+	if resp.Status != 0 && !resp.Misdirected {
+		r.recordLimit(a.Engine, resp.Limit)
+	}
 	if err != nil {
 		r.logRun(w, a, started, 0, err)
 		if ctx.Err() != nil {
@@ -253,7 +267,7 @@
 	response, err := r.store.balancer.Do(ctx, balance.Request{
 		UpstreamRequest: rollout.UpstreamRequest{Method: "POST", URI: sc.Path, Host: sc.Host, AttemptID: sc.ID, Body: sc.Body},
 		Pool:            pool, Repeatable: true, MaxAttempts: 1,
-		Deadline: time.Now().Add(scoreTimeout),
+		Deadline: time.Now().Add(scoreTimeout), Priority: route.Priority, LimitPatience: scoreLimitPatience,
 	})
 	if err != nil {
 		r.store.opts.Log.Info("ScorerFailed", zap.String("Request", sc.ID), zap.Error(err))
--- a/internal/jobstore/load.go
+++ b/internal/jobstore/load.go
@@ -21,6 +21,7 @@
 func (r *runner) orderLoad(ctx context.Context, l dispatch.WeightLoad) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
+	r.awaitOrderPermit(ctx, l)
 	if l.NeedsReport {
 		report, err := r.store.opts.Upstreams.FetchReport(ctx, l.Address)
 		if err != nil {
@@ -30,6 +31,7 @@
 		if report.Leaving {
 			r.markLeaving(l.Engine)
 		}
+		r.recordLimit(l.Engine, report.Limit)
 		r.mu.Lock()
 		next, wanted := r.sched.ReportReceived(r.store.clock.Now(), l, report)
 		r.mu.Unlock()
@@ -52,9 +54,20 @@
 	if reply.Leaving {
 		r.markLeaving(l.Engine)
 	}
+	if err == nil {
+		r.recordLimit(l.Engine, reply.Limit)
+	}
 	r.recordOrderOutcome(l, reply.Outcome, err)
 }
 
+// awaitOrderPermit waits until the limit of an engine allows an order. The order is sent
+// in any case, because the engine must not go on with an old version.
+func (r *runner) awaitOrderPermit(ctx context.Context, l dispatch.WeightLoad) {
+	if err := r.acquire(ctx, l.Engine, 0, itemLimitPatience); err != nil {
+		r.store.opts.Log.Info("WeightOrderBeyondLimit", zap.String("Upstream", l.Engine), zap.Error(err))
+	}
+}
+
 // needsSingleVersion reports whether an open job requires that each sample of a
 // model is generated with a single weight version.
 func (r *runner) needsSingleVersion(model string) bool {
--- a/internal/jobstore/runner.go
+++ b/internal/jobstore/runner.go
@@ -358,6 +358,23 @@
 	r.wakeUp()
 }
 
+// incarnationOf returns the incarnation of an engine that control knows.
+func (r *runner) incarnationOf(engine string) discovery.Incarnation {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return discovery.Incarnation{ID: engine, Born: r.upstreams[engine].Born}
+}
+
+// acquire waits until the limit that an engine names allows a request.
+func (r *runner) acquire(ctx context.Context, engine string, priority int, patience time.Duration) error {
+	return r.store.balancer.Limits().Acquire(ctx, r.incarnationOf(engine), priority, patience)
+}
+
+// recordLimit records the limit that an engine named in a response.
+func (r *runner) recordLimit(engine string, l rollout.RateLimit) {
+	r.store.balancer.Limits().Said(r.incarnationOf(engine), l)
+}
+
 // wakeUp triggers a scheduling pass. It does not block.
 func (r *runner) wakeUp() {
 	select {
--- a/internal/jobstore/store.go
+++ b/internal/jobstore/store.go
@@ -12,11 +12,13 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/coltsfootspoke/coltsfootspoke/internal/balance"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/fabric"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/link"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/pack"
+	"github.com/coltsfootspoke/coltsfootspoke/internal/permits"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/replica"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/view"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
@@ -116,10 +118,22 @@
 func (s *Store) Serve(ctx context.Context, listener net.Listener) error {
 	return s.replica.Serve(ctx, replica.Service{
 		Listener: listener, Secret: s.opts.Secret, Register: s.register,
-		KnownHosts: s.knownHosts, Background: s.watcher.Run, BeforeTransfer: s.beforeTransfer,
+		KnownHosts: s.knownHosts, Background: s.runBackground, BeforeTransfer: s.beforeTransfer,
 	})
 }
 
+// runBackground follows control and asks it for permits.
+func (s *Store) runBackground(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return s.watcher.Run(ctx) })
+	group.Go(func() error {
+		return permits.New(permits.Options{
+			Host: s.opts.Host + "/store", Gate: s.balancer.Limits(), Clock: s.clock, Client: s.client, Leader: s.watcher.Leader, Log: s.opts.Log,
+		}).Run(ctx)
+	})
+	return group.Wait()
+}
+
 // applyView applies the view that control distributes.
 func (s *Store) applyView(v view.State) {
 	self := s.replica.Status()
--- a/pkg/rollout/discovery/discovery.go
+++ b/pkg/rollout/discovery/discovery.go
@@ -49,6 +49,9 @@
 	// announcements.
 	Born int64
 	Seq  uint64
+	// Limit is the number of requests a second that the upstream takes from all hosts, or
+	// 0 if it has named no limit.
+	Limit float64 `json:",omitempty"`
 	// Silent is true when several announcements in a row are missing.
 	Silent bool `json:",omitempty"`
 	// Revision is the table revision at which the upstream last changed, and
@@ -107,7 +110,10 @@
 	if old != nil && old.Born == u.Born && old.State == StateDraining && u.State == StateReady {
 		u.State = StateDraining
 	}
-	u.Silent = false
+	u.Silent, u.Limit = false, 0
+	if old != nil && old.Born == u.Born {
+		u.Limit = old.Limit
+	}
 	next := &record{Upstream: u, lastSeenMS: now}
 	t.put(next)
 	if old != nil && sameRouting(old.Upstream, u) {
@@ -147,6 +153,28 @@
 	return true
 }
 
+// SetLimit sets the limit of an incarnation, or removes it if it is 0, and reports
+// whether the table changed.
+func (t *Table) SetLimit(id string, born int64, limit float64) bool {
+	r := t.byID[id]
+	if r == nil || r.State == StateGone || r.Born != born || r.Limit == limit {
+		return false
+	}
+	r.Limit = limit
+	t.bumpRevision(r)
+	return true
+}
+
+// Limit returns the limit of an incarnation, or 0 if it has none, and whether the
+// incarnation is known.
+func (t *Table) Limit(id string, born int64) (float64, bool) {
+	r := t.byID[id]
+	if r == nil || r.Born != born {
+		return 0, false
+	}
+	return r.Limit, true
+}
+
 // Restore replaces all upstreams with those of another host's table at a revision.
 // All of them count as seen now. Later changes get higher revisions, also if the
 // upstreams that changed last have left the table since.
@@ -292,5 +320,5 @@
 // the revisions.
 func sameRouting(a, b Upstream) bool {
 	return a.Pool == b.Pool && a.Address == b.Address && a.FailureDomain == b.FailureDomain &&
-		a.State == b.State && a.Slots == b.Slots && a.Born == b.Born && a.Silent == b.Silent
+		a.State == b.State && a.Slots == b.Slots && a.Born == b.Born && a.Silent == b.Silent && a.Limit == b.Limit
 }
--- a/pkg/rollout/discovery/discovery_test.go
+++ b/pkg/rollout/discovery/discovery_test.go
@@ -217,3 +217,24 @@
 		t.Fatalf("changes %v after the restored revision, want c", us)
 	}
 }
+
+func TestLimitOutlivesAnnouncements(t *testing.T) {
+	table := discovery.New(announceIntervalMS)
+	assertAnnounce(t, table, 0, upstream("a", "x:1", 5, 1), true, true)
+	if table.SetLimit("a", 4, 2.5) || !table.SetLimit("a", 5, 2.5) || table.SetLimit("a", 5, 2.5) {
+		t.Fatal("want the limit of incarnation 5 set once, and none of incarnation 4")
+	}
+	assertAnnounce(t, table, 1, upstream("a", "x:1", 5, 2), true, false)
+	if limit, known := table.Limit("a", 5); limit != 2.5 || !known {
+		t.Fatalf("limit %g, known %v after an announcement, want 2.5", limit, known)
+	}
+	next := discovery.New(announceIntervalMS)
+	next.Restore(2, table.ChangedSince(0), table.Revision())
+	if limit, _ := next.Limit("a", 5); limit != 2.5 {
+		t.Fatalf("limit %g in the table of the next leader, want 2.5", limit)
+	}
+	assertAnnounce(t, next, 3, upstream("a", "x:1", 6, 1), true, true)
+	if limit, _ := next.Limit("a", 6); limit != 0 {
+		t.Fatalf("limit %g of the next incarnation, want none", limit)
+	}
+}
--- /dev/null
+++ b/pkg/rollout/limit/divider.go
@@ -0,0 +1,194 @@
+// Package limit keeps upstreams within the request rates that they name, for all hosts
+// together. A Divider at the leader of control grants permits to hosts by their demand,
+// and a Gate at each host spends one for each request.
+package limit
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/discovery"
+)
+
+const (
+	// windowMS is the time in which an upstream gets no more than its limit allows.
+	windowMS rollout.Millis = 4_000
+	// PermitMS is how long a permit is valid. Hosts whose demand was not met ask again
+	// after that time.
+	PermitMS rollout.Millis = 150
+	// demandMS is how long demand that was not met is remembered. It spans two requests
+	// of a host.
+	demandMS = 2 * PermitMS
+	// saveMS and minSaved bound the credit that is saved while no host asks.
+	saveMS   rollout.Millis = 500
+	minSaved                = 2.0
+	// forgetMS is how long a limit holds after a host was last told or asked for permits.
+	forgetMS rollout.Millis = 30_000
+)
+
+// allowance returns how many requests an upstream takes in each window.
+func allowance(limit float64) int { return int(limit * float64(windowMS) / 1_000) }
+
+// ratePerMS returns how many permits a limit allows in a millisecond. A permit may be used
+// at any time while it is valid, so the rate is below the limit.
+func ratePerMS(limit float64) float64 {
+	if n := allowance(limit); n > 0 {
+		return float64(n) / float64(windowMS+PermitMS)
+	}
+	return limit / 1_000
+}
+
+// Grant is the answer to a host that asks for permits.
+type Grant struct {
+	Upstream discovery.Incarnation
+	// Permits is the number of requests that the host may send within PermitMS.
+	Permits int
+	// NextMS is the expected time until the host gets the next permit, and IntervalMS that
+	// from one to the next after it.
+	NextMS, IntervalMS rollout.Millis
+}
+
+// Divider divides the limits of upstreams among hosts. It is not safe for concurrent use.
+type Divider struct {
+	buckets map[discovery.Incarnation]*bucket
+}
+
+// bucket is the limit of one upstream.
+type bucket struct {
+	limit  float64
+	usedMS rollout.Millis
+	// credit is the number of permits that may be granted as far as the rate allows, as
+	// of creditMS.
+	credit   float64
+	creditMS rollout.Millis
+	// granted holds the times of the permits that may be used in the window that ends now.
+	granted []rollout.Millis
+	// hosts holds the hosts with demand.
+	hosts map[string]*demand
+}
+
+// demand is what a host wanted of an upstream when it last asked.
+type demand struct {
+	askedMS rollout.Millis
+	unmet   int
+}
+
+// NewDivider returns a divider without limits.
+func NewDivider() *Divider { return &Divider{buckets: make(map[discovery.Incarnation]*bucket)} }
+
+// SetLimit sets the limit of an upstream in requests a second. 0 removes it.
+func (d *Divider) SetLimit(now rollout.Millis, u discovery.Incarnation, limit float64) {
+	if limit <= 0 {
+		delete(d.buckets, u)
+		return
+	}
+	b := d.buckets[u]
+	if b == nil {
+		b = &bucket{creditMS: now, hosts: make(map[string]*demand)}
+		d.buckets[u] = b
+	}
+	b.limit, b.usedMS = limit, now
+}
+
+// Forget removes the limits that no host has used for long, and returns their upstreams.
+func (d *Divider) Forget(now rollout.Millis) []discovery.Incarnation {
+	var forgotten []discovery.Incarnation
+	for u, b := range d.buckets {
+		if now-b.usedMS > forgetMS {
+			forgotten = append(forgotten, u)
+			delete(d.buckets, u)
+		}
+	}
+	return forgotten
+}
+
+// Grant grants a host up to wanted permits for an upstream. absent is the share of all
+// hosts that can't reach this divider and send at their own fixed share. It reports false
+// if the upstream has no limit here.
+func (d *Divider) Grant(now rollout.Millis, host string, u discovery.Incarnation, wanted int, absent float64) (Grant, bool) {
+	b := d.buckets[u]
+	if b == nil {
+		return Grant{Upstream: u}, false
+	}
+	b.usedMS = now
+	perMS := ratePerMS(b.limit) * (1 - absent)
+	b.refill(now, perMS)
+	maps.DeleteFunc(b.hosts, func(name string, dm *demand) bool { return name != host && now-dm.askedMS > demandMS })
+	own := b.hosts[host]
+	if own == nil {
+		own = &demand{}
+		b.hosts[host] = own
+	}
+	own.askedMS, own.unmet = now, wanted
+	granted := min(wanted, b.shareOf(b.available(now, absent)))
+	for range granted {
+		b.granted = append(b.granted, now)
+	}
+	b.credit -= float64(granted)
+	own.unmet -= granted
+	waiting := b.waiting()
+	if own.unmet == 0 {
+		delete(b.hosts, host)
+	}
+	g := Grant{Upstream: u, Permits: granted}
+	if perMS > 0 {
+		g.IntervalMS = rollout.Millis(float64(max(1, waiting)) / perMS)
+		ahead := float64(max(1, waiting)+1) / 2
+		g.NextMS = max(rollout.Millis((ahead-b.credit)/perMS), b.windowFreeMS(now, absent))
+	}
+	return g, true
+}
+
+// refill adds the credit for the time since the last one. It may be saved for saveMS, so
+// that hosts that ask late lose nothing.
+func (b *bucket) refill(now rollout.Millis, perMS float64) {
+	most := max(minSaved, perMS*float64(saveMS))
+	b.credit = min(most, b.credit+perMS*float64(now-b.creditMS))
+	b.creditMS = now
+}
+
+// available returns how many permits may be granted so that each window stays within the
+// limit, less the part of absent hosts.
+func (b *bucket) available(now rollout.Millis, absent float64) int {
+	b.granted = slices.DeleteFunc(b.granted, func(at rollout.Millis) bool { return now-at > windowMS+PermitMS })
+	return max(0, min(int(b.credit), b.inWindow(absent)-len(b.granted)))
+}
+
+// inWindow returns how many permits may be granted in a window.
+func (b *bucket) inWindow(absent float64) int {
+	if n := allowance(b.limit); n > 0 {
+		return int(float64(n) * (1 - absent))
+	}
+	return 1
+}
+
+// windowFreeMS returns the time until the window has room for another permit.
+func (b *bucket) windowFreeMS(now rollout.Millis, absent float64) rollout.Millis {
+	i := len(b.granted) - b.inWindow(absent)
+	if i < 0 || i >= len(b.granted) {
+		return 0
+	}
+	return max(0, b.granted[i]+windowMS+PermitMS-now)
+}
+
+// shareOf returns how many of the permits at hand a host gets that asks: an equal part for
+// each host that waits, and at least one. Permits are not kept for the others, because many
+// of their requests have given up before they ask again.
+func (b *bucket) shareOf(left int) int {
+	if left == 0 {
+		return 0
+	}
+	return max(1, left/max(1, b.waiting()))
+}
+
+// waiting returns the number of hosts that lack permits.
+func (b *bucket) waiting() int {
+	n := 0
+	for _, dm := range b.hosts {
+		if dm.unmet > 0 {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/pkg/rollout/limit/gate.go
@@ -0,0 +1,396 @@
+package limit
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/discovery"
+)
+
+const (
+	// ownShareAfterMS is how long a host sends nothing to a limited upstream after it lost
+	// the divider. The divider takes it for absent by then.
+	ownShareAfterMS rollout.Millis = 1_500
+	// answerMS is the time of a call to the divider. Requests that give up earlier want
+	// nothing of it.
+	answerMS rollout.Millis = 20
+	// minLimit replaces lower limits, so that an upstream that takes nothing is asked
+	// again in the end.
+	minLimit = 0.01
+)
+
+// askMS is the longest time until a host asks again while requests wait. It is below
+// PermitMS, so that the divider loses no credit in between.
+const askMS = PermitMS * 2 / 3
+
+// AskInterval returns the time until a host asks again while requests wait. It varies, so
+// that no host always asks right after another one.
+func AskInterval(random rollout.Random) rollout.Millis {
+	return askMS/2 + rollout.Millis(random.Int64N(int64(askMS/2)))
+}
+
+// Want is what a host wants of an upstream.
+type Want struct {
+	Upstream discovery.Incarnation
+	// Count is the number of requests that wait.
+	Count int
+	// Limit is the limit as this host knows it, or 0 for none. Said is true if an upstream
+	// has named it to this host and others may not know it.
+	Limit float64
+	Said  bool `json:",omitempty"`
+}
+
+// Gate holds requests to upstreams that name a limit until there is a permit. It is safe
+// for concurrent use.
+type Gate struct {
+	clock rollout.Clock
+	// wake receives a value when there are new wants.
+	wake chan struct{}
+
+	mu        sync.Mutex
+	upstreams map[discovery.Incarnation]*gated
+	// unansweredMS is when this host first asked the divider without an answer since, or
+	// 0. hosts is the number of hosts that share the limits.
+	unansweredMS rollout.Millis
+	hosts        int
+}
+
+// gated is an upstream that has named a limit.
+type gated struct {
+	// limit is in requests a second, or 0 if it has ended. changedMS is when this host
+	// learned it.
+	limit     float64
+	changedMS rollout.Millis
+	// told is the limit that control last announced.
+	told float64
+	// unsaid is true if control may not know the limit.
+	unsaid bool
+	// permits holds the times at which permits expire, in order.
+	permits []rollout.Millis
+	waiters []*waiter
+	// nextMS is when the next permit can be expected, and intervalMS the time from one to
+	// the next after it.
+	nextMS, intervalMS rollout.Millis
+	// ownCredit counts the permits of this host's fixed share, as of ownMS.
+	ownCredit float64
+	ownMS     rollout.Millis
+}
+
+// waiter is a request that waits for a permit.
+type waiter struct {
+	// admitted is closed when the request may be sent.
+	admitted chan struct{}
+	priority int
+	// untilMS is when the request gives up.
+	untilMS rollout.Millis
+}
+
+// NewGate returns a gate that knows no limits.
+func NewGate(clock rollout.Clock) *Gate {
+	return &Gate{clock: clock, wake: make(chan struct{}, 1), upstreams: make(map[discovery.Incarnation]*gated), hosts: 1}
+}
+
+// Wake returns a channel that receives a value when there are new wants.
+func (g *Gate) Wake() <-chan struct{} { return g.wake }
+
+// Limit returns the limit of an upstream, or 0 if it has none.
+func (g *Gate) Limit(u discovery.Incarnation) float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if s := g.upstreams[u]; s != nil {
+		return s.limit
+	}
+	return 0
+}
+
+// Limited returns the IDs of the upstreams with a limit.
+func (g *Gate) Limited() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var ids []string
+	for u, s := range g.upstreams {
+		if s.limit > 0 {
+			ids = append(ids, u.ID)
+		}
+	}
+	return ids
+}
+
+// Said records the limit that a response of an upstream named.
+func (g *Gate) Said(u discovery.Incarnation, named rollout.RateLimit) {
+	limit := 0.0
+	if named.Limited {
+		limit = max(named.PerSecond, minLimit)
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := g.upstreams[u]
+	if s == nil {
+		if limit <= 0 {
+			return
+		}
+		s = &gated{}
+		g.upstreams[u] = s
+	}
+	if s.limit == limit {
+		return
+	}
+	s.unsaid = s.told != limit
+	g.change(s, limit)
+	g.signal()
+}
+
+// Sync applies the limits that control announces with the upstreams.
+func (g *Gate) Sync(us map[string]discovery.Upstream) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, u := range us {
+		key := discovery.Incarnation{ID: u.ID, Born: u.Born}
+		s := g.upstreams[key]
+		if s == nil && u.Limit > 0 {
+			s = &gated{}
+			g.upstreams[key] = s
+		}
+		if s == nil || s.told == u.Limit {
+			continue
+		}
+		s.told, s.unsaid = u.Limit, false
+		g.change(s, u.Limit)
+	}
+	for key, s := range g.upstreams {
+		if u, known := us[key.ID]; (!known || u.Born != key.Born) && len(s.waiters) == 0 {
+			delete(g.upstreams, key)
+		}
+	}
+}
+
+// change sets the limit of an upstream. The caller holds mu.
+func (g *Gate) change(s *gated, limit float64) {
+	now := g.clock.Now()
+	s.limit, s.changedMS = limit, now
+	s.ownCredit, s.ownMS = 0, now
+	if limit > 0 {
+		return
+	}
+	for _, w := range s.waiters {
+		close(w.admitted)
+	}
+	s.waiters, s.permits = nil, nil
+}
+
+// Wait returns the predicted wait of one more request to an upstream.
+func (g *Gate) Wait(u discovery.Incarnation) rollout.Millis {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := g.upstreams[u]
+	if s == nil || s.limit <= 0 {
+		return 0
+	}
+	return g.waitOf(s)
+}
+
+// waitOf returns the predicted wait of one more request. The caller holds mu.
+func (g *Gate) waitOf(s *gated) rollout.Millis {
+	now := g.clock.Now()
+	s.dropExpired(now)
+	missing := len(s.waiters) + 1 - len(s.permits)
+	if missing <= 0 {
+		return 0
+	}
+	if g.isLost(now) {
+		return rollout.Millis(float64(missing) * 1_000 / g.ownRate(s))
+	}
+	return max(0, s.nextMS-now) + rollout.Millis(missing-1)*max(PermitMS, s.intervalMS)
+}
+
+// isLost reports whether this host has lost the divider. The caller holds mu.
+func (g *Gate) isLost(now rollout.Millis) bool {
+	return g.unansweredMS > 0 && now-g.unansweredMS > ownShareAfterMS
+}
+
+// ownRate returns the rate of this host's fixed share. The caller holds mu.
+func (g *Gate) ownRate(s *gated) float64 {
+	return 1_000 * ratePerMS(s.limit) / float64(max(1, g.hosts))
+}
+
+// Acquire waits for a permit for an upstream, for a time at most. It fails at once if the
+// wait would be longer. An upstream without a limit needs no permit. Among the requests
+// that wait, those of the highest priority, 0, go first.
+func (g *Gate) Acquire(ctx context.Context, u discovery.Incarnation, priority int, patience time.Duration) error {
+	w, err := g.join(u, priority, rollout.Millis(patience.Milliseconds()))
+	if w == nil || err != nil {
+		return err
+	}
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	select {
+	case <-w.admitted:
+		return nil
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return g.leave(u, w)
+}
+
+// join returns nil if a request may be sent now, or else its place in the queue.
+func (g *Gate) join(u discovery.Incarnation, priority int, patience rollout.Millis) (*waiter, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := g.upstreams[u]
+	if s == nil || s.limit <= 0 {
+		return nil, nil
+	}
+	g.useOwnShare(s)
+	s.dropExpired(g.clock.Now())
+	if len(s.permits) > 0 && len(s.waiters) == 0 {
+		s.permits = s.permits[1:]
+		return nil, nil
+	}
+	if wait := g.waitOf(s); wait > patience {
+		return nil, newLimitError(u, s.limit, wait)
+	}
+	w := &waiter{admitted: make(chan struct{}), priority: priority, untilMS: g.clock.Now() + patience}
+	i := slices.IndexFunc(s.waiters, func(other *waiter) bool { return other.priority > priority })
+	if i < 0 {
+		i = len(s.waiters)
+	}
+	s.waiters = slices.Insert(s.waiters, i, w)
+	g.signal()
+	return w, nil
+}
+
+// leave takes a request out of the queue. It returns nil if the request has been admitted.
+func (g *Gate) leave(u discovery.Incarnation, w *waiter) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	select {
+	case <-w.admitted:
+		return nil
+	default:
+	}
+	s := g.upstreams[u]
+	if s == nil {
+		return newLimitError(u, 0, 0)
+	}
+	s.waiters = slices.DeleteFunc(s.waiters, func(other *waiter) bool { return other == w })
+	return newLimitError(u, s.limit, g.waitOf(s))
+}
+
+func newLimitError(u discovery.Incarnation, limit float64, wait rollout.Millis) error {
+	return rollout.NewError(rollout.KindOverloaded, "upstream %s takes %g requests a second from all hosts, the next in %d ms", u.ID, limit, wait).
+		WithNotRun().WithRetryAfter(max(1, wait))
+}
+
+// Ask returns what this host wants of the divider, and whether it must ask. A host that
+// has lost the divider goes on asking.
+func (g *Gate) Ask() (wants []Want, must bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.clock.Now()
+	for u, s := range g.upstreams {
+		count := 0
+		for _, w := range s.waiters {
+			if w.untilMS-now > answerMS {
+				count++
+			}
+		}
+		if count > 0 || s.unsaid {
+			wants = append(wants, Want{Upstream: u, Count: count, Limit: s.limit, Said: s.unsaid})
+		}
+	}
+	if len(wants) == 0 && g.unansweredMS == 0 {
+		return nil, false
+	}
+	if g.unansweredMS == 0 {
+		g.unansweredMS = now
+	}
+	return wants, true
+}
+
+// Apply applies the grants for wants that were sent at a time, by a divider that knows a
+// number of hosts. An upstream without a grant has no limit any more.
+func (g *Gate) Apply(sentMS rollout.Millis, wants []Want, grants []Grant, hosts int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.clock.Now()
+	g.unansweredMS, g.hosts = 0, hosts
+	for _, w := range wants {
+		s := g.upstreams[w.Upstream]
+		if s == nil || w.Limit != s.limit {
+			continue
+		}
+		if w.Said {
+			s.unsaid = false
+		}
+		if !slices.ContainsFunc(grants, func(grant Grant) bool { return grant.Upstream == w.Upstream }) {
+			g.change(s, 0)
+		}
+	}
+	for _, grant := range grants {
+		s := g.upstreams[grant.Upstream]
+		if s == nil {
+			continue
+		}
+		s.nextMS, s.intervalMS = now+grant.NextMS, grant.IntervalMS
+		for range grant.Permits {
+			s.permits = append(s.permits, sentMS+PermitMS)
+		}
+		s.admit(now)
+	}
+}
+
+// Tick admits requests within the fixed share of this host while it can't reach the
+// divider. It reports whether there is something to ask the divider for.
+func (g *Gate) Tick() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	waiting := g.unansweredMS > 0
+	for _, s := range g.upstreams {
+		g.useOwnShare(s)
+		s.admit(g.clock.Now())
+		waiting = waiting || len(s.waiters) > 0 || s.unsaid
+	}
+	return waiting
+}
+
+// useOwnShare adds the permits of this host's fixed share if it has lost the divider. The
+// caller holds mu.
+func (g *Gate) useOwnShare(s *gated) {
+	now := g.clock.Now()
+	if !g.isLost(now) || s.limit <= 0 {
+		s.ownCredit, s.ownMS = 0, now
+		return
+	}
+	s.ownCredit = min(1, s.ownCredit+g.ownRate(s)*float64(now-s.ownMS)/1_000)
+	s.ownMS = now
+	if s.ownCredit >= 1 {
+		s.ownCredit--
+		s.permits = append(s.permits, now+PermitMS)
+	}
+}
+
+// admit gives permits to the requests that have waited longest.
+func (s *gated) admit(now rollout.Millis) {
+	s.dropExpired(now)
+	n := min(len(s.permits), len(s.waiters))
+	for _, w := range s.waiters[:n] {
+		close(w.admitted)
+	}
+	s.permits, s.waiters = s.permits[n:], s.waiters[n:]
+}
+
+// dropExpired removes the permits that have expired.
+func (s *gated) dropExpired(now rollout.Millis) {
+	s.permits = slices.DeleteFunc(s.permits, func(until rollout.Millis) bool { return until <= now })
+}
+
+// signal wakes the client of the divider up. The caller holds mu.
+func (g *Gate) signal() {
+	select {
+	case g.wake <- struct{}{}:
+	default:
+	}
+}
--- a/pkg/rollout/routing/routing.go
+++ b/pkg/rollout/routing/routing.go
@@ -67,6 +67,8 @@
 	// ReasonScan is the scan of the whole pool, after the random draws found no
 	// eligible upstream.
 	ReasonScan Reason = "scan"
+	// ReasonLimit is the shortest wait among upstreams that name a limit.
+	ReasonLimit Reason = "limit"
 )
 
 // Query describes a request for which an upstream is to be chosen.
@@ -84,6 +86,9 @@
 	// Exclude holds the IDs of upstreams that must not be chosen because the
 	// request has already been tried there.
 	Exclude []string
+	// MaxLoad excludes upstreams with that many requests per slot, or more. Zero means
+	// no maximum.
+	MaxLoad float64
 }
 
 // Choice is the upstream chosen for a query.
@@ -193,11 +198,26 @@
 	if c == nil {
 		return Choice{}, false
 	}
+	return r.place(now, p, c, reason), true
+}
+
+// PickUpstream chooses an upstream by its ID, if it is eligible, and counts the request as
+// outstanding there.
+func (r *Router) PickUpstream(now rollout.Millis, id string, q Query) (Choice, bool) {
+	c := r.candidates[id]
+	if c == nil || c.upstream.Pool != q.Pool || c.upstream.Leaving || !r.eligible(now, c, q) {
+		return Choice{}, false
+	}
+	return r.place(now, r.pools[q.Pool], c, ReasonLimit), true
+}
+
+// place counts a request as outstanding at a candidate.
+func (r *Router) place(now rollout.Millis, p *pool, c *candidate, reason Reason) Choice {
 	load := r.load(now, c)
 	c.outstanding++
 	p.outstanding++
 	c.probing = c.probing || c.ejectedUntil > 0
-	return Choice{Upstream: c.upstream, Reason: reason, Load: load}, true
+	return Choice{Upstream: c.upstream, Reason: reason, Load: load}
 }
 
 // Finished records the outcome of a request that Pick placed at an upstream.
@@ -420,6 +440,9 @@
 	if c.ejectedUntil > 0 && (now < c.ejectedUntil || c.probing) {
 		return false
 	}
+	if q.MaxLoad > 0 && r.load(now, c) >= q.MaxLoad {
+		return false
+	}
 	return !slices.Contains(q.Exclude, c.upstream.ID)
 }
 
--- a/pkg/rollout/upstream.go
+++ b/pkg/rollout/upstream.go
@@ -36,6 +36,15 @@
 	ResumeAfter string
 }
 
+// RateLimit is the limit that a response of an upstream names. The zero value means that
+// it names none.
+type RateLimit struct {
+	// Limited is true if there is a limit.
+	Limited bool
+	// PerSecond is the number of requests a second from all hosts together.
+	PerSecond float64
+}
+
 // UpstreamResponse is the response of an upstream.
 type UpstreamResponse struct {
 	Status int
@@ -52,6 +61,8 @@
 	// Leaving is true if the upstream is about to end. It is also set beside an error
 	// that concerns the rest of the response.
 	Leaving bool
+	// Limit is what the upstream takes from all hosts together.
+	Limit RateLimit
 	// Stamp is the upstream's signature of the response.
 	Stamp string
 	// WeightVersion is the version that generates the first event, or 0.
@@ -111,6 +122,7 @@
 	Outcome WeightOrderOutcome
 	// Leaving is true if the engine is about to end.
 	Leaving bool
+	Limit   RateLimit
 }
 
 // String returns the name of the outcome.
@@ -130,6 +142,7 @@
 	Accepted uint64
 	// Leaving is true if the engine is about to end.
 	Leaving bool
+	Limit   RateLimit
 	// Versions holds the weight version of each model that the engine serves.
 	Versions map[string]uint64
 }
