Bound the responses of upstreams that never end

Bytes that are no response, or no end of one, may come until the caller closes. A head was read up to 10 MiB, a body up to 8 MiB each whatever else was being read, and an event of a stream grew without bound as long as its lines were short; comments and events without end were read for ever.

Heads end at 64 KiB, at all clients. The connection is closed, the upstream counts as failed, and a request that may be repeated goes elsewhere.

Ruled out: a lower limit for each body, as 64 upstreams at once still need 64 of them; buffers that grow, as each leaves its former self to the garbage collector.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"strconv"
 	"sync"
@@ -26,8 +25,6 @@
 	// maxSends limits how often one request is sent. Attempts that an upstream
 	// rejected without running the request count too.
 	maxSends = 6
-	// maxResponseBytes limits a response that is buffered in memory.
-	maxResponseBytes = 8 << 20
 	// busyRetryMS is the retry delay that the caller is told if every upstream
 	// was at capacity.
 	busyRetryMS rollout.Millis = 200
@@ -91,6 +88,8 @@
 	crashRecorded chan struct{}
 	// leaving holds the upstreams whose responses said that they leave.
 	leaving *discovery.LeavingLog
+	// buffered counts the bytes of the bodies that are being read.
+	buffered byteBudget
 	// limits holds requests to upstreams that name a limit.
 	limits *limit.Gate
 	// known holds the upstreams as control knows them.
@@ -473,14 +472,10 @@
 		return a
 	}
 	a.response.Head.Streaming = false
-	a.response.Body, err = io.ReadAll(io.LimitReader(head.Body, maxResponseBytes+1))
-	err = errors.Join(err, head.Body.Close())
-	switch {
-	case len(a.response.Body) > maxResponseBytes:
+	a.response.Body, err = b.buffered.readAll(head.Body)
+	if err = errors.Join(err, head.Body.Close()); err != nil {
 		a.response.Body = nil
-		a.err = rollout.NewError(rollout.KindTruncated, "response of upstream %s to request %s is longer than %d bytes", req.Instance, req.AttemptID, maxResponseBytes)
-	case err != nil:
-		a.err = rollout.NewError(rollout.KindTruncated, "read response of upstream %s", req.Instance).WithCause(err)
+		a.err = rollout.NewError(rollout.KindTruncated, "read response of upstream %s to request %s", req.Instance, req.AttemptID).WithCause(err)
 	}
 	return a
 }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"time"
 
+	"github.com/coltsfootspoke/coltsfootspoke/internal/upstream"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 )
 
@@ -28,7 +29,7 @@
 
 // NewHTTPClient returns a client of the platform at a URL.
 func NewHTTPClient(url string) *HTTPClient {
-	return &HTTPClient{url: url, client: &http.Client{}}
+	return &HTTPClient{url: url, client: upstream.NewClient(true)}
 }
 
 // SendOrder implements rollout.Platform.
--- a/internal/scorer/scorer.go
+++ b/internal/scorer/scorer.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"time"
 
+	"github.com/coltsfootspoke/coltsfootspoke/internal/upstream"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 )
 
@@ -36,7 +37,9 @@
 // New returns a scorer for the service at a URL. If the URL is empty, each sample
 // gets the score 0.
 func New(url string) *Scorer {
-	return &Scorer{url: url, client: &http.Client{Timeout: timeout}}
+	client := upstream.NewClient(true)
+	client.Timeout = timeout
+	return &Scorer{url: url, client: client}
 }
 
 // Score returns the score of a sample.
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -21,6 +21,8 @@
 	readBufferBytes    = 32 << 10
 	// maxAnswerBytes limits the size of one answer.
 	maxAnswerBytes = 64 << 20
+	// maxHeadBytes is the maximum length of the head of a response.
+	maxHeadBytes = 64 << 10
 )
 
 // NewClient returns an HTTP client for upstreams. Requests that must not run twice
@@ -34,6 +36,8 @@
 			MaxIdleConnsPerHost: maxIdlePerUpstream,
 			DisableKeepAlives:   !reuse,
 			DisableCompression:  true,
+
+			MaxResponseHeaderBytes: maxHeadBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
