Pause engines while their limit lets nothing through

The scheduler of items assigned them to engines of texts whose limit was used up, and got them back at once, up to 28 times a second. An engine that turns an item away for its limit gets none until a permit can be expected, for 1 s at most.

--- a/internal/jobstore/item.go
+++ b/internal/jobstore/item.go
@@ -24,6 +24,9 @@
 	// wait for an upstream that has reached the limit that it names.
 	itemLimitPatience  = 300 * time.Millisecond
 	scoreLimitPatience = time.Second
+	// maxLimitPauseMS bounds the pause of an engine whose limit lets nothing through. The
+	// predicted wait may be too long, as other hosts may want less by then.
+	maxLimitPauseMS rollout.Millis = 1_000
 	// saveThreshold is the number of unsaved events of an item at which they are
 	// stored. An engine generates that many in about a second.
 	saveThreshold = 20
@@ -100,6 +103,9 @@
 		if ctx.Err() != nil {
 			return dispatch.OutcomeCancelled
 		}
+		r.mu.Lock()
+		r.sched.Pause(a.Engine, r.store.clock.Now()+min(rollout.AsError(err).RetryDelay(), maxLimitPauseMS))
+		r.mu.Unlock()
 		return dispatch.OutcomeTurnedAway
 	}
 	x := r.newExchange(w, a)
--- a/pkg/rollout/dispatch/dispatch.go
+++ b/pkg/rollout/dispatch/dispatch.go
@@ -244,7 +244,7 @@
 	case OutcomeDone:
 		e.failures = 0
 	case OutcomeTurnedAway:
-		e.retryAt = now + backoffMS
+		e.retryAt = max(e.retryAt, now+backoffMS)
 	case OutcomeOtherVersion:
 		e.retryAt = now + backoffMS
 		e.reportKnown = false
@@ -256,6 +256,14 @@
 	}
 }
 
+// Pause assigns nothing to an engine until a time, because its limit lets nothing through
+// before.
+func (s *Scheduler) Pause(engine string, until rollout.Millis) {
+	if e := s.engines[engine]; e != nil {
+		e.retryAt = max(e.retryAt, until)
+	}
+}
+
 // Outcome is the result of a run on an engine.
 type Outcome uint8
 
