Let callers go first under a limit, and count the share of hosts that come back

Requests that no caller waits for are marked. They get a permit after callers, leave one permit in reserve while callers want some, and get every fifth at the least. They go to an upstream without a limit only while it is free, and the slots of limited upstreams count for what their limits let through.

A host that lost control sends at its fixed share. When it came back the divider granted the whole limit at once, beside what the host had just sent: 41 and 207 requests in 4 s under 10 and 50 a second with 8 hosts (TestLimitHoldsWhileHostsChange). It now counts as absent for one more window, and its share leaves out the permit that it may have saved.

TestCallersGoFirstUnderLimit: 68 of 68 callers served beside background calls that want 16 times the limit.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -51,6 +51,8 @@
 	Permit func() error
 	// Priority ranks requests that wait for an upstream with a limit; 0 is the highest.
 	Priority int
+	// Background is true if no caller waits for the response.
+	Background bool
 	// LimitPatience is how long the request may wait for an upstream with a limit if no
 	// other one is free.
 	LimitPatience time.Duration
@@ -311,7 +313,7 @@
 		return false
 	}
 	suspect := c.isSuspect()
-	choice, err := c.balancer.selectUpstream(selection{pool: c.req.Pool, tried: c.tried, suspect: suspect, hedge: hedge, patience: c.req.LimitPatience})
+	choice, err := c.balancer.selectUpstream(selection{pool: c.req.Pool, tried: c.tried, suspect: suspect, hedge: hedge, background: c.req.Background, patience: c.req.LimitPatience})
 	if err != nil {
 		if c.sends == 0 {
 			c.refuse(err)
@@ -436,13 +438,6 @@
 	return a.response
 }
 
-// Slots returns the total slots of the upstreams of a pool that are not leaving.
-func (b *Balancer) Slots(pool string) int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.router.Slots(pool)
-}
-
 // recordOutcome tells the router that an attempt has ended.
 func (b *Balancer) recordOutcome(id, incarnation string, failed bool) {
 	b.mu.Lock()
--- a/internal/balance/select.go
+++ b/internal/balance/select.go
@@ -10,6 +10,7 @@
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/catalog"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/discovery"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/limit"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/routing"
 )
 
@@ -25,6 +26,9 @@
 	suspect bool
 	// hedge excludes upstreams with a limit.
 	hedge bool
+	// background excludes upstreams without a limit at unlimitedMaxLoad, so that calls
+	// that wait for nothing else do not crowd them.
+	background bool
 	// patience is how long the request may wait for an upstream with a limit.
 	patience time.Duration
 }
@@ -59,60 +63,72 @@
 func (b *Balancer) selectByLimit(s selection) (routing.Choice, error) {
 	now := b.clock.Now()
 	query := routing.Query{Pool: s.pool, Exclude: s.tried}
-	limited := b.limits.Limited()
+	limited := b.limitedByWait(s.pool)
 	if len(limited) == 0 {
-		return chosen(s.pool, query, now, b.router)
+		return pick(b.router, now, query)
 	}
 	unlimited := query
-	unlimited.Exclude = append(slices.Clone(s.tried), limited...)
+	unlimited.Exclude = slices.Clone(s.tried)
+	for _, u := range limited {
+		unlimited.Exclude = append(unlimited.Exclude, u.id)
+	}
 	free := unlimited
 	free.MaxLoad = unlimitedMaxLoad
-	if choice, ok := b.router.Pick(now, free); ok {
+	if choice, err := pick(b.router, now, free); err == nil {
 		return choice, nil
 	}
 	var wait rollout.Millis
-	if !s.hedge {
-		for _, w := range b.limitedByWait(limited, s) {
-			wait = cmp.Or(wait, w.waitMS)
-			if w.waitMS > rollout.Millis(s.patience.Milliseconds()) {
-				break
-			}
-			if choice, ok := b.router.PickUpstream(now, w.id, query); ok {
-				return choice, nil
-			}
+	for _, u := range limited {
+		if s.hedge || slices.Contains(s.tried, u.id) {
+			continue
+		}
+		wait = cmp.Or(wait, u.waitMS)
+		if u.waitMS > rollout.Millis(s.patience.Milliseconds()) {
+			break
+		}
+		if choice, ok := b.router.PickUpstream(now, u.id, query); ok {
+			return choice, nil
 		}
 	}
-	choice, err := chosen(s.pool, unlimited, now, b.router)
-	if err != nil && wait > 0 {
-		err = rollout.NewError(rollout.KindOverloaded, "all upstreams of pool %s have reached the limits that they name, the next is free in %d ms", s.pool, wait).
+	if !s.background {
+		if choice, err := pick(b.router, now, unlimited); err == nil {
+			return choice, nil
+		}
+	}
+	if wait > 0 {
+		return routing.Choice{}, rollout.NewError(rollout.KindOverloaded, "all upstreams of pool %s have reached the limits that they name, the next is free in %d ms", s.pool, wait).
 			WithNotRun().WithRetryAfter(wait)
 	}
-	return choice, err
+	return routing.Choice{}, noUpstreamError(s.pool)
 }
 
-// chosen picks an upstream with the router.
-func chosen(pool string, q routing.Query, now rollout.Millis, r *routing.Router) (routing.Choice, error) {
+// pick picks an upstream with the router.
+func pick(r *routing.Router, now rollout.Millis, q routing.Query) (routing.Choice, error) {
 	choice, ok := r.Pick(now, q)
 	if !ok {
-		return choice, rollout.NewError(rollout.KindNoUpstream, "pool %s has no upstream", pool).WithNotRun()
+		return choice, noUpstreamError(q.Pool)
 	}
 	return choice, nil
 }
 
+func noUpstreamError(pool string) error {
+	return rollout.NewError(rollout.KindNoUpstream, "pool %s has no upstream", pool).WithNotRun()
+}
+
 // limitedUpstream is an upstream with a limit and its predicted wait.
 type limitedUpstream struct {
 	id     string
+	slots  int
 	waitMS rollout.Millis
 }
 
 // limitedByWait returns the upstreams of a pool with a limit, those with the shortest
 // wait first. The caller holds mu.
-func (b *Balancer) limitedByWait(limited []string, s selection) []limitedUpstream {
+func (b *Balancer) limitedByWait(pool string) []limitedUpstream {
 	var us []limitedUpstream
-	for _, id := range limited {
-		u, known := b.known[id]
-		if known && u.Pool == s.pool && !slices.Contains(s.tried, id) {
-			us = append(us, limitedUpstream{id, b.limits.Wait(discovery.Incarnation{ID: id, Born: u.Born})})
+	for _, id := range b.limits.Limited() {
+		if u, known := b.known[id]; known && u.Pool == pool {
+			us = append(us, limitedUpstream{id, u.Slots, b.limits.Wait(discovery.Incarnation{ID: id, Born: u.Born})})
 		}
 	}
 	slices.SortFunc(us, func(a, b limitedUpstream) int {
@@ -121,11 +137,27 @@
 	return us
 }
 
+// limitedSlots is the number of slots for which an upstream with a limit counts: one for a
+// request that runs and one for a request that waits for a permit.
+const limitedSlots = 2
+
+// Slots returns the total slots of the upstreams of a pool that are not leaving, as far as
+// their limits let requests use them.
+func (b *Balancer) Slots(pool string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	slots := b.router.Slots(pool)
+	for _, u := range b.limitedByWait(pool) {
+		slots -= max(0, u.slots-limitedSlots)
+	}
+	return max(0, slots)
+}
+
 // sendWithinLimit runs one attempt once the limit of the upstream allows it, and records
 // the limit that the response names.
 func (b *Balancer) sendWithinLimit(ctx context.Context, req rollout.UpstreamRequest, u catalog.Upstream, r Request) attempt {
 	upstream := discovery.Incarnation{ID: u.ID, Born: bornOf(u.Incarnation)}
-	if err := b.limits.Acquire(ctx, upstream, r.Priority, r.LimitPatience); err != nil {
+	if err := b.limits.Acquire(ctx, upstream, limit.Request{Priority: r.Priority, Background: r.Background, Patience: r.LimitPatience}); err != nil {
 		return attempt{started: time.Now(), err: rollout.AsError(err)}
 	}
 	req.BudgetMS = max(1, rollout.Millis(time.Until(r.Deadline).Milliseconds()))
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -64,6 +64,8 @@
 type watchingDaemon struct {
 	lastRequest view.Request
 	lastSeenMS  rollout.Millis
+	// returnedMS is when the daemon came back after it had been absent, or 0.
+	returnedMS rollout.Millis
 }
 
 // Director runs a control host.
--- a/internal/director/permits.go
+++ b/internal/director/permits.go
@@ -8,6 +8,7 @@
 	"github.com/coltsfootspoke/coltsfootspoke/internal/permits"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/view"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/limit"
 )
 
 const (
@@ -46,7 +47,7 @@
 			perSecond = w.Limit
 		}
 		d.divider.SetLimit(now, w.Upstream, perSecond)
-		if grant, limited := d.divider.Grant(now, r.Host, w.Upstream, w.Count, float64(absent)/float64(reply.Hosts)); limited {
+		if grant, limited := d.divider.Grant(now, r.Host, w, float64(absent)/float64(reply.Hosts)); limited {
 			reply.Grants = append(reply.Grants, grant)
 		}
 	}
@@ -57,13 +58,15 @@
 }
 
 // senders returns the number of hosts that send requests to upstreams: those that follow
-// this leader, and those that did a short time ago. The caller holds mu.
+// this leader, and those that lost it a short time ago. The caller holds mu.
 func (d *Director) senders(now rollout.Millis) (present, absent int) {
 	for _, daemon := range d.daemons {
 		if daemon.lastRequest.Role == view.RoleControl {
 			continue
 		}
 		switch age := now - daemon.lastSeenMS; {
+		case age <= absentAfterMS && daemon.returnedMS > 0 && now-daemon.returnedMS <= limit.AbsentMS:
+			absent++
 		case age <= absentAfterMS:
 			present++
 		case age <= absentForMS:
--- a/internal/director/watch.go
+++ b/internal/director/watch.go
@@ -183,11 +183,17 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	key := daemonKey(req.Host, req.Role)
-	if _, known := d.daemons[key]; !known && req.Role == view.RoleStore {
+	daemon, known := d.daemons[key]
+	if !known && req.Role == view.RoleStore {
 		d.storeRevision++
 		d.notifyWatches()
 	}
-	d.daemons[key] = watchingDaemon{lastRequest: req, lastSeenMS: d.clock.Now()}
+	now := d.clock.Now()
+	if known && now-daemon.lastSeenMS > absentAfterMS {
+		daemon.returnedMS = now
+	}
+	daemon.lastRequest, daemon.lastSeenMS = req, now
+	d.daemons[key] = daemon
 	if u := req.Usage; u != nil {
 		for window, counts := range u.Windows {
 			if window <= d.state.ClosedTo {
--- a/internal/jobstore/item.go
+++ b/internal/jobstore/item.go
@@ -11,6 +11,7 @@
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/dispatch"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/job"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/limit"
 )
 
 const (
@@ -98,7 +99,7 @@
 // its text.
 func (r *runner) generate(ctx context.Context, w *workItem, a dispatch.Assignment) dispatch.Outcome {
 	started := time.Now()
-	if err := r.acquire(ctx, a.Engine, w.route.Priority, itemLimitPatience); err != nil {
+	if err := r.acquire(ctx, a.Engine, limit.Request{Priority: w.route.Priority, Background: true, Patience: itemLimitPatience}); err != nil {
 		r.logRun(w, a, started, 0, err)
 		if ctx.Err() != nil {
 			return dispatch.OutcomeCancelled
@@ -273,7 +274,7 @@
 	response, err := r.store.balancer.Do(ctx, balance.Request{
 		UpstreamRequest: rollout.UpstreamRequest{Method: "POST", URI: sc.Path, Host: sc.Host, AttemptID: sc.ID, Body: sc.Body},
 		Pool:            pool, Repeatable: true, MaxAttempts: 1,
-		Deadline: time.Now().Add(scoreTimeout), Priority: route.Priority, LimitPatience: scoreLimitPatience,
+		Deadline: time.Now().Add(scoreTimeout), Priority: route.Priority, Background: true, LimitPatience: scoreLimitPatience,
 	})
 	if err != nil {
 		r.store.opts.Log.Info("ScorerFailed", zap.String("Request", sc.ID), zap.Error(err))
--- a/internal/jobstore/runner.go
+++ b/internal/jobstore/runner.go
@@ -17,6 +17,7 @@
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/dispatch"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/document"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/job"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/limit"
 )
 
 const (
@@ -366,8 +367,8 @@
 }
 
 // acquire waits until the limit that an engine names allows a request.
-func (r *runner) acquire(ctx context.Context, engine string, priority int, patience time.Duration) error {
-	return r.store.balancer.Limits().Acquire(ctx, r.incarnationOf(engine), priority, patience)
+func (r *runner) acquire(ctx context.Context, engine string, req limit.Request) error {
+	return r.store.balancer.Limits().Acquire(ctx, r.incarnationOf(engine), req)
 }
 
 // recordLimit records the limit that an engine named in a response.
--- a/pkg/rollout/limit/divider.go
+++ b/pkg/rollout/limit/divider.go
@@ -17,12 +17,20 @@
 	// PermitMS is how long a permit is valid. Hosts whose demand was not met ask again
 	// after that time.
 	PermitMS rollout.Millis = 150
+	// AbsentMS is how long a host counts as absent after it has come back. What it has sent
+	// at its fixed share stays in the window for that time.
+	AbsentMS = windowMS + PermitMS
 	// demandMS is how long demand that was not met is remembered. It spans two requests
 	// of a host.
 	demandMS = 2 * PermitMS
 	// saveMS and minSaved bound the credit that is saved while no host asks.
 	saveMS   rollout.Millis = 500
 	minSaved                = 2.0
+	// callersReserve permits are kept for callers for callersMemoryMS after one wanted
+	// some, until callers have got callersTurn more than other requests.
+	callersReserve                 = 1
+	callersTurn                    = 4
+	callersMemoryMS rollout.Millis = 10_000
 	// forgetMS is how long a limit holds after a host was last told or asked for permits.
 	forgetMS rollout.Millis = 30_000
 )
@@ -62,6 +70,10 @@
 	// of creditMS.
 	credit   float64
 	creditMS rollout.Millis
+	// callersMS is when a host last wanted a permit for a caller, or 0. sinceBackground
+	// counts the permits for callers since the last one for another request.
+	callersMS       rollout.Millis
+	sinceBackground int
 	// granted holds the times of the permits that may be used in the window that ends now.
 	granted []rollout.Millis
 	// hosts holds the hosts with demand.
@@ -103,13 +115,13 @@
 	return forgotten
 }
 
-// Grant grants a host up to wanted permits for an upstream. absent is the share of all
-// hosts that can't reach this divider and send at their own fixed share. It reports false
-// if the upstream has no limit here.
-func (d *Divider) Grant(now rollout.Millis, host string, u discovery.Incarnation, wanted int, absent float64) (Grant, bool) {
-	b := d.buckets[u]
+// Grant grants a host up to the permits that it wants. absent is the share of all hosts
+// that can't reach this divider and send at their own fixed share. It reports false if the
+// upstream has no limit here.
+func (d *Divider) Grant(now rollout.Millis, host string, w Want, absent float64) (Grant, bool) {
+	b := d.buckets[w.Upstream]
 	if b == nil {
-		return Grant{Upstream: u}, false
+		return Grant{Upstream: w.Upstream}, false
 	}
 	b.usedMS = now
 	perMS := ratePerMS(b.limit) * (1 - absent)
@@ -120,18 +132,14 @@
 		own = &demand{}
 		b.hosts[host] = own
 	}
-	own.askedMS, own.unmet = now, wanted
-	granted := min(wanted, b.shareOf(b.available(now, absent)))
-	for range granted {
-		b.granted = append(b.granted, now)
-	}
-	b.credit -= float64(granted)
+	own.askedMS, own.unmet = now, w.Callers+w.Background
+	granted := b.grantTo(now, w, absent)
 	own.unmet -= granted
 	waiting := b.waiting()
 	if own.unmet == 0 {
 		delete(b.hosts, host)
 	}
-	g := Grant{Upstream: u, Permits: granted}
+	g := Grant{Upstream: w.Upstream, Permits: granted}
 	if perMS > 0 {
 		g.IntervalMS = rollout.Millis(float64(max(1, waiting)) / perMS)
 		ahead := float64(max(1, waiting)+1) / 2
@@ -140,6 +148,29 @@
 	return g, true
 }
 
+// grantTo grants permits for callers first.
+func (b *bucket) grantTo(now rollout.Millis, w Want, absent float64) int {
+	left := b.available(now, absent)
+	callers := min(w.Callers, b.shareOf(left))
+	if w.Callers > 0 {
+		b.callersMS = now
+	}
+	b.sinceBackground += callers
+	left -= callers
+	if b.callersMS > 0 && now-b.callersMS < callersMemoryMS && b.sinceBackground < callersTurn {
+		left -= callersReserve
+	}
+	background := min(w.Background, b.shareOf(left))
+	if background > 0 {
+		b.sinceBackground = 0
+	}
+	for range callers + background {
+		b.granted = append(b.granted, now)
+	}
+	b.credit -= float64(callers + background)
+	return callers + background
+}
+
 // refill adds the credit for the time since the last one. It may be saved for saveMS, so
 // that hosts that ask late lose nothing.
 func (b *bucket) refill(now rollout.Millis, perMS float64) {
@@ -176,7 +207,7 @@
 // each host that waits, and at least one. Permits are not kept for the others, because many
 // of their requests have given up before they ask again.
 func (b *bucket) shareOf(left int) int {
-	if left == 0 {
+	if left <= 0 {
 		return 0
 	}
 	return max(1, left/max(1, b.waiting()))
--- a/pkg/rollout/limit/gate.go
+++ b/pkg/rollout/limit/gate.go
@@ -35,8 +35,9 @@
 // Want is what a host wants of an upstream.
 type Want struct {
 	Upstream discovery.Incarnation
-	// Count is the number of requests that wait.
-	Count int
+	// Callers and Background are the numbers of requests that wait.
+	Callers    int `json:",omitempty"`
+	Background int `json:",omitempty"`
 	// Limit is the limit as this host knows it, or 0 for none. Said is true if an upstream
 	// has named it to this host and others may not know it.
 	Limit float64
@@ -79,11 +80,29 @@
 	ownMS     rollout.Millis
 }
 
+// Request describes a request that needs a permit.
+type Request struct {
+	// Priority ranks the requests of a host; 0 is the highest.
+	Priority int
+	// Background is true if no caller waits for the response. Callers go first.
+	Background bool
+	// Patience is how long the request may wait.
+	Patience time.Duration
+}
+
+// goesBefore reports whether a request gets a permit before one that has waited longer.
+func (r Request) goesBefore(other Request) bool {
+	if r.Background != other.Background {
+		return other.Background
+	}
+	return r.Priority < other.Priority
+}
+
 // waiter is a request that waits for a permit.
 type waiter struct {
+	Request
 	// admitted is closed when the request may be sent.
 	admitted chan struct{}
-	priority int
 	// untilMS is when the request gives up.
 	untilMS rollout.Millis
 }
@@ -201,7 +220,7 @@
 		return 0
 	}
 	if g.isLost(now) {
-		return rollout.Millis(float64(missing) * 1_000 / g.ownRate(s))
+		return rollout.Millis(float64(missing) * 1_000 / max(g.ownRate(s), minLimit))
 	}
 	return max(0, s.nextMS-now) + rollout.Millis(missing-1)*max(PermitMS, s.intervalMS)
 }
@@ -211,20 +230,24 @@
 	return g.unansweredMS > 0 && now-g.unansweredMS > ownShareAfterMS
 }
 
-// ownRate returns the rate of this host's fixed share. The caller holds mu.
+// ownRate returns the rate of this host's fixed share, less the permit that it may have
+// saved up. The caller holds mu.
 func (g *Gate) ownRate(s *gated) float64 {
-	return 1_000 * ratePerMS(s.limit) / float64(max(1, g.hosts))
+	hosts := float64(max(1, g.hosts))
+	if own := float64(allowance(s.limit)) / hosts; own > 1 {
+		return 1_000 * (own - 1) / float64(windowMS+PermitMS)
+	}
+	return 1_000 * ratePerMS(s.limit) / hosts
 }
 
-// Acquire waits for a permit for an upstream, for a time at most. It fails at once if the
-// wait would be longer. An upstream without a limit needs no permit. Among the requests
-// that wait, those of the highest priority, 0, go first.
-func (g *Gate) Acquire(ctx context.Context, u discovery.Incarnation, priority int, patience time.Duration) error {
-	w, err := g.join(u, priority, rollout.Millis(patience.Milliseconds()))
+// Acquire waits for a permit for an upstream. It fails at once if the request has not the
+// patience. An upstream without a limit needs no permit.
+func (g *Gate) Acquire(ctx context.Context, u discovery.Incarnation, r Request) error {
+	w, err := g.join(u, r)
 	if w == nil || err != nil {
 		return err
 	}
-	timer := time.NewTimer(patience)
+	timer := time.NewTimer(r.Patience)
 	defer timer.Stop()
 	select {
 	case <-w.admitted:
@@ -236,7 +259,8 @@
 }
 
 // join returns nil if a request may be sent now, or else its place in the queue.
-func (g *Gate) join(u discovery.Incarnation, priority int, patience rollout.Millis) (*waiter, error) {
+func (g *Gate) join(u discovery.Incarnation, r Request) (*waiter, error) {
+	patience := rollout.Millis(r.Patience.Milliseconds())
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	s := g.upstreams[u]
@@ -252,8 +276,8 @@
 	if wait := g.waitOf(s); wait > patience {
 		return nil, newLimitError(u, s.limit, wait)
 	}
-	w := &waiter{admitted: make(chan struct{}), priority: priority, untilMS: g.clock.Now() + patience}
-	i := slices.IndexFunc(s.waiters, func(other *waiter) bool { return other.priority > priority })
+	w := &waiter{Request: r, admitted: make(chan struct{}), untilMS: g.clock.Now() + patience}
+	i := slices.IndexFunc(s.waiters, func(other *waiter) bool { return r.goesBefore(other.Request) })
 	if i < 0 {
 		i = len(s.waiters)
 	}
@@ -291,14 +315,18 @@
 	defer g.mu.Unlock()
 	now := g.clock.Now()
 	for u, s := range g.upstreams {
-		count := 0
+		want := Want{Upstream: u, Limit: s.limit, Said: s.unsaid}
 		for _, w := range s.waiters {
-			if w.untilMS-now > answerMS {
-				count++
+			switch {
+			case w.untilMS-now <= answerMS:
+			case w.Background:
+				want.Background++
+			default:
+				want.Callers++
 			}
 		}
-		if count > 0 || s.unsaid {
-			wants = append(wants, Want{Upstream: u, Count: count, Limit: s.limit, Said: s.unsaid})
+		if want.Callers+want.Background > 0 || s.unsaid {
+			wants = append(wants, want)
 		}
 	}
 	if len(wants) == 0 && g.unansweredMS == 0 {
