--- a/pkg/rollout/limit/divider.go
+++ b/pkg/rollout/limit/divider.go
@@ -23,18 +23,23 @@
 	// demandMS is how long demand that was not met is remembered. It spans two requests
 	// of a host.
 	demandMS = 2 * PermitMS
-	// saveMS and minSaved bound the credit that is saved while no host asks.
-	saveMS   rollout.Millis = 500
-	minSaved                = 2.0
-	// callersReserve permits are kept for callers for callersMemoryMS after one wanted
-	// some, until callers have got callersTurn more than other requests.
-	callersReserve                 = 1
-	callersTurn                    = 4
+	// saveMS is the time for which credit is saved while no host asks.
+	saveMS rollout.Millis = 500
+	// callersMemoryMS is how long permits are kept for callers after one wanted some.
 	callersMemoryMS rollout.Millis = 10_000
 	// forgetMS is how long a limit holds after a host was last told or asked for permits.
 	forgetMS rollout.Millis = 30_000
 )
 
+const (
+	// minSaved is the least credit that can be saved, in permits.
+	minSaved = 2.0
+	// callersReserve permits are kept for callers, until callers have got callersTurn since
+	// the last one for another request.
+	callersReserve = 1
+	callersTurn    = 4
+)
+
 // allowance returns how many requests an upstream takes in each window.
 func allowance(limit float64) int { return int(limit * float64(windowMS) / 1_000) }
 
--- a/pkg/rollout/limit/limit_test.go
+++ b/pkg/rollout/limit/limit_test.go
@@ -19,7 +19,7 @@
 	roundTripMS = 2 * stepMS
 	// patienceMS is how long a request of the simulation waits.
 	patienceMS  rollout.Millis = 1_000
-	simulatedMS                = 90_000
+	simulatedMS rollout.Millis = 90_000
 )
 
 var engine = discovery.Incarnation{ID: "e", Born: 1}
@@ -215,7 +215,7 @@
 					s := newSimulation(1, limit, demandOf(hosts, limit, skewed))
 					s.run()
 					assertWithin(t, s, limit)
-					usable := math.Floor(limit*float64(windowMS)/1_000) / float64(windowMS) * simulatedMS
+					usable := math.Floor(limit*float64(windowMS)/1_000) / float64(windowMS) * float64(simulatedMS)
 					used := float64(len(s.sends)) / usable
 					t.Logf("used %.3f, plain division %.3f", used, plainDivision(hosts, limit, skewed))
 					if used < 0.9 {
