--- a/pkg/rollout/limit/limit_test.go
+++ b/pkg/rollout/limit/limit_test.go
@@ -212,6 +212,7 @@
 		for _, limit := range []float64{0.5, 2.4, 10, 50} {
 			for _, skewed := range []bool{false, true} {
 				t.Run(fmt.Sprintf("%d hosts, %g a second, skewed %v", hosts, limit, skewed), func(t *testing.T) {
+					t.Parallel()
 					s := newSimulation(1, limit, demandOf(hosts, limit, skewed))
 					s.run()
 					assertWithin(t, s, limit)
@@ -242,6 +243,7 @@
 	for _, hosts := range []int{8, 100, 300} {
 		for _, limit := range []float64{0.5, 2.4, 10, 50} {
 			t.Run(fmt.Sprintf("%d hosts, %g a second", hosts, limit), func(t *testing.T) {
+				t.Parallel()
 				s := newSimulation(2, limit, demandOf(hosts, limit, false))
 				s.atStep = func(now rollout.Millis) {
 					if now%2_000 != 0 {
