Test that refusals last for minutes and that a copy must have been confirmed

Two mutations survived all tests: refusals of crashing requests that end after 5 s, and a copy that no leader has ever confirmed taken for confirmed. Each makes a test fail now (TestRefusalLastsForMinutes, TestCopyThatWasNeverConfirmedIsNotConfirmed).

--- a/internal/view/watcher_test.go
+++ b/internal/view/watcher_test.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/clock"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/poison"
 )
@@ -87,3 +88,13 @@
 		}
 	}
 }
+
+// Guards against refusals from a copy that no leader has ever confirmed.
+func TestCopyThatWasNeverConfirmedIsNotConfirmed(t *testing.T) {
+	w := newTestWatcher("a")
+	started := time.Now()
+	err := w.Confirm(t.Context(), 1_000)
+	if err == nil || rollout.AsError(err).Kind != rollout.KindNoAuthority || time.Since(started) > 500*time.Millisecond {
+		t.Fatalf("got error %v after %v, want NoAuthority at once", err, time.Since(started))
+	}
+}
--- a/pkg/rollout/poison/poison_test.go
+++ b/pkg/rollout/poison/poison_test.go
@@ -169,3 +169,18 @@
 		})
 	}
 }
+
+// Guards against a refusal that ends while callers still retry the request. The page of the
+// users says that such a request comes again; their days are minutes long.
+func TestRefusalLastsForMinutes(t *testing.T) {
+	const minutes = 5 * 60 * 1_000
+	d := NewDetector()
+	reportLog(d, "daemon", newLog("boom", "a", "b", "c"))
+	d.UpdateRefused(1, allEnded)
+	d.SetReport(2, Reporter{Daemon: "daemon"}, Report{Revision: 9})
+	d.UpdateRefused(minutes, allEnded)
+	assertRefused(t, d, "boom")
+	if !d.Refuses(minutes, "boom") {
+		t.Fatalf("boom is not refused after %d ms", minutes)
+	}
+}
