--- a/pkg/rollout/limit/gate.go
+++ b/pkg/rollout/limit/gate.go
@@ -61,10 +61,8 @@
 
 // gated is an upstream that has named a limit.
 type gated struct {
-	// limit is in requests a second, or 0 if it has ended. changedMS is when this host
-	// learned it.
-	limit     float64
-	changedMS rollout.Millis
+	// limit is in requests a second, or 0 if it has ended.
+	limit float64
 	// told is the limit that control last announced.
 	told float64
 	// unsaid is true if control may not know the limit.
@@ -115,16 +113,6 @@
 // Wake returns a channel that receives a value when there are new wants.
 func (g *Gate) Wake() <-chan struct{} { return g.wake }
 
-// Limit returns the limit of an upstream, or 0 if it has none.
-func (g *Gate) Limit(u discovery.Incarnation) float64 {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if s := g.upstreams[u]; s != nil {
-		return s.limit
-	}
-	return 0
-}
-
 // Limited returns the IDs of the upstreams with a limit.
 func (g *Gate) Limited() []string {
 	g.mu.Lock()
@@ -189,7 +177,7 @@
 // change sets the limit of an upstream. The caller holds mu.
 func (g *Gate) change(s *gated, limit float64) {
 	now := g.clock.Now()
-	s.limit, s.changedMS = limit, now
+	s.limit = limit
 	s.ownCredit, s.ownMS = 0, now
 	if limit > 0 {
 		return
