--- a/pkg/rollout/poison/poison_test.go
+++ b/pkg/rollout/poison/poison_test.go
@@ -170,8 +170,8 @@
 	}
 }
 
-// Guards against a refusal that ends while callers still retry the request. The page of the
-// users says that such a request comes again; their days are minutes long.
+// Guards against a refusal that ends while callers still retry the request, which they do
+// for minutes.
 func TestRefusalLastsForMinutes(t *testing.T) {
 	const minutes = 5 * 60 * 1_000
 	d := NewDetector()
