Log and count at which software version a text is generated and continued

Neither logs nor metrics could tell the hypotheses of the incident of streams of two software versions apart: the version of an announcement was decoded nowhere. It is now part of the upstream (unknown if missing or no text), logged with announcements and runs of items, and counted by whether a continued text keeps its version. No decision uses it yet.

--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -145,6 +145,7 @@
 	d.usageCooldown = authority.NewCooldown(d.clock.Now(), opts.CooldownMS)
 	d.client = fabric.NewClient(d.dialer)
 	d.announcements = newAnnouncementBatcher(d.clock, d.passOn)
+	opts.Registry.MustRegister(newUpstreamCollector(d))
 	var err error
 	d.replica, err = replica.Open(ctx, replica.Options{
 		Dir: opts.Dir, Address: opts.Address, FailureDomain: opts.FailureDomain,
--- a/internal/director/operator.go
+++ b/internal/director/operator.go
@@ -202,7 +202,7 @@
 	accepted, changed := d.recordAnnouncement(u)
 	if changed || !accepted {
 		d.opts.Log.Info("UpstreamAnnounced", zap.String("Upstream", u.ID), zap.Int64("Born", u.Born), zap.Uint64("Seq", u.Seq),
-			zap.String("State", string(u.State)), zap.Bool("Taken", accepted))
+			zap.String("State", string(u.State)), zap.String("Software", u.Software), zap.Bool("Taken", accepted))
 	}
 	return empty{}, d.confirmLeader()
 }
--- a/internal/jobstore/item.go
+++ b/internal/jobstore/item.go
@@ -110,6 +110,9 @@
 		return dispatch.OutcomeTurnedAway
 	}
 	x := r.newExchange(w, a)
+	if x.ResumeAfter != "" {
+		r.recordContinuation(w, a, x.ResumeAfter)
+	}
 	resp, err := r.store.opts.Upstreams.SendRequest(ctx, x)
 	if resp.Leaving {
 		r.markLeaving(a.Engine)
@@ -143,7 +146,7 @@
 			version = e.WeightVersion
 		}
 		r.mu.Lock()
-		w.text.add(e, version)
+		w.text.add(e, version, a.Software)
 		r.saveIfLong(w)
 		r.sched.EventReceived(r.store.clock.Now(), a.Task)
 		r.mu.Unlock()
@@ -177,6 +180,27 @@
 	return dispatch.OutcomeBroken
 }
 
+// recordContinuation records that a run continues a text.
+func (r *runner) recordContinuation(w *workItem, a dispatch.Assignment, after string) {
+	r.mu.Lock()
+	software := w.text.software
+	r.mu.Unlock()
+	r.store.opts.Log.Info("ItemContinued", zap.String("Request", w.item.ID), zap.String("Job", w.spec.ID), zap.String("Upstream", a.Engine),
+		zap.String("Software", a.Software), zap.String("TextSoftware", software), zap.String("After", after))
+	r.store.metrics.continuations.WithLabelValues(continuationOf(a.Software, software)).Inc()
+}
+
+// continuationOf returns the label of a run that continues a text.
+func continuationOf(engine, text string) string {
+	switch {
+	case engine == "" || text == "":
+		return "Unknown"
+	case engine == text:
+		return "Same"
+	}
+	return "Other"
+}
+
 // newExchange returns the request that runs an item on its assigned engine.
 func (r *runner) newExchange(w *workItem, a dispatch.Assignment) rollout.UpstreamRequest {
 	x := rollout.UpstreamRequest{
@@ -383,7 +407,7 @@
 	events := w.text.received
 	r.mu.Unlock()
 	r.store.opts.Log.Info("ItemRun", zap.String("Request", w.item.ID), zap.String("Job", w.spec.ID), zap.String("Upstream", a.Engine),
-		zap.Uint64("Version", a.Version), zap.Int("Status", status), zap.Int("Events", events),
+		zap.Uint64("Version", a.Version), zap.String("Software", a.Software), zap.Int("Status", status), zap.Int("Events", events),
 		zap.Duration("Took", time.Since(started)), zap.Error(err))
 }
 
--- a/internal/jobstore/metrics.go
+++ b/internal/jobstore/metrics.go
@@ -4,11 +4,13 @@
 
 // metrics holds the metrics of items, their runs and weight orders.
 type metrics struct {
-	items        *prometheus.CounterVec
-	runs         *prometheus.CounterVec
-	runSeconds   prometheus.Histogram
-	weightOrders *prometheus.CounterVec
-	waitingItems prometheus.Gauge
+	items      *prometheus.CounterVec
+	runs       *prometheus.CounterVec
+	runSeconds prometheus.Histogram
+	// continuations counts the runs that continue a text.
+	continuations *prometheus.CounterVec
+	weightOrders  *prometheus.CounterVec
+	waitingItems  prometheus.Gauge
 }
 
 func newMetrics(registry *prometheus.Registry) *metrics {
@@ -23,6 +25,9 @@
 			Name: "coltsfootspoke_job_run_seconds", Help: "Time of a run of an item on an engine.",
 			Buckets: prometheus.ExponentialBuckets(0.05, 2, 10),
 		}),
+		continuations: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "coltsfootspoke_job_continuations_total", Help: "Runs that continue a text, by whether the software version of the engine is that of the text: Same, Other or Unknown.",
+		}, []string{"software"}),
 		weightOrders: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "coltsfootspoke_job_weight_orders_total", Help: "Orders to change weights, by outcome.",
 		}, []string{"outcome"}),
@@ -30,6 +35,6 @@
 			Name: "coltsfootspoke_job_waiting_items", Help: "Items that wait for an engine, at the leader.",
 		}),
 	}
-	registry.MustRegister(m.items, m.runs, m.runSeconds, m.weightOrders, m.waitingItems)
+	registry.MustRegister(m.items, m.runs, m.runSeconds, m.continuations, m.weightOrders, m.waitingItems)
 	return m
 }
--- a/internal/jobstore/text.go
+++ b/internal/jobstore/text.go
@@ -20,6 +20,9 @@
 	unsaved  []string
 	lastID   uint64
 	versions []uint64
+	// software is the version of the engines' software that generated the events, or empty
+	// if it is unknown.
+	software string
 	// complete is true once the last event has been received.
 	complete bool
 	// received counts the events that this leader has received.
@@ -48,12 +51,15 @@
 	return &textBuffer{chunks: t.Chunks, lastID: t.LastID, versions: t.Versions, complete: t.Complete}
 }
 
-// add appends an event that was generated with a weight version. It ignores
-// events that the text already includes.
-func (t *textBuffer) add(e rollout.StreamEvent, version uint64) {
+// add appends an event that was generated with a weight version by an engine of a
+// software version. It ignores events that the text already includes.
+func (t *textBuffer) add(e rollout.StreamEvent, version uint64, software string) {
 	if e.ID <= t.lastID && t.lastID > 0 {
 		return
 	}
+	if t.lastID == 0 {
+		t.software = software
+	}
 	t.unsaved = append(t.unsaved, string(e.Data))
 	t.lastID = e.ID
 	t.received++
--- a/internal/jobstore/text_test.go
+++ b/internal/jobstore/text_test.go
@@ -11,7 +11,7 @@
 
 func addEvents(t *textBuffer, from, to uint64, version uint64) {
 	for id := from; id <= to; id++ {
-		t.add(rollout.StreamEvent{ID: id, Data: []byte{byte('a' + id)}}, version)
+		t.add(rollout.StreamEvent{ID: id, Data: []byte{byte('a' + id)}}, version, "")
 	}
 }
 
--- a/pkg/rollout/discovery/discovery.go
+++ b/pkg/rollout/discovery/discovery.go
@@ -44,7 +44,10 @@
 	FailureDomain string
 	State         State
 	Slots         int
-	Models        []Model `json:",omitempty"`
+	// Software is the version of the software that the upstream runs, or empty if it is
+	// unknown. What two versions generate does not fit together.
+	Software string  `json:",omitempty"`
+	Models   []Model `json:",omitempty"`
 	// Born is the start time of the incarnation. Seq increases with each of its
 	// announcements.
 	Born int64
@@ -320,5 +323,5 @@
 // the revisions.
 func sameRouting(a, b Upstream) bool {
 	return a.Pool == b.Pool && a.Address == b.Address && a.FailureDomain == b.FailureDomain &&
-		a.State == b.State && a.Slots == b.Slots && a.Born == b.Born && a.Silent == b.Silent && a.Limit == b.Limit
+		a.State == b.State && a.Slots == b.Slots && a.Software == b.Software && a.Born == b.Born && a.Silent == b.Silent && a.Limit == b.Limit
 }
--- a/pkg/rollout/dispatch/dispatch.go
+++ b/pkg/rollout/dispatch/dispatch.go
@@ -54,6 +54,8 @@
 	Engine  string
 	Address string
 	Version uint64
+	// Software is the version of the engine's software, or empty if it is unknown.
+	Software string
 }
 
 // WeightLoad is a weight order to send to an engine.
@@ -346,7 +348,7 @@
 		e.running++
 		s.running[t.runKey()] = &run{task: t, engine: e.ID, startedMS: now, lastEventMS: now}
 		e.groups[t.Group] = true
-		assignments = append(assignments, Assignment{Task: t, Engine: e.ID, Address: e.Address, Version: e.knownVersions[t.Model]})
+		assignments = append(assignments, Assignment{Task: t, Engine: e.ID, Address: e.Address, Version: e.knownVersions[t.Model], Software: e.Software})
 	}
 	s.waiting = kept
 	s.updateBacklogs(now)
