Continue the text of an item only at the software version that wrote it

Cause: a text knew the weights that wrote it, not the software, and the scheduler picked engines by model, weights and load. Class: state that one engine writes and another reads, without the version of its format.

A text waits for a slot there as long as it would take to generate it anew, starts anew at once if no engine of the version answers, and leaves a slow engine for a new start if that ends earlier. An engine that starts again under its ID with other software ends a run's text.

--- a/internal/jobstore/item.go
+++ b/internal/jobstore/item.go
@@ -80,7 +80,7 @@
 	runCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	r.mu.Lock()
-	w.interrupt, w.stalled = cancel, false
+	w.interrupt, w.stalled, w.anew = cancel, false, false
 	r.mu.Unlock()
 	outcome := r.generate(runCtx, w, a)
 	r.mu.Lock()
@@ -89,6 +89,9 @@
 	if outcome != dispatch.OutcomeCancelled || ctx.Err() != nil {
 		return outcome
 	}
+	if w.anew {
+		r.discardText(w)
+	}
 	if w.stalled {
 		return dispatch.OutcomeBroken
 	}
@@ -152,18 +155,38 @@
 		r.mu.Unlock()
 	})
 	r.logRun(w, a, started, resp.Status, err)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.softwareChanged(a) {
+		r.discardText(w)
+		return dispatch.OutcomeBroken
+	}
 	if err != nil {
 		if ctx.Err() != nil {
 			return dispatch.OutcomeCancelled
 		}
 		return dispatch.OutcomeBroken
 	}
-	r.mu.Lock()
 	w.text.complete = true
-	r.mu.Unlock()
 	return dispatch.OutcomeDone
 }
 
+// discardText discards the text of an item, so that it runs from the start. The caller holds
+// r.mu.
+func (r *runner) discardText(w *workItem) {
+	r.store.opts.Log.Info("TextDiscarded", zap.String("Request", w.item.ID), zap.String("Job", w.spec.ID),
+		zap.Uint64s("Versions", w.text.versions), zap.String("Software", w.text.software), zap.Uint64("Events", w.text.lastID))
+	w.text.discard()
+}
+
+// softwareChanged reports whether an engine has started again with another version of its
+// software, under the same ID, since it was assigned. The run may have been at either. The
+// caller holds r.mu.
+func (r *runner) softwareChanged(a dispatch.Assignment) bool {
+	u, known := r.upstreams[a.Engine]
+	return known && u.Born != a.Born && u.Software != a.Software
+}
+
 // recordErrorStatus records an error response of an engine. After a 422 the item
 // is abandoned without another run.
 func (r *runner) recordErrorStatus(w *workItem, status int) dispatch.Outcome {
--- a/internal/jobstore/runner.go
+++ b/internal/jobstore/runner.go
@@ -74,6 +74,8 @@
 	interrupt context.CancelFunc
 	// stalled is true if the run was interrupted because it had stalled.
 	stalled bool
+	// anew is true if the run was interrupted so that the item starts anew.
+	anew bool
 	// done is true once the item has a result or its job has ended.
 	done bool
 }
@@ -242,6 +244,8 @@
 		MinVersion: w.spec.MinVersion, Begun: w.begun, ExpectedTokens: w.item.ExpectedTokens, DueMS: w.dueMS, Order: w.queuePosition,
 	}
 	w.text.discardUnlessAllowed(w.spec.MinVersion, w.route.SingleVersion)
+	w.text.discardIfSoftwareUnknown()
+	t.Software, t.TextEvents, t.QueuedMS = w.text.software, w.text.lastID, r.store.clock.Now()
 	if w.route.SingleVersion && len(w.text.versions) > 0 {
 		t.OnlyVersion = w.text.versions[0]
 	}
@@ -398,7 +402,7 @@
 	if now-r.plannedMS >= planIntervalMS {
 		r.plannedMS = now
 		r.planOrdersAndMoves(ctx, now)
-		r.restartStranded()
+		r.restartStranded(now)
 	}
 	defer func() { r.store.metrics.waitingItems.Set(float64(r.sched.Waiting())) }()
 	for _, a := range r.sched.AssignTasks(now) {
@@ -421,23 +425,22 @@
 		if w == nil || w.interrupt == nil {
 			continue
 		}
-		r.store.opts.Log.Info("RunMoved", zap.String("Request", m.ItemID), zap.String("Upstream", m.Engine), zap.Bool("Stalled", m.Stalled))
-		w.stalled = m.Stalled
+		r.store.opts.Log.Info("RunMoved", zap.String("Request", m.ItemID), zap.String("Upstream", m.Engine), zap.Bool("Stalled", m.Stalled), zap.Bool("Anew", m.Anew))
+		w.stalled, w.anew = m.Stalled, m.Anew
 		w.interrupt()
 	}
 }
 
-// restartStranded discards the text of queued items whose version no engine serves any
-// more, as after a crash of the last such engine, so that they run from the start. The
-// caller holds r.mu.
-func (r *runner) restartStranded() {
-	for _, t := range r.sched.TakeStranded() {
+// restartStranded discards the text of queued items that only engines that have left or
+// have no slot could continue, so that they run from the start at others. The caller holds
+// r.mu.
+func (r *runner) restartStranded(now rollout.Millis) {
+	for _, t := range r.sched.TakeStranded(now) {
 		w := r.findItem(t)
 		if w == nil {
 			continue
 		}
-		r.store.opts.Log.Info("TextDiscarded", zap.String("Request", t.ItemID), zap.String("Job", t.JobID), zap.Uint64("Version", t.OnlyVersion))
-		w.text.discard()
+		r.discardText(w)
 		r.enqueue(w)
 	}
 }
--- a/internal/jobstore/runner_test.go
+++ b/internal/jobstore/runner_test.go
@@ -137,6 +137,9 @@
 	return nil
 }
 
+// ReadRawEvents implements rollout.UpstreamClient. The store does not use it.
+func (f *fakeEngines) ReadRawEvents(io.Reader, func(uint64, []byte) error) error { return nil }
+
 func (f *fakeEngines) SendWeightOrder(_ context.Context, o rollout.WeightOrder) (rollout.WeightOrderReply, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -211,8 +214,8 @@
 func testView(targets map[string]uint64) view.State {
 	models := []discovery.Model{{Name: "m", Version: 1}}
 	v := view.State{Upstreams: map[string]discovery.Upstream{
-		"a": {ID: "a", Pool: "engines", Address: "a", State: discovery.StateReady, Slots: 4, Born: 1, Models: models},
-		"b": {ID: "b", Pool: "engines", Address: "b", State: discovery.StateReady, Slots: 4, Born: 1, Models: models},
+		"a": {ID: "a", Pool: "engines", Address: "a", State: discovery.StateReady, Slots: 4, Born: 1, Software: "v1", Models: models},
+		"b": {ID: "b", Pool: "engines", Address: "b", State: discovery.StateReady, Slots: 4, Born: 1, Software: "v1", Models: models},
 		"s": {ID: "s", Pool: "scorers", Address: "s", State: discovery.StateReady, Slots: 4, Born: 1},
 	}}
 	v.Facts.Versions = targets
--- a/internal/jobstore/software_test.go
+++ b/internal/jobstore/software_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	"github.com/coltsfootspoke/coltsfootspoke/internal/view"
@@ -173,3 +175,29 @@
 	assertCompleted(t, page.Results[0])
 	assertTextsOfOneVersion(t, l, software)
 }
+
+// Guards against texts that an engine continues that has started again under its ID with
+// another software version, which the run alone does not show.
+func TestTextIsDiscardedIfItsEngineStartedAgainWithOtherSoftware(t *testing.T) {
+	var store atomic.Pointer[Store]
+	l := &runLog{breaking: 1}
+	s, _ := newLeader(t, func(x rollout.UpstreamRequest, run int) *fault {
+		if x.AttemptID == "i1" && run == 2 {
+			v := withSoftware(map[string]string{"a": "v2"})
+			u := v.Upstreams["a"]
+			u.Born = 2
+			v.Upstreams["a"] = u
+			store.Load().applyView(v)
+		}
+		return l.faultFor(x, run)
+	})
+	store.Store(s)
+	s.applyView(withSoftware(map[string]string{"a": "v1"}))
+	assertCompleted(t, runJob(t, s, newSpec("j", 1, "i1"))["i1"])
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	want := []engineRun{{"a", ""}, {"a", "3"}, {"a", ""}}
+	if !slices.Equal(l.runs["i1"], want) {
+		t.Fatalf("runs %v, want %v", l.runs["i1"], want)
+	}
+}
--- a/internal/jobstore/text.go
+++ b/internal/jobstore/text.go
@@ -48,7 +48,7 @@
 
 // newTextBuffer returns a buffer that continues a stored text.
 func newTextBuffer(t job.GeneratedText) *textBuffer {
-	return &textBuffer{chunks: t.Chunks, lastID: t.LastID, versions: t.Versions, complete: t.Complete}
+	return &textBuffer{chunks: t.Chunks, lastID: t.LastID, versions: t.Versions, software: t.Software, complete: t.Complete}
 }
 
 // add appends an event that was generated with a weight version by an engine of a
@@ -77,6 +77,14 @@
 	}
 }
 
+// discardIfSoftwareUnknown clears a text that no engine may continue, because it is unknown
+// which version of their software generated it.
+func (t *textBuffer) discardIfSoftwareUnknown() {
+	if t.lastID > 0 && t.software == "" && !t.complete {
+		t.discard()
+	}
+}
+
 // discard makes the text empty.
 func (t *textBuffer) discard() {
 	*t = textBuffer{rewrite: len(t.chunks) > 0 || t.rewrite || t.saving, saving: t.saving, discards: t.discards + 1}
@@ -100,7 +108,7 @@
 // unsavedPiece returns the piece that brings the stored text up to date.
 func (t textBuffer) unsavedPiece(packer *pack.Packer) (unsavedPiece, error) {
 	p := unsavedPiece{
-		TextPiece: job.TextPiece{From: len(t.chunks), LastID: t.lastID, Versions: t.versions},
+		TextPiece: job.TextPiece{From: len(t.chunks), LastID: t.lastID, Versions: t.versions, Software: t.software},
 		events:    len(t.unsaved), discards: t.discards,
 	}
 	events := t.unsaved
--- a/pkg/rollout/dispatch/dispatch.go
+++ b/pkg/rollout/dispatch/dispatch.go
@@ -22,6 +22,13 @@
 	// OnlyVersion is the only weight version that may run the task, or 0 for any
 	// from MinVersion on.
 	OnlyVersion uint64
+	// Software is the only version of the engines' software that may run the task, because
+	// it generated the text so far, or empty for any.
+	Software string
+	// TextEvents is the number of events in the text so far.
+	TextEvents uint64
+	// QueuedMS is when the task was queued.
+	QueuedMS rollout.Millis
 	// Begun is true if the item has run before.
 	Begun bool
 	// ExpectedTokens is the caller's estimate of the output length, or 0.
@@ -40,12 +47,24 @@
 // requirements are the properties of a task that decide which engines are
 // eligible for it.
 type requirements struct {
-	pool, model             string
+	pool, model, software   string
 	minVersion, onlyVersion uint64
 }
 
 func (t Task) requirements() requirements {
-	return requirements{t.Pool, t.Model, t.MinVersion, t.OnlyVersion}
+	return requirements{t.Pool, t.Model, t.Software, t.MinVersion, t.OnlyVersion}
+}
+
+// withoutText returns the task as it is once its text has been discarded.
+func (t Task) withoutText() Task {
+	t.OnlyVersion, t.Software, t.TextEvents = 0, "", 0
+	return t
+}
+
+// allows reports whether the versions of an engine's weights and software may run the task.
+func (t Task) allows(e *engine) bool {
+	v := e.knownVersions[t.Model]
+	return v >= t.MinVersion && (t.OnlyVersion == 0 || v == t.OnlyVersion) && (t.Software == "" || e.Software == t.Software)
 }
 
 // Assignment is a task and the engine that is to run it.
@@ -54,7 +73,9 @@
 	Engine  string
 	Address string
 	Version uint64
-	// Software is the version of the engine's software, or empty if it is unknown.
+	// Born is the start time of the engine's incarnation, and Software the version of its
+	// software, or empty if it is unknown.
+	Born     int64
 	Software string
 }
 
@@ -104,6 +125,9 @@
 	// orderRetryDelayMS is the delay after the end of a weight order before the
 	// engine gets another one.
 	orderRetryDelayMS rollout.Millis = 300
+	// awayAfterFailures is the number of consecutive failures from which no task waits for
+	// an engine. One may have broken off a single run; at the second it has probably crashed.
+	awayAfterFailures = 2
 )
 
 type engine struct {
@@ -201,13 +225,14 @@
 	return taken
 }
 
-// TakeStranded removes the queued tasks that may only run under a version that no engine
-// serves any more, though others could run them under an allowed one, and returns them.
-// Engines never go back to an earlier version.
-func (s *Scheduler) TakeStranded() []Task {
+// TakeStranded removes the tasks that only few engines may run, while others could run
+// them from the start, and returns them: those for which no such engine answers, as engines
+// never go back to an earlier version, and those that have waited for one with a slot as
+// long as it takes to generate their text anew.
+func (s *Scheduler) TakeStranded(now rollout.Millis) []Task {
 	var stranded []Task
 	s.waiting = slices.DeleteFunc(s.waiting, func(t Task) bool {
-		if t.OnlyVersion == 0 || !s.isStranded(t) {
+		if (t.OnlyVersion == 0 && t.Software == "") || !s.isStranded(now, t) {
 			return false
 		}
 		stranded = append(stranded, t)
@@ -216,19 +241,31 @@
 	return stranded
 }
 
-func (s *Scheduler) isStranded(t Task) bool {
-	allowed := false
+func (s *Scheduler) isStranded(now rollout.Millis, t Task) bool {
+	left, others, othersFree := false, false, false
+	fresh := t.withoutText()
 	for _, e := range s.pools[t.Pool] {
-		if e.State != discovery.StateReady {
-			continue
-		}
-		v := e.knownVersions[t.Model]
-		if v == t.OnlyVersion {
+		switch {
+		case e.State != discovery.StateReady || !fresh.allows(e):
+		case !t.allows(e):
+			others = true
+			othersFree = othersFree || s.eligible(now, e, fresh)
+		case s.eligible(now, e, t):
 			return false
+		case e.Silent || e.failures >= awayAfterFailures:
+		default:
+			left = true
 		}
-		allowed = allowed || v >= t.MinVersion
 	}
-	return allowed
+	if !left {
+		return others
+	}
+	return t.Software != "" && othersFree && now-t.QueuedMS > s.textMS(now, t)
+}
+
+// textMS returns how long an engine takes to generate the text of a task.
+func (s *Scheduler) textMS(now rollout.Millis, t Task) rollout.Millis {
+	return rollout.Millis(float64(t.TextEvents) * s.medianInterval(now, t.Pool))
 }
 
 // RunEnded records the outcome of a run on an engine.
@@ -348,7 +385,7 @@
 		e.running++
 		s.running[t.runKey()] = &run{task: t, engine: e.ID, startedMS: now, lastEventMS: now}
 		e.groups[t.Group] = true
-		assignments = append(assignments, Assignment{Task: t, Engine: e.ID, Address: e.Address, Version: e.knownVersions[t.Model], Software: e.Software})
+		assignments = append(assignments, Assignment{Task: t, Engine: e.ID, Address: e.Address, Version: e.knownVersions[t.Model], Born: e.Born, Software: e.Software})
 	}
 	s.waiting = kept
 	s.updateBacklogs(now)
@@ -386,14 +423,19 @@
 
 // eligible reports whether an engine of the task's pool may run the task now.
 func (s *Scheduler) eligible(now rollout.Millis, e *engine, t Task) bool {
-	if e.State != discovery.StateReady || now < e.retryAt || e.running >= e.Slots || float64(e.running)*s.slowness(now, e) >= float64(e.Slots) {
+	return e.running < e.Slots && float64(e.running)*s.slowness(now, e) < float64(e.Slots) && s.answers(now, e, t)
+}
+
+// answers reports whether an engine of the task's pool may run the task as soon as it has a
+// slot.
+func (s *Scheduler) answers(now rollout.Millis, e *engine, t Task) bool {
+	if e.State != discovery.StateReady || now < e.retryAt {
 		return false
 	}
 	if e.loadingModel == t.Model && now < e.loadEndsAt {
 		return false
 	}
-	v := e.knownVersions[t.Model]
-	return v >= t.MinVersion && (t.OnlyVersion == 0 || v == t.OnlyVersion)
+	return t.allows(e)
 }
 
 // compareTasks orders tasks by due time. Within a job, tasks that have run
--- a/pkg/rollout/dispatch/moves.go
+++ b/pkg/rollout/dispatch/moves.go
@@ -35,6 +35,8 @@
 	// moveTargetFill is the fraction of its slots up to which an engine has
 	// capacity for moved runs.
 	moveTargetFill = 0.8
+	// textMoveTargetFill is the same for runs that continue a text.
+	textMoveTargetFill = 1.25
 )
 
 // eventInterval is the moving average of the time between two stream events of a
@@ -61,6 +63,9 @@
 	Engine        string
 	// Stalled is true if the run has had no events for stallTimeoutMS.
 	Stalled bool
+	// Anew is true if the text must be discarded, because no engine of its software version
+	// has capacity.
+	Anew bool
 }
 
 // EventReceived records a stream event of a run and updates the event interval of its
@@ -90,7 +95,7 @@
 // stalled runs, and runs on slow engines while other engines have capacity.
 func (s *Scheduler) PlanMoves(now rollout.Millis) []Move {
 	var moves []Move
-	freeCapacity := make(map[string]int)
+	capacity := moveCapacity{s, now, make(map[requirements]int)}
 	for _, k := range s.sortedRunKeys() {
 		r := s.running[k]
 		e := s.engines[r.engine]
@@ -102,33 +107,86 @@
 		if !stalled && !slow {
 			continue
 		}
-		if !stalled {
-			if _, known := freeCapacity[r.task.Pool+r.task.Model]; !known {
-				freeCapacity[r.task.Pool+r.task.Model] = s.freeCapacity(now, r.task)
-			}
-			if freeCapacity[r.task.Pool+r.task.Model] <= 0 {
+		m := Move{JobID: r.task.JobID, ItemID: r.task.ItemID, Engine: r.engine, Stalled: stalled}
+		if t := r.remainder(e); !stalled && !capacity.take(t) {
+			if !s.isFasterAnew(now, e, r) || !capacity.take(t.withoutText()) {
 				continue
 			}
-			freeCapacity[r.task.Pool+r.task.Model]--
+			m.Anew = true
 		}
 		r.movePending = true
-		moves = append(moves, Move{JobID: r.task.JobID, ItemID: r.task.ItemID, Engine: r.engine, Stalled: stalled})
+		moves = append(moves, m)
 	}
 	return moves
 }
 
-// freeCapacity returns how many moved runs the eligible engines that are not slow
-// can take.
+// moveCapacity counts how many moved runs engines can still take, by the requirements of
+// their tasks.
+type moveCapacity struct {
+	scheduler *Scheduler
+	now       rollout.Millis
+	left      map[requirements]int
+}
+
+// take reports whether an engine can take one more moved run, and counts it.
+func (c moveCapacity) take(t Task) bool {
+	k := t.requirements()
+	if _, known := c.left[k]; !known {
+		c.left[k] = c.scheduler.freeCapacity(c.now, t)
+	}
+	c.left[k]--
+	return c.left[k] >= 0
+}
+
+// isFasterAnew reports whether a run on a slow engine would end earlier if an engine of
+// median speed generated its text from the start. The length of a text without an estimate,
+// or that exceeds its estimate, is taken as twice what there is.
+func (s *Scheduler) isFasterAnew(now rollout.Millis, e *engine, r *run) bool {
+	there := float64(r.task.TextEvents) + float64(r.events)
+	length := float64(r.task.ExpectedTokens)
+	if length <= there {
+		length = 2 * there
+	}
+	return length < (length-there)*s.slowness(now, e)
+}
+
+// remainder returns the task that continues the text of a run on an engine.
+func (r *run) remainder(e *engine) Task {
+	t := r.task
+	if r.events > 0 {
+		t.Software = e.Software
+	}
+	return t
+}
+
+// freeCapacity returns how many moved runs the engines that are not slow can take. A run
+// that continues a text may wait for a slot, since few engines can take it: the slots of a
+// full engine become free one after another.
 func (s *Scheduler) freeCapacity(now rollout.Millis, t Task) int {
-	total := 0
+	total, fill := 0, moveTargetFill
+	if t.Software != "" {
+		fill = textMoveTargetFill
+		total = -s.waitingLike(t)
+	}
 	for _, e := range s.pools[t.Pool] {
-		if s.eligible(now, e, t) && s.slowness(now, e) <= slowThreshold {
-			total += max(0, int(moveTargetFill*float64(e.Slots))-e.running)
+		if s.answers(now, e, t) && s.slowness(now, e) <= slowThreshold {
+			total += max(0, int(fill*float64(e.Slots))-e.running)
 		}
 	}
 	return total
 }
 
+// waitingLike returns the number of queued tasks with the requirements of a task.
+func (s *Scheduler) waitingLike(t Task) int {
+	n := 0
+	for _, w := range s.waiting {
+		if w.requirements() == t.requirements() {
+			n++
+		}
+	}
+	return n
+}
+
 // slowness returns the event interval of an engine divided by the median of its
 // pool, at most maxSlowness. It is 1 below slowThreshold and for an engine
 // without a recent interval.
--- a/pkg/rollout/job/text.go
+++ b/pkg/rollout/job/text.go
@@ -19,6 +19,9 @@
 	LastID uint64
 	// Versions are the weight versions that generated the events, sorted.
 	Versions []uint64
+	// Software is the version of the engines' software that generated the events, or empty
+	// if it is unknown, as in records of releases that did not store it.
+	Software string
 	// Complete is true if the text includes its last event.
 	Complete bool
 	// JobID is the job that wrote the text last.
@@ -38,6 +41,8 @@
 	// Versions are the weight versions of the whole text up to the end of the
 	// piece.
 	Versions []uint64
+	// Software is the version of the engines' software that generated the whole text.
+	Software string `json:",omitempty"`
 }
 
 // VersionsAllowed reports whether a job may use text that these weight versions
@@ -59,6 +64,6 @@
 	if len(p.Chunk) > 0 {
 		t.Chunks = append(slices.Clip(t.Chunks), p.Chunk)
 	}
-	t.LastID, t.Versions, t.Complete = p.LastID, p.Versions, false
+	t.LastID, t.Versions, t.Software, t.Complete = p.LastID, p.Versions, p.Software, false
 	return t, nil
 }
