Continue broken streams of resumable routes in their response

Cause: the flag of the route was decoded and read by nothing. Streams on such routes are now passed on by whole events. When a run breaks off, repeats events, or is silent for 1.5 s while another upstream of its pool and software version is ready, the next one goes on after the last event that the caller has: at most as many runs as the route allows attempts, never at another or an unknown version, and the response breaks off if none is left. The head and the stamp stay those of the first run. Time for which the caller does not read is no silence. Routes that are not resumable run once, as before. Before the first event such a request may be retried, but is not hedged.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -36,6 +36,11 @@
 	// Instance and BudgetMS for each attempt.
 	UpstreamRequest rollout.UpstreamRequest
 	Pool            string
+	// Software is the only version of the upstreams' software that may run the request,
+	// or empty for any.
+	Software string
+	// Avoid holds the IDs of upstreams that are selected only if there is no other.
+	Avoid []string
 	// Repeatable is true if the request may run more than once.
 	Repeatable bool
 	// MaxAttempts limits the attempts that may have run the request. Attempts
@@ -67,6 +72,10 @@
 	// Body is the complete body, or nil if Head.Streaming is true.
 	Body     []byte
 	Upstream string
+	// Software is the version of the upstream's software, or empty if it is unknown.
+	Software string
+	// Runs is the number of attempts that may have run the request.
+	Runs int
 	// Close closes a stream. It is never nil.
 	Close func()
 }
@@ -313,7 +322,7 @@
 		return false
 	}
 	suspect := c.isSuspect()
-	choice, err := c.balancer.selectUpstream(selection{pool: c.req.Pool, tried: c.tried, suspect: suspect, hedge: hedge, background: c.req.Background, patience: c.req.LimitPatience})
+	choice, err := c.balancer.selectUpstream(selection{pool: c.req.Pool, software: c.req.Software, avoid: c.req.Avoid, tried: c.tried, suspect: suspect, hedge: hedge, background: c.req.Background, patience: c.req.LimitPatience})
 	if err != nil {
 		if c.sends == 0 {
 			c.refuse(err)
@@ -422,6 +431,8 @@
 // body and cancels the context of the request.
 func (c *call) callerResponse(a attempt, cancel context.CancelFunc) Response {
 	a.response.Upstream = a.upstream
+	a.response.Runs = c.possibleRuns + c.running
+	a.response.Software = c.balancer.softwareOf(a.upstream, a.incarnation)
 	body := a.response.Head.Body
 	if a.response.Head.Streaming {
 		a.response.Head.Body = &observedStream{ReadCloser: body, onEnd: func(err error) { c.recordStreamEnd(a, err) }}
--- a/internal/balance/select.go
+++ b/internal/balance/select.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"iter"
 	"maps"
 	"slices"
 	"time"
@@ -21,6 +22,10 @@
 // selection says for what an upstream is selected.
 type selection struct {
 	pool string
+	// software is the only software version of the upstream, or empty for any.
+	software string
+	// avoid holds the IDs of upstreams that are selected only if there is no other.
+	avoid []string
 	// tried holds the IDs of the upstreams that must not be selected.
 	tried   []string
 	suspect bool
@@ -42,6 +47,22 @@
 	if b.nextSyncMS > 0 && b.clock.Now() >= b.nextSyncMS {
 		b.syncRouter()
 	}
+	if s.software != "" {
+		s.tried = slices.AppendSeq(slices.Clone(s.tried), b.ofOtherSoftware(s.pool, s.software))
+	}
+	if len(s.avoid) > 0 {
+		preferred := s
+		preferred.tried = append(slices.Clone(s.tried), s.avoid...)
+		if choice, err := b.selectApart(preferred); err == nil {
+			return choice, nil
+		}
+	}
+	return b.selectApart(s)
+}
+
+// selectApart selects an upstream at which no other suspect runs, if the request is one.
+// The caller holds mu.
+func (b *Balancer) selectApart(s selection) (routing.Choice, error) {
 	if !s.suspect {
 		return b.selectByLimit(s)
 	}
@@ -57,6 +78,43 @@
 	return choice, err
 }
 
+// ofOtherSoftware returns the IDs of the upstreams of a pool whose software has another
+// version. The caller holds mu.
+func (b *Balancer) ofOtherSoftware(pool, software string) iter.Seq[string] {
+	return func(yield func(string) bool) {
+		for id, u := range b.known {
+			if u.Pool == pool && u.Software != software && !yield(id) {
+				return
+			}
+		}
+	}
+}
+
+// HasUpstream reports whether a pool has a ready upstream of a software version, besides
+// those with the given IDs.
+func (b *Balancer) HasUpstream(pool, software string, besides ...string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id, u := range b.known {
+		if u.Pool == pool && u.Software == software && u.State == discovery.StateReady && !slices.Contains(besides, id) {
+			return true
+		}
+	}
+	return false
+}
+
+// softwareOf returns the software version of an incarnation of an upstream, or an empty
+// string if it is unknown, as when the upstream has started again since.
+func (b *Balancer) softwareOf(id, incarnation string) string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	u, known := b.known[id]
+	if !known || u.Born != bornOf(incarnation) {
+		return ""
+	}
+	return u.Software
+}
+
 // selectByLimit returns an upstream without a limit, or the one whose limit lets the
 // request through first. It fails with the shortest wait if that exceeds the patience of
 // the request. The caller holds mu.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -83,6 +83,9 @@
 	Header []rollout.HeaderField
 	Body   []byte
 	Key    string
+	// Resumes holds the values of the field that names the attempt whose stream the caller
+	// takes up, and LastEventID those of the one that names the last event received.
+	Resumes, LastEventID []string
 	// BudgetMS is how long the caller waits, or 0 if the caller set no limit.
 	BudgetMS rollout.Millis
 	Received time.Time
@@ -183,12 +186,17 @@
 }
 
 // Do routes a request to an upstream and returns its response.
-func (g *Gateway) Do(ctx context.Context, in Inbound) (balance.Response, error) {
+func (g *Gateway) Do(ctx context.Context, in Inbound) (Response, error) {
 	route, account, err := g.Resolve(ctx, in)
 	if err != nil {
 		g.logFailure(in, route, err)
-		return balance.Response{}, err
+		return Response{}, err
 	}
+	return g.forward(ctx, in, route, account)
+}
+
+// forward sends a request on a route to an upstream and returns its response.
+func (g *Gateway) forward(ctx context.Context, in Inbound, route document.Route, account string) (Response, error) {
 	budget := rollout.Millis(math.MaxInt32)
 	for _, limit := range []rollout.Millis{route.TimeoutMS, in.BudgetMS} {
 		if limit > 0 {
@@ -201,20 +209,32 @@
 			Account: account, Body: in.Body,
 		},
 		Pool:        route.PickPool(mathrand.Float64()),
-		Repeatable:  route.Kind == document.RouteIdempotent && !route.Streaming,
+		Repeatable:  isRepeatable(route),
 		MaxAttempts: max(1, route.MaxAttempts),
 		Deadline:    in.Received.Add(time.Duration(budget) * time.Millisecond),
-		HedgeAfter:  time.Duration(hedgeLatencyFraction * float64(route.TargetLatencyMS) * float64(time.Millisecond)),
 		OnStarted:   func() { g.meter.count(account) },
 	}
-	req.Priority, req.LimitPatience = g.priorityOf(route, in.Key), req.HedgeAfter
+	req.LimitPatience = time.Duration(hedgeLatencyFraction * float64(route.TargetLatencyMS) * float64(time.Millisecond))
+	if !route.Streaming {
+		req.HedgeAfter = req.LimitPatience
+	}
+	req.Priority = g.priorityOf(route, in.Key)
 	req.Permit = func() error { return g.checkPoison(req.UpstreamRequest) }
-	response, err := g.balancer.Do(ctx, req)
+	if len(in.LastEventID) > 0 {
+		req.UpstreamRequest.ResumeAfter = in.LastEventID[0]
+	}
+	var response Response
+	var err error
+	response.Response, err = g.balancer.Do(ctx, req)
 	g.metrics.observe(in.Received, err)
 	if err != nil {
 		g.logFailure(in, route, err)
 		return response, err
 	}
+	if route.Resumable && response.Head.Streaming {
+		response.stream = g.newStream(ctx, req, response.Response)
+		response.Close = response.stream.close
+	}
 	level := zap.InfoLevel
 	if slow := rollout.Millis(time.Since(in.Received).Milliseconds()) > route.TargetLatencyMS; slow || response.Head.Status >= statusServerError {
 		level = zap.WarnLevel
@@ -224,6 +244,15 @@
 	return response, nil
 }
 
+// isRepeatable reports whether a request may run more than once. A stream may if it can be
+// resumed.
+func isRepeatable(route document.Route) bool {
+	if route.Streaming {
+		return route.Resumable
+	}
+	return route.Kind == document.RouteIdempotent
+}
+
 // priorityOf returns the priority of a request: that of its client account if it has one,
 // or else that of its route.
 func (g *Gateway) priorityOf(route document.Route, key string) int {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -14,6 +14,8 @@
 	requestSeconds prometheus.Histogram
 	jobCalls       *prometheus.CounterVec
 	refusalCopyAge prometheus.Histogram
+	// streams counts the events in the life of streams on resumable routes.
+	streams *prometheus.CounterVec
 }
 
 func newMetrics(registry *prometheus.Registry) *metrics {
@@ -32,8 +34,11 @@
 			Name: "coltsfootspoke_gateway_refusal_copy_age_seconds", Help: "Age of the copy of the control state when a request was refused for its route, key or client account.",
 			Buckets: prometheus.ExponentialBuckets(0.025, 2, 10),
 		}),
+		streams: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "coltsfootspoke_gateway_streams_total", Help: "Streams on resumable routes that were Begun, Continued in their response, BrokenOff, TakenUp or NotTakenUp.",
+		}, []string{"event"}),
 	}
-	registry.MustRegister(m.requests, m.requestSeconds, m.jobCalls, m.refusalCopyAge)
+	registry.MustRegister(m.streams, m.requests, m.requestSeconds, m.jobCalls, m.refusalCopyAge)
 	return m
 }
 
--- a/pkg/rollout/upstream.go
+++ b/pkg/rollout/upstream.go
@@ -156,6 +156,9 @@
 	// ReadEvents reads a stream and calls handle for each complete event. It
 	// returns nil only if the stream was not truncated.
 	ReadEvents(body io.Reader, handle func(StreamEvent)) error
+	// ReadRawEvents is ReadEvents with each event as received, which is valid until handle
+	// returns. It ends with the first error of handle.
+	ReadRawEvents(body io.Reader, handle func(id uint64, raw []byte) error) error
 	SendWeightOrder(ctx context.Context, o WeightOrder) (WeightOrderReply, error)
 	FetchReport(ctx context.Context, address string) (EngineReport, error)
 	// IsListening reports whether a process accepts connections at an address. It
