Take streams up only at the software version that began them

What callers saw: a stream that a client took up again went on at any engine. In real processes with two entries, of which the first is killed, streams of 12 went on at the other version (TestStreamTakenUpAtAnotherEntryKeepsItsSoftwareVersion), and take-ups that name no attempt, an unknown or a malformed one reached an engine (TestStreamOfUnknownSoftwareVersionIsNotTakenUp).

Cause: the field that names the first attempt was read nowhere, and an entry that did not begin a stream could not know its version.

An entry that gets a take-up asks them all and sends it only to that pool and version. What is unknown, ambiguous or names no attempt is refused with 503, not run; what is malformed, or on a route that is not resumable, with 400. A response of an upstream that started again with other software meanwhile is dropped.

--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -23,6 +23,7 @@
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/clock"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/discovery"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/limit"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/origin"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/poison"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/registry"
 )
@@ -114,6 +115,8 @@
 	divider *limit.Divider
 	// refusalsToPropose holds the refused requests that the replicated state lacks.
 	refusalsToPropose []string
+	// origins holds where streams of callers began. Each control host holds its own part.
+	origins *origin.Log
 	// usageCooldown decides when this host may send usage reports to the
 	// platform.
 	usageCooldown authority.Cooldown
@@ -140,7 +143,7 @@
 		opts: opts, clock: clock.Boottime{}, dialer: link.NewDialer(opts.Secret),
 		state: registry.New(), table: discovery.New(opts.AnnounceIntervalMS),
 		daemons: make(map[string]watchingDaemon), usage: make(map[uint64]map[string]map[string]uint64),
-		poisonDetector: poison.NewDetector(), divider: limit.NewDivider(), changed: make(chan struct{}), routingChanged: make(chan struct{}),
+		poisonDetector: poison.NewDetector(), divider: limit.NewDivider(), origins: origin.NewLog(), changed: make(chan struct{}), routingChanged: make(chan struct{}),
 	}
 	d.usageCooldown = authority.NewCooldown(d.clock.Now(), opts.CooldownMS)
 	d.client = fabric.NewClient(d.dialer)
--- a/internal/director/operator.go
+++ b/internal/director/operator.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/coltsfootspoke/coltsfootspoke/internal/fabric"
+	"github.com/coltsfootspoke/coltsfootspoke/internal/origins"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/permits"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/view"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
@@ -54,11 +55,14 @@
 // rawConfig is the configuration as sent by the operator.
 type rawConfig struct{ Bytes []byte }
 
-// register adds the handlers of the calls that only the leader answers.
+// register adds the handlers of the calls. All but those of origins are answered by the
+// leader only.
 func (d *Director) register(mux *fabric.Mux) {
 	fabric.Handle(mux, view.MethodWatch, d.watch)
 	fabric.Handle(mux, view.MethodReportCrashes, d.reportCrashes)
 	fabric.Handle(mux, permits.MethodAsk, d.askPermits)
+	fabric.Handle(mux, origins.MethodRecord, d.recordOrigins)
+	fabric.Handle(mux, origins.MethodFind, d.findOrigin)
 	fabric.Handle(mux, methodPutConfig, d.putConfig)
 	fabric.Handle(mux, methodReadConfig, d.readConfig)
 	fabric.Handle(mux, methodNameVersion, d.nameVersion)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/coltsfootspoke/coltsfootspoke/internal/balance"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/fabric"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/link"
+	"github.com/coltsfootspoke/coltsfootspoke/internal/origins"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/permits"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/view"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
@@ -67,6 +68,7 @@
 	client   *fabric.Client
 	watcher  *view.Watcher
 	balancer *balance.Balancer
+	origins  *origins.Client
 	meter    *meter
 	metrics  *metrics
 	draining atomic.Bool
@@ -104,6 +106,7 @@
 		Client: g.client, Clock: clock.Boottime{}, Log: opts.Log, Registry: opts.Registry, Usage: g.meter.totals, BrokenConnections: g.brokenConnections, CrashRecorded: g.balancer.CrashRecorded(), Leaving: g.balancer.Leaving().Report,
 		OnChange: func(v view.State) { g.balancer.Sync(v.Upstreams) },
 	})
+	g.origins = origins.NewClient(origins.Options{Client: g.client, Clock: clock.Boottime{}, Log: opts.Log, Hosts: func() []string { return g.watcher.State().Facts.Controls }})
 	return g
 }
 
@@ -220,12 +223,15 @@
 	}
 	req.Priority = g.priorityOf(route, in.Key)
 	req.Permit = func() error { return g.checkPoison(req.UpstreamRequest) }
-	if len(in.LastEventID) > 0 {
-		req.UpstreamRequest.ResumeAfter = in.LastEventID[0]
-	}
+	err := g.resume(ctx, in, route, &req)
 	var response Response
-	var err error
-	response.Response, err = g.balancer.Do(ctx, req)
+	if err == nil {
+		response.Response, err = g.balancer.Do(ctx, req)
+	}
+	if err == nil && req.Software != "" && response.Software != req.Software {
+		response.Close()
+		err = rollout.NewError(rollout.KindUpstreamFailed, "upstream %s has started again with another software version than %s", response.Upstream, req.Software)
+	}
 	g.metrics.observe(in.Received, err)
 	if err != nil {
 		g.logFailure(in, route, err)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -187,7 +187,8 @@
 	}, fields...)...)
 }
 
-// newStream returns the stream of a response on a resumable route.
+// newStream returns the stream of a response on a resumable route, and records where it
+// began unless it goes on with another one.
 func (g *Gateway) newStream(ctx context.Context, req balance.Request, first balance.Response) *stream {
 	s := &stream{gateway: g, ctx: ctx, request: req, current: first, runs: first.Runs}
 	s.lastID, _ = strconv.ParseUint(req.UpstreamRequest.ResumeAfter, 10, 64)
@@ -197,5 +198,8 @@
 	s.request.Software = first.Software
 	s.log("StreamBegun", zap.String("Pool", req.Pool))
 	g.metrics.streams.WithLabelValues("Begun").Inc()
+	if first.Software != "" {
+		g.recordOrigin(ctx, s.request)
+	}
 	return s
 }
--- a/pkg/rollout/document/document.go
+++ b/pkg/rollout/document/document.go
@@ -65,6 +65,11 @@
 	Split []Share
 }
 
+// HasPool reports whether the route sends traffic to a pool.
+func (r Route) HasPool(pool string) bool {
+	return slices.ContainsFunc(r.Split, func(s Share) bool { return s.Pool == pool && s.Weight > 0 })
+}
+
 // Pool is a set of interchangeable upstreams.
 type Pool struct {
 	Name string
