Let a new leader of control start below what its predecessor may have granted

Cause: a divider saves up to 0.5 s of the limit, two permits at least, while no host asks. The former leader may have granted all of it just before the change, and the new one knows nothing of that.

--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -239,7 +239,7 @@
 	d.usage = make(map[uint64]map[string]map[string]uint64)
 	d.poisonDetector = poison.NewDetector()
 	d.refusalsToPropose = nil
-	d.divider = limit.NewDivider()
+	d.divider = limit.NewSuccessor(d.leadStartMS)
 	d.notifyWatches()
 	d.mu.Unlock()
 	d.runLeaderTasks(ctx, term)
--- a/pkg/rollout/limit/divider.go
+++ b/pkg/rollout/limit/divider.go
@@ -65,6 +65,9 @@
 // Divider divides the limits of upstreams among hosts. It is not safe for concurrent use.
 type Divider struct {
 	buckets map[discovery.Incarnation]*bucket
+	// inheritUntilMS is the time until which the limits may be those of a former divider,
+	// whose permits are still in the window.
+	inheritUntilMS rollout.Millis
 }
 
 // bucket is the limit of one upstream.
@@ -94,6 +97,13 @@
 // NewDivider returns a divider without limits.
 func NewDivider() *Divider { return &Divider{buckets: make(map[discovery.Incarnation]*bucket)} }
 
+// NewSuccessor returns a divider that follows another one, of which it knows nothing.
+func NewSuccessor(now rollout.Millis) *Divider {
+	d := NewDivider()
+	d.inheritUntilMS = now + windowMS + PermitMS
+	return d
+}
+
 // SetLimit sets the limit of an upstream in requests a second. 0 removes it.
 func (d *Divider) SetLimit(now rollout.Millis, u discovery.Incarnation, limit float64) {
 	if limit <= 0 {
@@ -103,6 +113,10 @@
 	b := d.buckets[u]
 	if b == nil {
 		b = &bucket{creditMS: now, hosts: make(map[string]*demand)}
+		if now < d.inheritUntilMS {
+			// The former divider may have granted all of its saved credit last.
+			b.credit = -mostSaved(ratePerMS(limit))
+		}
 		d.buckets[u] = b
 	}
 	b.limit, b.usedMS = limit, now
@@ -179,11 +193,13 @@
 // refill adds the credit for the time since the last one. It may be saved for saveMS, so
 // that hosts that ask late lose nothing.
 func (b *bucket) refill(now rollout.Millis, perMS float64) {
-	most := max(minSaved, perMS*float64(saveMS))
-	b.credit = min(most, b.credit+perMS*float64(now-b.creditMS))
+	b.credit = min(mostSaved(perMS), b.credit+perMS*float64(now-b.creditMS))
 	b.creditMS = now
 }
 
+// mostSaved returns the most credit that is saved at a rate.
+func mostSaved(perMS float64) float64 { return max(minSaved, perMS*float64(saveMS)) }
+
 // available returns how many permits may be granted so that each window stays within the
 // limit, less the part of absent hosts.
 func (b *bucket) available(now rollout.Millis, absent float64) int {
