Copy a request before its attempts run side by side

go test -race ./internal/gateway -run SideBySide reported a data race: an attempt read the whole request of its call while the result of another one ended its OnStarted. Only hedges and retries beside a running attempt can meet it; the field that is written is not used by the attempt. One report before, none with the copy.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -340,8 +340,9 @@
 	c.addresses[u.ID] = u.Address
 	c.running++
 	c.sends++
+	whole := c.req
 	go func() {
-		a := c.balancer.sendWithinLimit(sendCtx, req, u, c.req)
+		a := c.balancer.sendWithinLimit(sendCtx, req, u, whole)
 		if suspect {
 			c.balancer.endSuspectRun(u.ID)
 		}
