Leave an upstream that is silent before the first event of a stream

On resumable routes the request now also goes to another upstream after 1.5 s without a response; the first head wins and the other attempt is cancelled, so that no events of two runs meet. A run that goes on with a stream does the same, within the attempts of the route.

The simulation's streams wait at their fifth event also after they went on elsewhere, so that it does not depend on the machine's speed.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -218,8 +218,9 @@
 		OnStarted:   func() { g.meter.count(account) },
 	}
 	req.LimitPatience = time.Duration(hedgeLatencyFraction * float64(route.TargetLatencyMS) * float64(time.Millisecond))
-	if !route.Streaming {
-		req.HedgeAfter = req.LimitPatience
+	req.HedgeAfter = req.LimitPatience
+	if route.Streaming {
+		req.HedgeAfter = silentAfter
 	}
 	req.Priority = g.priorityOf(route, in.Key)
 	req.Permit = func() error { return g.checkPoison(req.UpstreamRequest) }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -20,8 +20,10 @@
 	continueTimeout = 2 * time.Second
 	// continueRetryDelay is the delay between two attempts to find another upstream.
 	continueRetryDelay = 100 * time.Millisecond
-	copyBufferBytes    = 16 << 10
-	statusMultiple     = 300
+	// maxRunsPerBreak is one run to go on with a stream, and one beside it if that is silent.
+	maxRunsPerBreak = 2
+	copyBufferBytes = 16 << 10
+	statusMultiple  = 300
 )
 
 // Response is the response to a request of a caller.
@@ -143,7 +145,7 @@
 func (s *stream) next(cause error) bool {
 	broken := s.current.Upstream
 	req := s.request
-	req.MaxAttempts, req.Avoid, req.OnStarted = 1, []string{broken}, nil
+	req.Avoid, req.OnStarted = []string{broken}, nil
 	if s.lastID > 0 {
 		req.UpstreamRequest.ResumeAfter = strconv.FormatUint(s.lastID, 10)
 	}
@@ -152,9 +154,10 @@
 		giveUp = req.Deadline
 	}
 	for s.mayRunAgain() && s.gateway.balancer.HasUpstream(req.Pool, req.Software) && time.Now().Before(giveUp) {
+		req.MaxAttempts = min(maxRunsPerBreak, s.request.MaxAttempts-s.runs)
 		response, err := s.gateway.balancer.Do(s.ctx, req)
 		if err == nil && response.Head.Streaming && response.Head.Status < statusMultiple && response.Software == req.Software {
-			s.runs++
+			s.runs += response.Runs
 			s.current = response
 			s.log("StreamContinued", zap.String("After", req.UpstreamRequest.ResumeAfter), zap.String("Broken", broken), zap.NamedError("Cause", cause))
 			s.gateway.metrics.streams.WithLabelValues("Continued").Inc()
@@ -164,7 +167,7 @@
 			response.Close()
 		}
 		if err == nil || !rollout.AsError(err).NotRun {
-			s.runs++
+			s.runs += req.MaxAttempts
 		}
 		if err != nil && rollout.AsError(err).Kind == rollout.KindPoisoned {
 			return false
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -29,6 +29,8 @@
 	rollout.UpstreamClient
 	mu   sync.Mutex
 	runs []streamRun
+	// silentRuns is the number of runs, the first ones, that get no response.
+	silentRuns int
 	// body returns the body of a run, from 1.
 	body func(ctx context.Context, run int, r rollout.UpstreamRequest) io.ReadCloser
 }
@@ -36,8 +38,15 @@
 // SendRequest implements rollout.UpstreamClient.
 func (u *scriptedStreams) SendRequest(ctx context.Context, r rollout.UpstreamRequest) (rollout.UpstreamResponse, error) {
 	u.mu.Lock()
-	defer u.mu.Unlock()
 	u.runs = append(u.runs, streamRun{r.Instance, r.ResumeAfter})
+	silent := len(u.runs) <= u.silentRuns
+	u.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return rollout.UpstreamResponse{}, ctx.Err()
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
 	return rollout.UpstreamResponse{Status: 200, Streaming: true, Body: u.body(ctx, len(u.runs), r)}, nil
 }
 
@@ -265,6 +274,25 @@
 	}
 }
 
+// Guards against streams that wait for the first event of an upstream whose connection has
+// fallen silent.
+func TestUpstreamSilentBeforeFirstEventIsLeft(t *testing.T) {
+	t.Parallel()
+	u := &scriptedStreams{body: func(ctx context.Context, _ int, _ rollout.UpstreamRequest) io.ReadCloser {
+		return &lineBody{events(1, 6), ctx, io.EOF}
+	}}
+	u.silentRuns = 1
+	started := time.Now()
+	got, err := copyAll(openStream(t, u, map[string]string{"a": "v1", "b": "v1"}, 4))
+	if err != nil {
+		t.Fatal(err)
+	}
+	assertEvents(t, got, 6)
+	if took := time.Since(started); took < silentAfter {
+		t.Fatalf("the stream was complete after %v, want the first upstream to have %v", took, silentAfter)
+	}
+}
+
 // closableBody fails once its context has ended, as a connection does.
 type closableBody struct {
 	io.Reader
--- a/internal/gateway/streams_test.go
+++ b/internal/gateway/streams_test.go
@@ -60,8 +60,6 @@
 type simBody struct {
 	fleet  *simFleet
 	engine *simEngine
-	// begins is true if the stream begins with this run.
-	begins bool
 	lastID int
 	ctx    context.Context
 	once   sync.Once
@@ -72,7 +70,7 @@
 	if b.lastID == simEvents {
 		return 0, io.EOF
 	}
-	if b.begins && b.lastID == simPauseAfter {
+	if b.lastID == simPauseAfter {
 		select {
 		case <-b.fleet.resume:
 		case <-b.engine.dead:
@@ -118,7 +116,7 @@
 	}
 	e.running++
 	after, _ := strconv.Atoi(r.ResumeAfter)
-	return rollout.UpstreamResponse{Status: 200, Streaming: true, Body: &simBody{fleet: f, engine: e, begins: after == 0, lastID: after, ctx: ctx}}, nil
+	return rollout.UpstreamResponse{Status: 200, Streaming: true, Body: &simBody{fleet: f, engine: e, lastID: after, ctx: ctx}}, nil
 }
 
 // ReadRawEvents implements rollout.UpstreamClient. The data of an event is the version.
