Test that silent connections between members and callers are left

The test of pooled connections of callers now covers the three directions. No fault was found, no code changed.

--- a/internal/link/silence_test.go
+++ b/internal/link/silence_test.go
@@ -24,10 +24,10 @@
 	conns []*silenceableConn
 }
 
-// silenceableConn drops what is written to it once it is silent.
+// silenceableConn loses requests, replies or both once it is silent.
 type silenceableConn struct {
 	net.Conn
-	silent atomic.Bool
+	losesRequests, losesReplies atomic.Bool
 }
 
 func (l *silenceableListener) Accept() (net.Conn, error) {
@@ -43,16 +43,26 @@
 	return c, nil
 }
 
-func (l *silenceableListener) silence() {
+func (l *silenceableListener) silence(requests, replies bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, c := range l.conns {
-		c.silent.Store(true)
+		c.losesRequests.Store(requests)
+		c.losesReplies.Store(replies)
+	}
+}
+
+func (c *silenceableConn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		if err != nil || !c.losesRequests.Load() {
+			return n, err
+		}
 	}
 }
 
 func (c *silenceableConn) Write(p []byte) (int, error) {
-	if c.silent.Load() {
+	if c.losesReplies.Load() {
 		return len(p), nil
 	}
 	return c.Conn.Write(p)
@@ -96,6 +106,18 @@
 // Guards against requests refused by an old copy (CONFIG): each of the pooled connections
 // to a host had gone silent, and each cost a call its whole timeout.
 func TestCallAfterOneWithoutReplyUsesNewConnection(t *testing.T) {
+	for name, lost := range map[string]struct{ requests, replies bool }{
+		"requests lost": {requests: true}, "replies lost": {replies: true}, "all lost": {requests: true, replies: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			testCallAfterSilence(t, func(l *silenceableListener) { l.silence(lost.requests, lost.replies) })
+		})
+	}
+}
+
+func testCallAfterSilence(t *testing.T, silence func(*silenceableListener)) {
+	t.Helper()
 	const pooled, timeout = 3, 300 * time.Millisecond
 	l := newSilenceableServer(t)
 	c := fabric.NewClient(link.NewDialer(""))
@@ -112,7 +134,7 @@
 	if got := l.accepted.Load(); got != pooled {
 		t.Fatalf("%d connections, want %d", got, pooled)
 	}
-	l.silence()
+	silence(l)
 	if err := callWait(t, c, address, 0, timeout); err == nil {
 		t.Fatal("a call over a silent connection succeeded")
 	}
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -70,24 +70,25 @@
 	compact int
 	// addresses are the addresses of all founders. They do not change.
 	addresses []string
+	// listeners accept the connections to the founders.
+	listeners []*silenceableListener
 }
 
 func newCluster(t *testing.T, n, compact int) *cluster {
 	t.Helper()
 	t.Parallel()
 	c := &cluster{t: t, compact: compact}
-	var listeners []net.Listener
 	var founders replica.Founders
 	for range n {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			t.Fatal(err)
 		}
-		listeners = append(listeners, l)
+		c.listeners = append(c.listeners, &silenceableListener{Listener: l})
 		founders = append(founders, l.Addr().String())
 	}
 	c.addresses = founders
-	for _, l := range listeners {
+	for _, l := range c.listeners {
 		c.hosts = append(c.hosts, c.start(l, t.TempDir(), founders))
 	}
 	return c
