--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -19,6 +19,7 @@
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/discovery"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/document"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/origin"
 )
 
 // streamRun is a run of a stream at an upstream.
@@ -31,6 +32,8 @@
 	runs []streamRun
 	// silentRuns is the number of runs, the first ones, that get no response.
 	silentRuns int
+	// onSend is called with each request. It may be nil.
+	onSend func()
 	// body returns the body of a run, from 1.
 	body func(ctx context.Context, run int, r rollout.UpstreamRequest) io.ReadCloser
 }
@@ -41,6 +44,9 @@
 	u.runs = append(u.runs, streamRun{r.Instance, r.ResumeAfter})
 	silent := len(u.runs) <= u.silentRuns
 	u.mu.Unlock()
+	if u.onSend != nil {
+		u.onSend()
+	}
 	if silent {
 		<-ctx.Done()
 		return rollout.UpstreamResponse{}, ctx.Err()
@@ -355,3 +361,25 @@
 	time.Sleep(r.pause)
 	return 0, io.EOF
 }
+
+// Guards against streams that an upstream goes on with that has started again under its ID
+// with another software version since it was selected.
+func TestResponseOfUpstreamThatStartedAgainIsDropped(t *testing.T) {
+	u := &scriptedStreams{body: func(ctx context.Context, _ int, _ rollout.UpstreamRequest) io.ReadCloser {
+		return &lineBody{events(4, 6), ctx, io.EOF}
+	}}
+	g := New(Options{Log: zap.NewNop(), Registry: prometheus.NewRegistry(), WindowMS: 1_000, Controls: func() []string { return nil }, Upstreams: u})
+	upstreamOf := func(born int64, software string) map[string]discovery.Upstream {
+		return map[string]discovery.Upstream{"a": {ID: "a", Pool: "p", Address: "a", State: discovery.StateReady, Slots: 4, Born: born, Software: software}}
+	}
+	g.balancer.Sync(upstreamOf(1, "v1"))
+	u.onSend = func() { g.balancer.Sync(upstreamOf(2, "v2")) }
+	g.origins.Record(t.Context(), origin.Record{Key: origin.Key{Account: "farm", Attempt: "first"}, Origin: origin.Origin{Pool: "p", Software: "v1"}})
+	route := document.Route{Name: "chat", Streaming: true, Resumable: true, MaxAttempts: 1, Split: []document.Share{{Pool: "p", Weight: 1}}}
+	in := Inbound{AttemptID: "r", Received: time.Now(), BudgetMS: 60_000, Resumes: []string{"first"}, LastEventID: []string{"3"}}
+	if resp, err := g.forward(t.Context(), in, route, "farm"); err == nil || rollout.AsError(err).NotRun {
+		resp.Close()
+		t.Fatalf("got error %v, want one of a request that may have run", err)
+	}
+	u.assertRuns(t, 1)
+}
