Keep upstreams that have left known through a change of the leader of control

Cause: watches told followers that an upstream was gone, and these deleted it; so the table that a follower leads with had no record of it, neither to refuse its announcements nor to tell others. Copies now keep the 1,024 upstreams that ended last, and a new leader begins with them.

TestNewLeaderRefusesLateAnnouncementOfUpstreamThatLeft and TestNewLeaderTellsHostsWhichUpstreamsHaveLeft failed before and pass. Found by reading.

--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -208,7 +208,12 @@
 		// A late reply of the former leader must not replace the table of this one.
 		return
 	}
-	us := make([]discovery.Upstream, 0, len(v.Upstreams))
+	us := make([]discovery.Upstream, 0, len(v.Upstreams)+len(v.Ended))
+	for _, u := range v.Ended {
+		if _, again := v.Upstreams[u.ID]; !again {
+			us = append(us, u)
+		}
+	}
 	for _, u := range v.Upstreams {
 		us = append(us, u)
 	}
--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -350,3 +350,49 @@
 		t.Fatalf("%d present, %d absent after a long silence, want none", present, absent)
 	}
 }
+
+// Guards against an upstream that has left and is used again: after a change of the leader
+// of control, a late announcement of it counted as that of a new one.
+func TestNewLeaderRefusesLateAnnouncementOfUpstreamThatLeft(t *testing.T) {
+	d := newLocalDirector()
+	d.opts.Dir = "dir"
+	engine := discovery.Upstream{ID: "e", Address: "a", Born: 1, Seq: 3, State: discovery.StateReady, Revision: 1, RoutingRevision: 1}
+	left := engine
+	left.State, left.Revision, left.RoutingRevision = discovery.StateGone, 2, 2
+	state := view.State{}
+	for _, r := range []view.Reply{
+		{Epoch: 1, Whole: true, Upstreams: []discovery.Upstream{engine}, TableRevision: 1},
+		{Epoch: 1, Upstreams: []discovery.Upstream{left}, TableRevision: 2},
+	} {
+		state = state.With(r)
+		d.restoreTable(state)
+	}
+	late := engine
+	late.Seq++
+	if accepted, _ := d.recordAnnouncement(late); accepted {
+		t.Error("the late announcement was accepted")
+	}
+	next := engine
+	next.Born, next.Seq = 2, 1
+	if accepted, _ := d.recordAnnouncement(next); !accepted {
+		t.Error("the announcement of the next incarnation was not accepted")
+	}
+}
+
+// Guards against hosts that go on using an upstream that has left, because the former leader
+// of control ended before it told them.
+func TestNewLeaderTellsHostsWhichUpstreamsHaveLeft(t *testing.T) {
+	engine := discovery.Upstream{ID: "e", Address: "a", Born: 1, Seq: 3, State: discovery.StateReady, Revision: 1, RoutingRevision: 1}
+	left := engine
+	left.State, left.Revision, left.RoutingRevision = discovery.StateGone, 2, 2
+	first := view.Reply{Epoch: 1, Whole: true, Upstreams: []discovery.Upstream{engine}, TableRevision: 1}
+	follower := view.State{}.With(first).With(view.Reply{Epoch: 1, Upstreams: []discovery.Upstream{left}, TableRevision: 2})
+	entry := view.State{}.With(first)
+	d := newLocalDirector()
+	d.opts.Dir = "dir"
+	d.restoreTable(follower)
+	reply := view.Reply{Epoch: 2, Whole: true, Upstreams: d.table.RoutingChangedSince(0), TableRevision: d.table.Revision()}
+	if entry = entry.With(reply); len(entry.Upstreams) != 0 {
+		t.Fatalf("the entry knows %v, want nothing", entry.Upstreams)
+	}
+}
--- a/internal/view/watcher.go
+++ b/internal/view/watcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -35,8 +36,11 @@
 type State struct {
 	Epoch uint64
 	// Index is nil until the first configuration is received.
-	Index         *document.Index
-	Upstreams     map[string]discovery.Upstream
+	Index     *document.Index
+	Upstreams map[string]discovery.Upstream
+	// Ended holds the upstreams that ended last, oldest first. The next leader of control
+	// needs them to refuse late announcements of them.
+	Ended         []discovery.Upstream
 	TableRevision uint64
 	Facts         Facts
 	FactsRevision uint64
@@ -347,6 +351,7 @@
 	for _, u := range r.Upstreams {
 		if u.State == discovery.StateGone {
 			delete(next.Upstreams, u.ID)
+			next.Ended = next.withEnded(u)
 			continue
 		}
 		next.Upstreams[u.ID] = u
@@ -354,6 +359,18 @@
 	return next
 }
 
+// maxEnded limits the ended upstreams that are kept. A release replaces a whole fleet while
+// late announcements may arrive.
+const maxEnded = 1_024
+
+// withEnded returns the ended upstreams with another one, in place of an earlier
+// incarnation of its ID.
+func (s State) withEnded(u discovery.Upstream) []discovery.Upstream {
+	ended := slices.DeleteFunc(slices.Clone(s.Ended), func(old discovery.Upstream) bool { return old.ID == u.ID })
+	ended = append(ended, u)
+	return ended[max(0, len(ended)-maxEnded):]
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
