Do not tell callers to repeat a take-up that can't succeed

A refused take-up of a stream that is on no record carried Retry-After 2 s, as the kind of its error is for upstreams that are missing, though the same request fails again. A kind of its own, NotResumable, is answered with 503 without Retry-After, not run; while a holder does not answer, Retry-After 0.5 s stays.

--- a/internal/gateway/takeup.go
+++ b/internal/gateway/takeup.go
@@ -60,7 +60,7 @@
 		return rollout.NewError(rollout.KindInvalidInput, "streams of route %s cannot be taken up", route.Name).WithNotRun()
 	}
 	if t.attempt == "" {
-		return rollout.NewError(rollout.KindNoUpstream, "the request names no attempt that began its stream; the stream has to begin anew").WithNotRun()
+		return rollout.NewError(rollout.KindNotResumable, "the request names no attempt that began its stream; the stream has to begin anew").WithNotRun()
 	}
 	found, err := g.origins.Find(ctx, origin.Key{Account: req.UpstreamRequest.Account, Attempt: t.attempt})
 	if err != nil {
@@ -68,7 +68,7 @@
 		return err
 	}
 	if !route.HasPool(found.Pool) {
-		return rollout.NewError(rollout.KindNoUpstream, "route %s does not lead to pool %s any more, where the stream of attempt %s began", route.Name, found.Pool, t.attempt).WithNotRun()
+		return rollout.NewError(rollout.KindNotResumable, "route %s does not lead to pool %s any more, where the stream of attempt %s began", route.Name, found.Pool, t.attempt).WithNotRun()
 	}
 	req.Pool, req.Software = found.Pool, found.Software
 	if t.after > 0 {
--- a/internal/origins/client.go
+++ b/internal/origins/client.go
@@ -182,7 +182,7 @@
 			return r.reply.Origin, nil
 		}
 	}
-	e := rollout.NewError(rollout.KindNoUpstream, "the software version that began the stream of attempt %s is not on record; the stream has to begin anew", k.Attempt).WithNotRun()
+	e := rollout.NewError(rollout.KindNotResumable, "the software version that began the stream of attempt %s is not on record; the stream has to begin anew", k.Attempt).WithNotRun()
 	if last != nil || len(hosts) == 0 {
 		e = rollout.NewError(rollout.KindUnavailable, "the record of the stream of attempt %s was not reached at all of %d hosts", k.Attempt, len(hosts)).
 			WithCause(last).WithNotRun().WithRetryAfter(retryAfterMS)
--- a/internal/origins/client_test.go
+++ b/internal/origins/client_test.go
@@ -106,7 +106,7 @@
 func TestUnknownAttemptIsRefused(t *testing.T) {
 	f := newFakeHolders("a", "b", "c")
 	_, err := newTestClient(f).Find(t.Context(), record("nobody").Key)
-	assertRefusal(t, err, rollout.KindNoUpstream)
+	assertRefusal(t, err, rollout.KindNotResumable)
 }
 
 // Guards against callers that are told to begin anew while a holder may know their stream.
--- a/pkg/rollout/errors.go
+++ b/pkg/rollout/errors.go
@@ -39,6 +39,8 @@
 	// KindStorage means that data could not be stored or that stored data could
 	// not be read.
 	KindStorage
+	// KindNotResumable means that a stream cannot be taken up and must begin anew.
+	KindNotResumable
 	kindCount
 )
 
@@ -72,6 +74,7 @@
 	KindWithdrawn:        {"Withdrawn", 401, 0},
 	KindNotLeader:        {"NotLeader", 503, 500},
 	KindStorage:          {"Storage", 507, 10_000},
+	KindNotResumable:     {"NotResumable", 503, 0},
 }
 
 // Response returns the response for the kind. An unknown kind gets the response
