Move runs to free slots only, also those that continue a text

What it cost: a text that needs its version could move to engines that are nearly full, and queue there, also where all engines have one version. A run loses its text only if no engine of its version has such a slot, and takes capacity from others once, not twice as the counts by requirements did.

TestRunsOfOneSoftwareVersionMoveToFreeSlotsOnly fails with the former rule and passes.

--- a/pkg/rollout/dispatch/dispatch.go
+++ b/pkg/rollout/dispatch/dispatch.go
@@ -423,13 +423,7 @@
 
 // eligible reports whether an engine of the task's pool may run the task now.
 func (s *Scheduler) eligible(now rollout.Millis, e *engine, t Task) bool {
-	return e.running < e.Slots && float64(e.running)*s.slowness(now, e) < float64(e.Slots) && s.answers(now, e, t)
-}
-
-// answers reports whether an engine of the task's pool may run the task as soon as it has a
-// slot.
-func (s *Scheduler) answers(now rollout.Millis, e *engine, t Task) bool {
-	if e.State != discovery.StateReady || now < e.retryAt {
+	if e.State != discovery.StateReady || now < e.retryAt || e.running >= e.Slots || float64(e.running)*s.slowness(now, e) >= float64(e.Slots) {
 		return false
 	}
 	if e.loadingModel == t.Model && now < e.loadEndsAt {
--- a/pkg/rollout/dispatch/moves.go
+++ b/pkg/rollout/dispatch/moves.go
@@ -35,8 +35,6 @@
 	// moveTargetFill is the fraction of its slots up to which an engine has
 	// capacity for moved runs.
 	moveTargetFill = 0.8
-	// textMoveTargetFill is the same for runs that continue a text.
-	textMoveTargetFill = 1.25
 )
 
 // eventInterval is the moving average of the time between two stream events of a
@@ -108,11 +106,15 @@
 			continue
 		}
 		m := Move{JobID: r.task.JobID, ItemID: r.task.ItemID, Engine: r.engine, Stalled: stalled}
-		if t := r.remainder(e); !stalled && !capacity.take(t) {
-			if !s.isFasterAnew(now, e, r) || !capacity.take(t.withoutText()) {
+		if !stalled {
+			t := r.remainder(e)
+			switch {
+			case capacity.take(t):
+			case s.freeCapacity(now, t) <= 0 && s.isFasterAnew(now, e, r) && capacity.take(t.withoutText()):
+				m.Anew = true
+			default:
 				continue
 			}
-			m.Anew = true
 		}
 		r.movePending = true
 		moves = append(moves, m)
@@ -128,14 +130,25 @@
 	left      map[requirements]int
 }
 
-// take reports whether an engine can take one more moved run, and counts it.
+// take reports whether an engine can take one more moved run, and counts it, also for tasks
+// without a text, which may go to the same engines.
 func (c moveCapacity) take(t Task) bool {
+	if c.leftFor(t) <= 0 {
+		return false
+	}
+	c.left[t.requirements()]--
+	if fresh := t.withoutText(); fresh.requirements() != t.requirements() {
+		c.left[fresh.requirements()] = c.leftFor(fresh) - 1
+	}
+	return true
+}
+
+func (c moveCapacity) leftFor(t Task) int {
 	k := t.requirements()
 	if _, known := c.left[k]; !known {
 		c.left[k] = c.scheduler.freeCapacity(c.now, t)
 	}
-	c.left[k]--
-	return c.left[k] >= 0
+	return c.left[k]
 }
 
 // isFasterAnew reports whether a run on a slow engine would end earlier if an engine of
@@ -159,34 +172,18 @@
 	return t
 }
 
-// freeCapacity returns how many moved runs the engines that are not slow can take. A run
-// that continues a text may wait for a slot, since few engines can take it: the slots of a
-// full engine become free one after another.
+// freeCapacity returns how many moved runs the eligible engines that are not slow
+// can take.
 func (s *Scheduler) freeCapacity(now rollout.Millis, t Task) int {
-	total, fill := 0, moveTargetFill
-	if t.Software != "" {
-		fill = textMoveTargetFill
-		total = -s.waitingLike(t)
-	}
+	total := 0
 	for _, e := range s.pools[t.Pool] {
-		if s.answers(now, e, t) && s.slowness(now, e) <= slowThreshold {
-			total += max(0, int(fill*float64(e.Slots))-e.running)
+		if s.eligible(now, e, t) && s.slowness(now, e) <= slowThreshold {
+			total += max(0, int(moveTargetFill*float64(e.Slots))-e.running)
 		}
 	}
 	return total
 }
 
-// waitingLike returns the number of queued tasks with the requirements of a task.
-func (s *Scheduler) waitingLike(t Task) int {
-	n := 0
-	for _, w := range s.waiting {
-		if w.requirements() == t.requirements() {
-			n++
-		}
-	}
-	return n
-}
-
 // slowness returns the event interval of an engine divided by the median of its
 // pool, at most maxSlowness. It is 1 below slowThreshold and for an engine
 // without a recent interval.
--- a/pkg/rollout/dispatch/software_test.go
+++ b/pkg/rollout/dispatch/software_test.go
@@ -149,3 +149,38 @@
 		})
 	}
 }
+
+// Guards against runs that are cut, or lose their text, to move to engines that are nearly
+// full, where all engines have one software version.
+func TestRunsOfOneSoftwareVersionMoveToFreeSlotsOnly(t *testing.T) {
+	// Moved runs fill an engine to eight tenths.
+	const slots, moveSlots = 10, 8
+	for _, running := range []int{slots, 7, 5} {
+		t.Run(fmt.Sprintf("%d of %d slots taken", running, slots), func(t *testing.T) {
+			f := newFixture(3, slots, "m")
+			f.setSoftware("v1", "v1", "v1")
+			f.add(3*running, dispatch.Task{Model: "m", ExpectedTokens: 100})
+			as := f.AssignTasks(f.now)
+			runs := make(map[string]int)
+			for _, a := range as {
+				runs[a.Engine]++
+			}
+			wantMoves := min(runs["e0"], max(0, moveSlots-runs["e1"])+max(0, moveSlots-runs["e2"]))
+			f.generate(as, func(engine string) rollout.Millis {
+				if engine == "e0" {
+					return slowEventMS
+				}
+				return eventMS
+			})
+			moves := f.PlanMoves(f.now)
+			for _, m := range moves {
+				if m.Anew {
+					t.Errorf("move %+v loses its text", m)
+				}
+			}
+			if len(moves) != wantMoves {
+				t.Errorf("%d runs move, want %d", len(moves), wantMoves)
+			}
+		})
+	}
+}
