Replicate evacuations of failure domains and mark cold upstreams

An order to evacuate a failure domain had no handler (404), and coldRemainingMs of announcements was not read. Orders now go through the log of control as configurations do; each host takes the upstreams of evacuated domains as draining, so that one place decides for all kinds of requests. Ruled out: a filter in each of balancer, router and scheduler, which hedges and moves would pass by. The table of upstreams tells until when one is cold; late announcements never shorten that time. After an evacuation the upstreams of the domain count as cold for coldStartS, also at the next leader. The limit of cold upstreams is not kept yet.

--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -43,6 +43,10 @@
 	// Seeds returns addresses of control hosts, which may include this one.
 	// The addresses may change between calls.
 	Seeds func() []string
+	// Regions holds the region of each failure domain of the deployment. It may be empty.
+	Regions map[string]string
+	// ColdBound bounds the requests that a cold upstream gets.
+	ColdBound limit.ColdBound
 	// Founding is true on the first start of the whole system, when the seeds
 	// form the initial quorum.
 	Founding bool
@@ -245,6 +249,7 @@
 	d.poisonDetector = poison.NewDetector()
 	d.refusalsToPropose = nil
 	d.divider = limit.NewSuccessor(d.leadStartMS)
+	d.markColdAfterEvacuations()
 	d.notifyWatches()
 	d.mu.Unlock()
 	d.runLeaderTasks(ctx, term)
@@ -276,6 +281,10 @@
 	m.director.state.Apply(c)
 	if m.director.state.Document.Version != version {
 		m.director.documentCommittedMS = m.director.clock.Now()
+		m.director.syncColdPools()
+	}
+	if c.EndEvacuation != nil {
+		m.director.table.MarkCold(m.director.clock.Now(), c.EndEvacuation.FailureDomain)
 	}
 	if m.director.state.Revision != before {
 		m.director.notifyWatches()
@@ -296,6 +305,7 @@
 	defer m.director.mu.Unlock()
 	err := m.director.state.Restore(r)
 	m.director.documentCommittedMS = 0
+	m.director.syncColdPools()
 	m.director.notifyWatches()
 	return err
 }
--- a/internal/director/operator.go
+++ b/internal/director/operator.go
@@ -70,6 +70,8 @@
 	fabric.Handle(mux, methodAnnounceBatch, d.announceBatch)
 	fabric.Handle(mux, methodLeave, d.leave)
 	fabric.Handle(mux, methodRetire, d.retire)
+	fabric.Handle(mux, methodEvacuate, d.evacuate)
+	fabric.Handle(mux, methodEndEvacuation, d.endEvacuation)
 	fabric.Handle(mux, methodRetirementStatus, d.retirementStatus)
 }
 
--- a/internal/director/watch.go
+++ b/internal/director/watch.go
@@ -152,7 +152,7 @@
 // facts returns the current facts. The caller holds mu.
 func (d *Director) facts() view.Facts {
 	f := view.Facts{
-		Poisons:  d.refusedRequests(),
+		Poisons: d.refusedRequests(), Evacuated: d.state.EvacuatedDomains(),
 		Versions: d.state.Versions, Founders: d.state.Founders,
 		StoreLeader: d.storeLeader, Stores: slices.Clone(d.storeAddresses), StoreDomains: make(map[string]string),
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"github.com/coltsfootspoke/coltsfootspoke/internal/view"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/clock"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/discovery"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/document"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/poison"
 )
@@ -104,7 +105,9 @@
 	g.watcher = view.NewWatcher(view.Options{
 		Host: opts.Host, Role: view.RoleEntry, FailureDomain: opts.FailureDomain, Seeds: opts.Controls,
 		Client: g.client, Clock: clock.Boottime{}, Log: opts.Log, Registry: opts.Registry, Usage: g.meter.totals, BrokenConnections: g.brokenConnections, CrashRecorded: g.balancer.CrashRecorded(), Leaving: g.balancer.Leaving().Report,
-		OnChange: func(v view.State) { g.balancer.Sync(v.Upstreams) },
+		OnChange: func(v view.State) {
+			g.balancer.Sync(discovery.WithEvacuated(v.Upstreams, v.Facts.Evacuated))
+		},
 	})
 	g.origins = origins.NewClient(origins.Options{Client: g.client, Clock: clock.Boottime{}, Log: opts.Log, Hosts: func() []string { return g.watcher.State().Facts.Controls }})
 	return g
--- a/internal/jobstore/runner.go
+++ b/internal/jobstore/runner.go
@@ -332,7 +332,7 @@
 		models[p.Name] = p.Models
 	}
 	r.sched.SetTargets(v.Facts.Versions)
-	r.models, r.upstreams = models, v.Upstreams
+	r.models, r.upstreams = models, discovery.WithEvacuated(v.Upstreams, v.Facts.Evacuated)
 	r.syncUpstreams()
 	if changed {
 		r.updateRoutes()
--- a/internal/jobstore/store.go
+++ b/internal/jobstore/store.go
@@ -24,7 +24,9 @@
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/authority"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/clock"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/discovery"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/job"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/limit"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/quorum"
 )
 
@@ -55,10 +57,12 @@
 	// OrderCooldownMS is the minimum time between two orders of this host under
 	// different terms. Another host may have led and sent orders in between.
 	OrderCooldownMS rollout.Millis
-	Upstreams       rollout.UpstreamClient
-	Secret          string
-	Log             *zap.Logger
-	Registry        *prometheus.Registry
+	// ColdBound bounds the requests that a cold upstream gets.
+	ColdBound limit.ColdBound
+	Upstreams rollout.UpstreamClient
+	Secret    string
+	Log       *zap.Logger
+	Registry  *prometheus.Registry
 }
 
 // Store is a member of the job store quorum.
@@ -151,7 +155,7 @@
 		retiring[address] = true
 	}
 	s.replica.SetRetiring(retiring)
-	s.balancer.Sync(v.Upstreams)
+	s.balancer.Sync(discovery.WithEvacuated(v.Upstreams, v.Facts.Evacuated))
 	s.mu.Lock()
 	r := s.runner
 	s.mu.Unlock()
--- a/internal/view/protocol.go
+++ b/internal/view/protocol.go
@@ -120,6 +120,8 @@
 	Controls []string
 	// Poisons holds the fingerprints of requests that crash upstreams.
 	Poisons []string `json:",omitempty"`
+	// Evacuated holds the failure domains whose upstreams get no new work.
+	Evacuated []string `json:",omitempty"`
 }
 
 // Reply holds the changes since the caller's copy.
--- a/pkg/rollout/discovery/discovery.go
+++ b/pkg/rollout/discovery/discovery.go
@@ -55,6 +55,11 @@
 	// Limit is the number of requests a second that the upstream takes from all hosts, or
 	// 0 if it has named no limit.
 	Limit float64 `json:",omitempty"`
+	// ColdMS is how much longer the upstream stays cold, as it announced.
+	ColdMS rollout.Millis `json:",omitempty"`
+	// ColdLimit is the number of requests a second that the upstream takes from all hosts
+	// while it is cold, or 0 while it is warm.
+	ColdLimit float64 `json:",omitempty"`
 	// Silent is true when several announcements in a row are missing.
 	Silent bool `json:",omitempty"`
 	// Revision is the table revision at which the upstream last changed, and
@@ -65,13 +70,15 @@
 // Repeats reports whether an announcement says no more than an earlier one but that
 // the upstream is alive.
 func (u Upstream) Repeats(earlier Upstream) bool {
-	return sameRouting(u, earlier) && slices.Equal(u.Models, earlier.Models)
+	return sameRouting(u, earlier) && slices.Equal(u.Models, earlier.Models) && u.ColdMS == 0
 }
 
 // record is an upstream with the time of its last announcement or Leave.
 type record struct {
 	Upstream
 	lastSeenMS rollout.Millis
+	// coldUntilMS is the time until which the upstream counts as cold.
+	coldUntilMS rollout.Millis
 }
 
 // Table holds all upstreams. It is not safe for concurrent use.
@@ -85,6 +92,8 @@
 	// changes lists the upstreams in the order of their changes. Entries whose
 	// upstream has changed again are outdated.
 	changes []change
+	// coldPools holds the pools whose upstreams can be cold.
+	coldPools map[string]ColdPool
 }
 
 // change is the change of an upstream at a revision.
@@ -113,11 +122,13 @@
 	if old != nil && old.Born == u.Born && old.State == StateDraining && u.State == StateReady {
 		u.State = StateDraining
 	}
-	u.Silent, u.Limit = false, 0
+	u.Silent, u.Limit, u.ColdLimit = false, 0, 0
+	next := &record{Upstream: u, lastSeenMS: now}
 	if old != nil && old.Born == u.Born {
-		u.Limit = old.Limit
+		next.Limit, next.ColdLimit, next.coldUntilMS = old.Limit, old.ColdLimit, old.coldUntilMS
 	}
-	next := &record{Upstream: u, lastSeenMS: now}
+	t.extendCold(now, next, u.ColdMS)
+	u = next.Upstream
 	t.put(next)
 	if old != nil && sameRouting(old.Upstream, u) {
 		next.Revision, next.RoutingRevision = old.Revision, old.RoutingRevision
@@ -186,7 +197,11 @@
 	t.revision = max(t.revision, revision)
 	us = slices.SortedFunc(slices.Values(us), func(a, b Upstream) int { return cmp.Compare(a.Revision, b.Revision) })
 	for _, u := range us {
-		t.put(&record{Upstream: u, lastSeenMS: now})
+		r := &record{Upstream: u, lastSeenMS: now}
+		if u.ColdLimit > 0 {
+			r.coldUntilMS = now + max(u.ColdMS, t.coldPools[u.Pool].StartMS)
+		}
+		t.put(r)
 		t.changes = append(t.changes, change{u.Revision, u.ID})
 		t.revision = max(t.revision, u.Revision)
 		t.routingRevision = max(t.routingRevision, u.RoutingRevision)
@@ -204,6 +219,16 @@
 // ended.
 func (t *Table) Knows(id string) bool { return t.byID[id] != nil }
 
+// HasDomain reports whether an upstream of a failure domain is in the table.
+func (t *Table) HasDomain(name string) bool {
+	for _, r := range t.byID {
+		if r.FailureDomain == name {
+			return true
+		}
+	}
+	return false
+}
+
 // SilenceMS returns the time without an announcement after which an upstream is marked
 // silent.
 func (t *Table) SilenceMS() rollout.Millis { return silentAfterIntervals * t.announceIntervalMS }
@@ -235,8 +260,8 @@
 	return slices.DeleteFunc(t.ChangedSince(revision), func(u Upstream) bool { return u.RoutingRevision <= revision })
 }
 
-// Tick marks upstreams as silent and deletes expired tombstones. It reports
-// whether any upstream was marked.
+// Tick marks upstreams as silent or as warm again and deletes expired tombstones. It
+// reports whether any upstream was marked.
 func (t *Table) Tick(now rollout.Millis) bool {
 	before := t.revision
 	for _, r := range t.byID {
@@ -248,6 +273,10 @@
 			r.Silent = true
 			t.bumpRevision(r)
 		}
+		if r.ColdLimit > 0 && now >= r.coldUntilMS {
+			r.ColdLimit = 0
+			t.bumpRevision(r)
+		}
 	}
 	return t.revision != before
 }
@@ -323,5 +352,5 @@
 // the revisions.
 func sameRouting(a, b Upstream) bool {
 	return a.Pool == b.Pool && a.Address == b.Address && a.FailureDomain == b.FailureDomain &&
-		a.State == b.State && a.Slots == b.Slots && a.Software == b.Software && a.Born == b.Born && a.Silent == b.Silent && a.Limit == b.Limit
+		a.State == b.State && a.Slots == b.Slots && a.Software == b.Software && a.Born == b.Born && a.Silent == b.Silent && a.Limit == b.Limit && a.ColdLimit == b.ColdLimit
 }
--- a/pkg/rollout/document/document.go
+++ b/pkg/rollout/document/document.go
@@ -63,6 +63,8 @@
 	MaxQueueMS       rollout.Millis
 	// Split divides the traffic between pools. It is not empty.
 	Split []Share
+	// Regions are the regions in which requests may be served, or empty for any.
+	Regions []string `json:",omitempty"`
 }
 
 // HasPool reports whether the route sends traffic to a pool.
@@ -79,14 +81,25 @@
 	// Models are the models that the engines of the pool serve. It is empty
 	// for a pool of services.
 	Models []string `json:",omitempty"`
+	// ColdStartMS is how long an upstream stays cold after its start, or 0 if it is never
+	// cold. ColdPerSecond is the rate of requests that a cold upstream tolerates.
+	ColdStartMS   rollout.Millis `json:",omitempty"`
+	ColdPerSecond float64        `json:",omitempty"`
 }
 
+// CanBeCold reports whether the upstreams of the pool tolerate only a low rate of requests
+// for some time after they start.
+func (p Pool) CanBeCold() bool { return p.ColdStartMS > 0 && p.ColdPerSecond > 0 }
+
 // Account is a client account.
 type Account struct {
 	Name string
 	Keys []string
 	// Priority overrides the priority of the route if it is not nil.
 	Priority *int `json:",omitempty"`
+	// Regions are the regions in which requests of the account may be served, or empty for
+	// any. If a route has regions too, both apply.
+	Regions []string `json:",omitempty"`
 }
 
 // Limits are the size and time limits for requests from callers.
--- a/pkg/rollout/registry/registry.go
+++ b/pkg/rollout/registry/registry.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"io"
 	"maps"
+	"slices"
 
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/document"
@@ -29,6 +30,9 @@
 	Found  *FoundStore     `json:",omitempty"`
 	Retire *RetireHost     `json:",omitempty"`
 	Refuse *RefuseRequests `json:",omitempty"`
+	// Evacuate begins the evacuation of a failure domain, and EndEvacuation ends it.
+	Evacuate      *Evacuation `json:",omitempty"`
+	EndEvacuation *Evacuation `json:",omitempty"`
 }
 
 // PutDocument activates a configuration.
@@ -74,6 +78,17 @@
 	Fingerprints   []string
 }
 
+// Evacuation names a failure domain whose upstreams get no new work.
+type Evacuation struct {
+	FailureDomain string
+	// AtMS is the wall clock time of the leader.
+	AtMS rollout.Millis
+}
+
+// evacuationRetentionMS is how long the end of an evacuation is remembered. It is many times
+// the time for which upstreams are cold, also if the clocks of two leaders differ.
+const evacuationRetentionMS rollout.Millis = 60_000
+
 // Window is a closed usage window.
 type Window struct {
 	Requests map[string]uint64
@@ -98,6 +113,12 @@
 	// RefusedUntilMS maps the fingerprint of each refused request to the wall clock time
 	// at which the refusal expires.
 	RefusedUntilMS map[string]rollout.Millis `json:",omitempty"`
+	// Evacuated maps each evacuated failure domain to the wall clock time at which the
+	// evacuation began.
+	Evacuated map[string]rollout.Millis `json:",omitempty"`
+	// EvacuationEndedMS maps each failure domain whose evacuation ended a short time ago
+	// to the wall clock time at which it did.
+	EvacuationEndedMS map[string]rollout.Millis `json:",omitempty"`
 	// Revision increases with every change except those of windows.
 	Revision uint64
 }
@@ -139,7 +160,53 @@
 		s.Revision++
 	case c.Refuse != nil:
 		s.refuse(*c.Refuse)
+	case c.Evacuate != nil:
+		s.evacuate(*c.Evacuate)
+	case c.EndEvacuation != nil:
+		s.endEvacuation(*c.EndEvacuation)
+	}
+}
+
+// evacuate begins an evacuation. One that has begun already stays as it is.
+func (s *State) evacuate(e Evacuation) {
+	if _, evacuated := s.Evacuated[e.FailureDomain]; evacuated {
+		return
+	}
+	s.Evacuated = withEntry(s.Evacuated, e.FailureDomain, e.AtMS)
+	s.Revision++
+}
+
+// endEvacuation ends an evacuation, if there is one.
+func (s *State) endEvacuation(e Evacuation) {
+	if _, evacuated := s.Evacuated[e.FailureDomain]; !evacuated {
+		return
+	}
+	s.Evacuated = maps.Clone(s.Evacuated)
+	delete(s.Evacuated, e.FailureDomain)
+	s.EvacuationEndedMS = withEntry(s.EvacuationEndedMS, e.FailureDomain, e.AtMS)
+	maps.DeleteFunc(s.EvacuationEndedMS, func(_ string, at rollout.Millis) bool { return e.AtMS-at > evacuationRetentionMS })
+	s.Revision++
+}
+
+// EvacuatedDomains returns the evacuated failure domains, sorted.
+func (s *State) EvacuatedDomains() []string { return slices.Sorted(maps.Keys(s.Evacuated)) }
+
+// EvacuationsEnded returns the failure domains whose evacuation ended within
+// evacuationRetentionMS of a wall clock time, sorted.
+func (s *State) EvacuationsEnded(now rollout.Millis) []string {
+	recent := maps.Clone(s.EvacuationEndedMS)
+	maps.DeleteFunc(recent, func(_ string, at rollout.Millis) bool { return now-at > evacuationRetentionMS })
+	return slices.Sorted(maps.Keys(recent))
+}
+
+// withEntry returns a copy of a map with an entry.
+func withEntry(m map[string]rollout.Millis, key string, value rollout.Millis) map[string]rollout.Millis {
+	next := maps.Clone(m)
+	if next == nil {
+		next = make(map[string]rollout.Millis)
 	}
+	next[key] = value
+	return next
 }
 
 // Freeze returns a function that writes a snapshot of the current state.
