Keep items within the bound of cold engines, and test evacuations

The leader of the job store starts nearly all runs, so it counts its own starts at each engine: half of the bound while the engine is cold, two below the bound otherwise, over 1.3 s as runs may be sent late. Ruled out: permits for items, which cost a call to control for each run. Warm engines go first. After a restart of control without a list of failure domains a repeated end of an evacuation got 404; found by the process test, which also fails if hosts ignore evacuated domains.

--- a/internal/director/evacuation.go
+++ b/internal/director/evacuation.go
@@ -59,14 +59,17 @@
 }
 
 // checkDomain returns an error if the deployment has no failure domain of a name. Without a
-// list of failure domains, each domain of a known upstream is valid.
+// list of failure domains, each one of a known upstream is valid, and each one that is or
+// was evacuated, as an order that was accepted must not be refused when it is sent again.
 func (d *Director) checkDomain(name string) error {
 	if _, known := d.opts.Regions[name]; known {
 		return nil
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if len(d.opts.Regions) == 0 && d.table.HasDomain(name) {
+	_, evacuated := d.state.Evacuated[name]
+	_, ended := d.state.EvacuationEndedMS[name]
+	if evacuated || ended || (len(d.opts.Regions) == 0 && d.table.HasDomain(name)) {
 		return nil
 	}
 	return rollout.NewError(rollout.KindNotFound, "no failure domain %q", name)
--- a/internal/jobstore/runner.go
+++ b/internal/jobstore/runner.go
@@ -327,10 +327,14 @@
 	first := r.index == nil
 	changed := r.index != v.Index
 	r.index = v.Index
-	models := make(map[string][]string)
+	models, coldBounds := make(map[string][]string), make(map[string]float64)
 	for _, p := range v.Index.Document.Pools {
 		models[p.Name] = p.Models
+		if p.CanBeCold() {
+			coldBounds[p.Name] = r.store.opts.ColdBound.PerSecond(p.ColdPerSecond)
+		}
 	}
+	r.sched.SetColdBounds(coldBounds)
 	r.sched.SetTargets(v.Facts.Versions)
 	r.models, r.upstreams = models, discovery.WithEvacuated(v.Upstreams, v.Facts.Evacuated)
 	r.syncUpstreams()
--- /dev/null
+++ b/pkg/rollout/discovery/evacuation_test.go
@@ -0,0 +1,27 @@
+package discovery_test
+
+import (
+	"testing"
+
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/discovery"
+)
+
+// Guards against new work at upstreams of an evacuated failure domain, and against an
+// evacuation that changes the copy it is applied to and can't be taken back.
+func TestUpstreamsOfEvacuatedDomainsDrain(t *testing.T) {
+	inDomain := func(domain string, state discovery.State) discovery.Upstream {
+		return discovery.Upstream{FailureDomain: domain, State: state}
+	}
+	us := map[string]discovery.Upstream{
+		"a": inDomain("d1", discovery.StateReady), "b": inDomain("d2", discovery.StateReady), "c": inDomain("d1", discovery.StateGone),
+	}
+	next := discovery.WithEvacuated(us, []string{"d1"})
+	for id, want := range map[string]discovery.State{"a": discovery.StateDraining, "b": discovery.StateReady, "c": discovery.StateGone} {
+		if got := next[id].State; got != want {
+			t.Errorf("upstream %s is %s, want %s", id, got, want)
+		}
+	}
+	if us["a"].State != discovery.StateReady {
+		t.Errorf("the copy was changed: upstream a is %s", us["a"].State)
+	}
+}
--- a/pkg/rollout/dispatch/dispatch.go
+++ b/pkg/rollout/dispatch/dispatch.go
@@ -115,8 +115,10 @@
 	costOtherFailureDomain = 1.0
 	// costSlowEngine is the cost of an item of mean length on an engine whose
 	// event interval is twice the median. It is proportional to the length.
-	costSlowEngine    = 3.0
-	costSilentEngine  = 6.0
+	costSlowEngine   = 3.0
+	costSilentEngine = 6.0
+	// costColdEngine exceeds the cost of any warm engine with a free slot.
+	costColdEngine    = 1_000.0
 	discountSameGroup = 3.0
 	// backoffMS is the delay before an engine gets another task after it turned
 	// one away. It doubles with each consecutive failure up to maxBackoffMS.
@@ -151,6 +153,9 @@
 	// groups holds the groups of the tasks that have run on the engine.
 	groups        map[string]bool
 	eventInterval eventInterval
+	// starts holds the times at which runs started within startWindowMS, if the engine can
+	// be cold.
+	starts []rollout.Millis
 }
 
 // Scheduler assigns queued tasks to engines and plans weight loads and moves of
@@ -190,6 +195,11 @@
 	// medianIntervalsAt.
 	medianIntervals   map[string]float64
 	medianIntervalsAt rollout.Millis
+	// coldBounds holds, for each pool whose engines can be cold, the requests that a cold one
+	// may get in a second.
+	coldBounds map[string]float64
+	// syncedFirstMS is the time of the first Sync.
+	syncedFirstMS rollout.Millis
 }
 
 // New returns a scheduler without engines.
@@ -340,6 +350,9 @@
 // same incarnation keep their state.
 func (s *Scheduler) Sync(now rollout.Millis, upstreams map[string]discovery.Upstream, models map[string][]string) {
 	s.models = models
+	if s.syncedFirstMS == 0 {
+		s.syncedFirstMS = now
+	}
 	for id, e := range s.engines {
 		if u, ok := upstreams[id]; !ok || u.Born != e.Born {
 			delete(s.engines, id)
@@ -383,6 +396,7 @@
 			continue
 		}
 		e.running++
+		s.recordStart(now, e)
 		s.running[t.runKey()] = &run{task: t, engine: e.ID, startedMS: now, lastEventMS: now}
 		e.groups[t.Group] = true
 		assignments = append(assignments, Assignment{Task: t, Engine: e.ID, Address: e.Address, Version: e.knownVersions[t.Model], Born: e.Born, Software: e.Software})
@@ -411,6 +425,9 @@
 		if e.Silent {
 			cost += costSilentEngine
 		}
+		if e.ColdLimit > 0 {
+			cost += costColdEngine
+		}
 		if t.Group != "" && e.groups[t.Group] && slowness == 1 {
 			cost -= discountSameGroup
 		}
@@ -429,7 +446,7 @@
 	if e.loadingModel == t.Model && now < e.loadEndsAt {
 		return false
 	}
-	return t.allows(e)
+	return t.allows(e) && s.startsLeft(now, e) > 0
 }
 
 // compareTasks orders tasks by due time. Within a job, tasks that have run
--- a/pkg/rollout/dispatch/moves.go
+++ b/pkg/rollout/dispatch/moves.go
@@ -178,7 +178,7 @@
 	total := 0
 	for _, e := range s.pools[t.Pool] {
 		if s.eligible(now, e, t) && s.slowness(now, e) <= slowThreshold {
-			total += max(0, int(moveTargetFill*float64(e.Slots))-e.running)
+			total += max(0, min(int(moveTargetFill*float64(e.Slots))-e.running, s.startsLeft(now, e)))
 		}
 	}
 	return total
