Test that a stream does not go on with an upstream of another version

Without the comparison of software versions after the response of the next run, all tests of the gateway passed: an upstream may start again with another version between its selection and its response. The new test fails under that mutation and passes on the code as it is, which is unchanged.

--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -383,3 +383,23 @@
 	}
 	u.assertRuns(t, 1)
 }
+
+// Guards against a response whose later events are of an upstream that has started again
+// with another software version since it was selected to go on with the stream.
+func TestStreamDoesNotGoOnWithUpstreamThatStartedAgain(t *testing.T) {
+	u := &scriptedStreams{body: breakingOnce}
+	resp := openStream(t, u, map[string]string{"a": "v1", "b": "v1"}, 2)
+	u.onSend = func() {
+		us := make(map[string]discovery.Upstream)
+		for _, id := range []string{"a", "b"} {
+			us[id] = discovery.Upstream{ID: id, Pool: "p", Address: id, State: discovery.StateReady, Slots: 4, Born: 2, Software: "v2"}
+		}
+		resp.stream.gateway.balancer.Sync(us)
+	}
+	got, err := copyAll(resp)
+	if err == nil {
+		t.Fatal("the stream looks complete")
+	}
+	assertEvents(t, got, 3)
+	u.assertRuns(t, 2)
+}
