Take over steps of entries that have started again

A step of 48 samples stayed at 36 for 60 s: its entry was killed and was back under its name after 0.3 s, without the step. A step now records the process that runs it; another entry takes it over once the lease of that process has expired. Ruled out: handing over at once, as the old process may still run until its lease ends. Steps of earlier records have no process and are compared by name.

TestStepTakeoverFromRestartedEntry fails without the comparison (no sample in 60 s) and passes with it.

--- a/internal/control/propose.go
+++ b/internal/control/propose.go
@@ -46,13 +46,14 @@
 }
 
 // setOwnerGone sets OwnerGone on an OpenStep command if the step belongs to another
-// entry daemon that is no longer alive. The sender then takes over the step.
+// entry daemon whose process is no longer alive. The sender then takes over the step. A
+// process that has started again under the name of the owner knows nothing of the step.
 func (l *eventLoop) setOwnerGone(now rollout.Millis, c *ledger.Command) {
 	if c.OpenStep == nil {
 		return
 	}
-	owner := l.state.Streams.StepOwner(c.OpenStep.Group, c.OpenStep.Step)
-	c.OpenStep.OwnerGone = owner != "" && owner != c.OpenStep.Entry && !l.fleet.Alive(now, owner)
+	owner, incarnation := l.state.Streams.StepOwner(c.OpenStep.Group, c.OpenStep.Step)
+	c.OpenStep.OwnerGone = owner != "" && owner != c.OpenStep.Entry && !l.fleet.IncarnationAlive(now, owner, incarnation)
 	if c.OpenStep.OwnerGone {
 		l.log.Info("StepTakenOver", zap.String("Group", c.OpenStep.Group), zap.String("Step", c.OpenStep.Step),
 			zap.String("From", owner), zap.String("To", c.OpenStep.Entry))
--- a/internal/e2e/trainer_test.go
+++ b/internal/e2e/trainer_test.go
@@ -119,14 +119,30 @@
 }
 
 func TestStepTakeoverFromKilledEntry(t *testing.T) {
+	testStepTakeover(t, func(d *deployment) { d.kill("entry-1") })
+}
+
+// Guards against a step that nobody runs because its entry is back under its name before
+// its lease has expired, without knowing of the step.
+func TestStepTakeoverFromRestartedEntry(t *testing.T) {
+	testStepTakeover(t, func(d *deployment) {
+		d.kill("entry-1")
+		d.start("entry-1")
+	})
+}
+
+// testStepTakeover checks that the other entries complete a step of entry-1 once that has
+// lost it.
+func testStepTakeover(t *testing.T, lose func(*deployment)) {
+	t.Helper()
 	d := deploy(t, demo.DefaultOptions())
 	p := &manualTrainer{deployment: d}
 	p.send("steps", `{"Step":"step-1","Samples":24,"MaxTokens":1500,"Prompts":["a"]}`)
 	eventually(t, "entry-1 owns the step", waitTimeout, func() bool {
 		return len(d.do("show steps where Entry = entry-1").Table.Rows) == 1
 	})
-	d.kill("entry-1")
-	tr := &demo.Trainer{URLs: d.layout.EntryURLs, Key: "cfs_trainer", Group: "drafts", Steps: 1, Samples: 24, MaxTokens: 10}
+	lose(d)
+	tr := &demo.Trainer{URLs: d.layout.EntryURLs[1:], Key: "cfs_trainer", Group: "drafts", Steps: 1, Samples: 24, MaxTokens: 10}
 	ctx, cancel := contextWithTimeout(t, 2*waitTimeout)
 	defer cancel()
 	r, err := tr.Run(ctx)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -59,13 +59,15 @@
 // entry is the state of one entry process.
 type entry struct {
 	wire.DRPCEntryUnimplementedServer
-	cfg     settings.Entry
-	log     *zap.Logger
-	clock   rollout.Clock
-	dialer  *link.Dialer
-	control *daemon.Client
-	renewer *daemon.Renewer
-	metrics *metrics
+	cfg settings.Entry
+	// incarnation identifies the process.
+	incarnation string
+	log         *zap.Logger
+	clock       rollout.Clock
+	dialer      *link.Dialer
+	control     *daemon.Client
+	renewer     *daemon.Renewer
+	metrics     *metrics
 	// sessions holds the running requests of callers, sampling those for
 	// samples. Both are cancelled when their key is withdrawn, but only sessions
 	// when the lease expires: a sample has no effect until it is committed, and
@@ -148,8 +150,9 @@
 		budget:    retry.NewBudget(retry.DefaultRatio, retry.DefaultBurst),
 	}
 	e.stepRunner = newStepRunner(e)
+	e.incarnation = newID()[:incarnationLength]
 	e.renewer = daemon.NewRenewer(daemon.Identity{
-		Name: cfg.Name, Kind: fleet.KindEntry, Incarnation: newID()[:incarnationLength],
+		Name: cfg.Name, Kind: fleet.KindEntry, Incarnation: e.incarnation,
 		Address: cfg.Address, FailureDomain: cfg.FailureDomain,
 	}, control, clock, log, e)
 	return e
--- a/internal/entry/step_runner.go
+++ b/internal/entry/step_runner.go
@@ -166,7 +166,7 @@
 	ctx, cancel := context.WithTimeout(ctx, holderTimeout)
 	defer cancel()
 	step, err := propose[stream.Step](ctx, s.entry, ledger.Command{OpenStep: &stream.OpenStep{
-		Group: run.group, Step: run.req.Step, Size: run.req.Samples, Entry: s.entry.cfg.Name,
+		Group: run.group, Step: run.req.Step, Size: run.req.Samples, Entry: s.entry.cfg.Name, Incarnation: s.entry.incarnation,
 	}})
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/entry/trainer.go
+++ b/internal/entry/trainer.go
@@ -117,7 +117,7 @@
 		return rollout.NewError(rollout.KindInvalidInput, "body: Step and Prompts are required").WithNotRun()
 	}
 	step, err := propose[stream.Step](x.ctx, e, ledger.Command{OpenStep: &stream.OpenStep{
-		Group: g.Name, Step: req.Step, Size: req.Samples, Entry: e.cfg.Name,
+		Group: g.Name, Step: req.Step, Size: req.Samples, Entry: e.cfg.Name, Incarnation: e.incarnation,
 	}})
 	if err != nil {
 		return err
--- a/pkg/rollout/fleet/fleet.go
+++ b/pkg/rollout/fleet/fleet.go
@@ -121,8 +121,14 @@
 // Alive reports whether the daemon may still hold a lease. A new leader treats
 // every daemon as alive until all leases from before its term have expired.
 func (t *Table) Alive(now rollout.Millis, name string) bool {
+	return t.IncarnationAlive(now, name, "")
+}
+
+// IncarnationAlive reports whether an incarnation of the daemon may still hold a lease. An
+// empty incarnation stands for any.
+func (t *Table) IncarnationAlive(now rollout.Millis, name, incarnation string) bool {
 	for key, d := range t.daemons {
-		if key.name == name && !authority.LeaseExpired(now, d.RenewedMS) {
+		if key.name == name && (incarnation == "" || key.incarnation == incarnation) && !authority.LeaseExpired(now, d.RenewedMS) {
 			return true
 		}
 	}
--- a/pkg/rollout/stream/stream.go
+++ b/pkg/rollout/stream/stream.go
@@ -24,8 +24,9 @@
 	Group string
 	Step  string
 	Size  int
-	// Entry is the entry that runs the step.
-	Entry string
+	// Entry is the entry that runs the step, and Incarnation its process.
+	Entry       string
+	Incarnation string `json:",omitempty"`
 	// OwnerGone allows the entry to take over the step from its current owner.
 	// Only the leader sets it.
 	OwnerGone bool
@@ -88,9 +89,12 @@
 
 // Step is a step of a trainer group.
 type Step struct {
-	ID    string
-	Size  int
-	Entry string
+	ID   string
+	Size int
+	// Entry is the entry that runs the step. Incarnation is the process of the entry that
+	// last asked for it, or empty if that is unknown.
+	Entry       string
+	Incarnation string `json:",omitempty"`
 	// Positions holds, for each index, the position that fills it, or zero.
 	Positions []uint64
 	// Settled means that the step is complete and all of its positions are
@@ -228,32 +232,32 @@
 		if step.Size != o.Size {
 			return Step{}, rollout.NewError(rollout.KindConflict, "step %s has size %d, not %d", o.Step, step.Size, o.Size)
 		}
-		if o.OwnerGone {
-			step.Entry = o.Entry
+		if o.OwnerGone || (step.Entry == o.Entry && o.Incarnation != "") {
+			step.Entry, step.Incarnation = o.Entry, o.Incarnation
 		}
 		out := step.clone()
 		out.Settled = gs.isSettled(*step)
 		return out, nil
 	}
-	step := Step{ID: o.Step, Size: o.Size, Entry: o.Entry, Positions: make([]uint64, o.Size)}
+	step := Step{ID: o.Step, Size: o.Size, Entry: o.Entry, Incarnation: o.Incarnation, Positions: make([]uint64, o.Size)}
 	gs.Steps = append(gs.Steps, step)
 	gs.pruneSteps()
 	return step.clone(), nil
 }
 
-// StepOwner returns the name of the entry that runs a step, or an empty string
-// if there is no such step.
-func (s *Streams) StepOwner(group, step string) string {
+// StepOwner returns the name and the incarnation of the entry that runs a step, or empty
+// strings if there is no such step.
+func (s *Streams) StepOwner(group, step string) (entry, incarnation string) {
 	gs := s.Groups[group]
 	if gs == nil {
-		return ""
+		return "", ""
 	}
 	for _, st := range gs.Steps {
 		if st.ID == step {
-			return st.Entry
+			return st.Entry, st.Incarnation
 		}
 	}
-	return ""
+	return "", ""
 }
 
 func (s *Streams) findStep(group, step string) (*GroupStream, *Step, error) {
