Hold evacuations of failure domains in the ledger and the operators' language

The own operator interface could drain single upstreams only, for good, and an upstream that registered anew was used again. The ledger now holds the set of evacuated failure domains beside the other configuration, and each upstream of such a domain is marked. The daemons follow the mark, not the set: an entry or agent of an older build rejects an update with an unknown kind of entity and would lose its authority. Ruled out: Leaving for the same purpose; agents keep it, and capacity stops what is leaving. A domain is valid if an upstream or, by the leader's table, a daemon is in it. FindClaim looks a claim up without taking one; a request that was sent already needs it when no upstream may take it. TestFollowerConvergesToCatalog and TestRestoredReplicaAgrees draw the new commands too.

--- a/internal/cmd/ctlcmd.go
+++ b/internal/cmd/ctlcmd.go
@@ -55,10 +55,11 @@
   create route NAME pool POOL [open yes|no] [repeatable yes|no]
   set target DOMAIN/POOL min N max N
   drain upstream ID                remove member ID
+  evacuate domain NAME             end evacuation NAME
   explain CHANGE
   wait version N
-Tables: accounts, daemons, domains, groups, keys, members, orders, poisons,
-routes, samples, steps, targets, upstreams, usage, windows.`
+Tables: accounts, daemons, domains, evacuations, groups, keys, members, orders,
+poisons, routes, samples, steps, targets, upstreams, usage, windows.`
 }
 
 // Run runs the statement of the command line, or an interactive shell if there
@@ -201,7 +202,7 @@
 
 func completer() readline.AutoCompleter {
 	var items []readline.PrefixCompleterInterface
-	for _, w := range []string{"show", "create", "set", "drop", "grant key", "withdraw key", "drain upstream", "explain", "wait version", "remove member"} {
+	for _, w := range []string{"show", "create", "set", "drop", "grant key", "withdraw key", "drain upstream", "explain", "wait version", "remove member", "evacuate domain", "end evacuation"} {
 		items = append(items, readline.PcItem(w))
 	}
 	return readline.NewPrefixCompleter(items...)
--- a/internal/control/event_loop.go
+++ b/internal/control/event_loop.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"sync/atomic"
 	"time"
 
@@ -15,6 +16,7 @@
 	"github.com/coltsfootspoke/coltsfootspoke/internal/settings"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/capacity"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/catalog"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/fleet"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/ledger"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/quorum"
@@ -67,7 +69,7 @@
 	// not applied yet.
 	uncommittedPlan int
 	joinCandidates  map[quorum.MemberID]joinCandidate
-	// upstreamsPerPool is the number of upstreams in each pool at
+	// upstreamsPerPool is the number of upstreams in each pool that are not evacuated, at
 	// upstreamsPerPoolVersion of the catalog.
 	upstreamsPerPool        map[string]int
 	upstreamsPerPoolVersion uint64
@@ -80,6 +82,9 @@
 	// for the platform, being sent or being committed as accepted.
 	jobsInFlight map[string]bool
 
+	// knownEvacuations are the evacuations that were logged last.
+	knownEvacuations map[string]catalog.Evacuation
+
 	// leaseUntil is the end of the leader's lease, for other goroutines.
 	leaseUntil atomic.Int64
 	ready      atomic.Bool
@@ -252,12 +257,33 @@
 	for _, e := range out.Committed {
 		l.applyEntry(e)
 	}
+	l.logEvacuations()
 	if len(out.Committed) > 0 {
 		return l.compact()
 	}
 	return nil
 }
 
+// logEvacuations logs the evacuations that have begun or ended since the last call.
+func (l *eventLoop) logEvacuations() {
+	current := l.state.Catalog.Evacuations
+	if maps.Equal(current, l.knownEvacuations) {
+		return
+	}
+	for domain := range current {
+		if _, known := l.knownEvacuations[domain]; !known {
+			l.log.Info("EvacuationChanged", zap.String("FailureDomain", domain), zap.Bool("Evacuated", true))
+		}
+	}
+	for domain := range l.knownEvacuations {
+		if _, remains := current[domain]; !remains {
+			l.log.Info("EvacuationChanged", zap.String("FailureDomain", domain), zap.Bool("Evacuated", false))
+		}
+	}
+	l.knownEvacuations = maps.Clone(current)
+	l.metrics.evacuatedDomains.Set(float64(len(current)))
+}
+
 func (l *eventLoop) applyEntry(e quorum.Entry) {
 	var results []ledger.Result
 	if e.Kind == quorum.EntryCommand {
--- a/internal/control/execute.go
+++ b/internal/control/execute.go
@@ -55,6 +55,7 @@
 		return language.Answer{}, err
 	}
 	cmd.Expected = req.Expected
+	l.setHasHost(&cmd)
 	if err := l.state.Check(cmd); err != nil {
 		return language.Answer{}, err
 	}
@@ -83,6 +84,7 @@
 		return
 	}
 	cmd.ID, cmd.Expected = req.CommandId, req.Expected
+	l.setHasHost(&cmd)
 	l.propose(func(results []ledger.Result, err error) {
 		if err != nil {
 			done(nil, err)
@@ -94,6 +96,16 @@
 	}, cmd)
 }
 
+// setHasHost sets HasHost of a command that begins or ends an evacuation.
+func (l *eventLoop) setHasHost(c *ledger.Command) {
+	switch {
+	case c.Evacuate != nil:
+		c.Evacuate.HasHost = l.fleet.HasDomain(c.Evacuate.FailureDomain)
+	case c.EndEvacuation != nil:
+		c.EndEvacuation.HasHost = l.fleet.HasDomain(c.EndEvacuation.FailureDomain)
+	}
+}
+
 func (l *eventLoop) replyChange(ch *language.Change, r ledger.Result, done func(*wire.ExecuteReply, error)) {
 	if err := r.Err(); err != nil {
 		done(nil, err)
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -9,6 +9,8 @@
 	renewals        *prometheus.CounterVec
 	term            prometheus.Gauge
 	leading         prometheus.Gauge
+
+	evacuatedDomains prometheus.Gauge
 }
 
 func newMetrics() *metrics {
@@ -30,7 +32,10 @@
 		leading: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "coltsfootspoke_leading", Help: "1 while this host holds the leader's lease.",
 		}),
+		evacuatedDomains: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "coltsfootspoke_evacuated_domains", Help: "Evacuated failure domains in the state of this host.",
+		}),
 	}
-	m.registry.MustRegister(m.syncSeconds, m.commandsApplied, m.renewals, m.term, m.leading)
+	m.registry.MustRegister(m.syncSeconds, m.commandsApplied, m.renewals, m.term, m.leading, m.evacuatedDomains)
 	return m
 }
--- a/internal/language/build.go
+++ b/internal/language/build.go
@@ -27,6 +27,9 @@
 	"drop target":    {},
 	"drain upstream": {},
 	"remove member":  {},
+
+	"evacuate domain": {},
+	"end evacuation":  {},
 }
 
 // BuildCommand converts a change to a ledger command. A set keeps the current
@@ -64,6 +67,10 @@
 		return ledger.Command{WithdrawKey: &ledger.WithdrawKey{ID: ch.Name}}, nil
 	case "drain upstream":
 		return ledger.Command{DrainRequest: &ledger.Drain{Upstream: ch.Name}}, nil
+	case "evacuate domain":
+		return ledger.Command{Evacuate: &ledger.Evacuate{FailureDomain: ch.Name}}, nil
+	case "end evacuation":
+		return ledger.Command{EndEvacuation: &ledger.EndEvacuation{FailureDomain: ch.Name}}, nil
 	default:
 		return ledger.Command{Drop: &ledger.Drop{Kind: catalog.EntityKind(ch.Noun), Name: ch.Name}}, nil
 	}
--- a/internal/language/grammar.go
+++ b/internal/language/grammar.go
@@ -45,7 +45,7 @@
 // Change is a statement that changes the configuration.
 type Change struct {
 	Pos        lexer.Position
-	Verb       string      `parser:"@( 'create' | 'set' | 'drop' | 'grant' | 'withdraw' | 'drain' | 'remove' )"`
+	Verb       string      `parser:"@( 'create' | 'set' | 'drop' | 'grant' | 'withdraw' | 'drain' | 'remove' | 'evacuate' | 'end' )"`
 	Noun       string      `parser:"@Word"`
 	Name       string      `parser:"@( Word | String )"`
 	Properties []*Property `parser:"@@*"`
--- a/internal/language/language_test.go
+++ b/internal/language/language_test.go
@@ -1,6 +1,7 @@
 package language
 
 import (
+	"reflect"
 	"strings"
 	"testing"
 
@@ -32,6 +33,10 @@
 		{"set target paraiso min 1", "must have the form FAILUREDOMAIN/POOL"},
 		{"set account x weight 2", `account "x" does not exist; use create to add it`},
 		{"withdraw key k now", "column 19"},
+		{"evacuate domain", `column 16: unexpected token "<EOF>"`},
+		{"evacuate host h", `column 1: unknown change "evacuate host"`},
+		{"end domain d", `column 1: unknown change "end domain"`},
+		{"evacuate domain d now 1", `column 19: unknown property "now"; want end of statement`},
 	} {
 		t.Run(tc.statement, func(t *testing.T) {
 			st, err := Parse(tc.statement)
@@ -43,6 +48,31 @@
 	}
 }
 
+func TestEvacuationStatements(t *testing.T) {
+	for _, tc := range []struct {
+		statement string
+		want      ledger.Command
+	}{
+		{"evacuate domain d-1", ledger.Command{Evacuate: &ledger.Evacuate{FailureDomain: "d-1"}}},
+		{`explain evacuate domain "d 1"`, ledger.Command{Evacuate: &ledger.Evacuate{FailureDomain: "d 1"}}},
+		{"end evacuation d-1", ledger.Command{EndEvacuation: &ledger.EndEvacuation{FailureDomain: "d-1"}}},
+	} {
+		t.Run(tc.statement, func(t *testing.T) {
+			st, err := Parse(tc.statement)
+			if err != nil {
+				t.Fatal(err)
+			}
+			ch := st.Change
+			if ch == nil {
+				ch = st.Explain
+			}
+			if got, err := BuildCommand(ch, "", ledger.New()); err != nil || !reflect.DeepEqual(got, tc.want) {
+				t.Fatalf("command %+v, error %v, want %+v", got, err, tc.want)
+			}
+		})
+	}
+}
+
 func TestSelect(t *testing.T) {
 	table := &Table{Columns: []string{"Name", "Slots"}, Rows: [][]Cell{
 		{Text("b"), Int(10)}, {Text("a"), Int(9)}, {Text("c"), Int(10)},
--- a/internal/show/show.go
+++ b/internal/show/show.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/coltsfootspoke/coltsfootspoke/internal/language"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
@@ -35,6 +36,8 @@
 	"upstreams": showUpstreams,
 	"usage":     showUsage,
 	"windows":   showWindows,
+
+	"evacuations": showEvacuations,
 }
 
 // Source holds the state from which the tables are built.
@@ -115,6 +118,25 @@
 	return out
 }
 
+func showEvacuations(s Source, now rollout.Millis) *language.Table {
+	out := newTable("FailureDomain", "Begun", "AgeMS", "Upstreams", "Running")
+	for _, e := range sortedValues(s.State.Catalog.Evacuations) {
+		upstreams, running := 0, 0
+		for _, u := range s.State.Catalog.Upstreams {
+			if u.FailureDomain != e.FailureDomain {
+				continue
+			}
+			upstreams++
+			load, _ := s.Fleet.Load(u)
+			running += load.Running
+		}
+		begun := time.UnixMilli(int64(e.SinceMS)).UTC().Format(time.RFC3339)
+		addRow(out, language.Text(e.FailureDomain), language.Text(begun), language.Int(now-e.SinceMS),
+			language.Int(upstreams), language.Int(running))
+	}
+	return out
+}
+
 func showGroups(s Source, _ rollout.Millis) *language.Table {
 	out := newTable("Name", "Account", "Pool", "Staleness", "Version", "OldestUsable", "Acknowledged", "Waiting", "Stale", "Lost")
 	for _, g := range sortedValues(s.State.Catalog.Groups) {
@@ -221,11 +243,11 @@
 }
 
 func showUpstreams(s Source, now rollout.Millis) *language.Table {
-	out := newTable("ID", "Kind", "Pool", "FailureDomain", "Host", "Agent", "Leaving", "Slots", "Running", "Waiting", "Versions", "PaidMinutes")
+	out := newTable("ID", "Kind", "Pool", "FailureDomain", "Host", "Agent", "Leaving", "Evacuated", "Slots", "Running", "Waiting", "Versions", "PaidMinutes")
 	for _, u := range s.State.Catalog.SortedUpstreams() {
 		load, _ := s.Fleet.Load(u)
 		addRow(out, language.Text(u.ID), language.Text(u.Kind), language.Text(u.Pool), language.Text(u.FailureDomain),
-			language.Text(u.Host), language.Text(u.Agent), language.YesNo(u.Leaving), language.Int(u.Slots),
+			language.Text(u.Host), language.Text(u.Agent), language.YesNo(u.Leaving), language.YesNo(u.Evacuated), language.Int(u.Slots),
 			language.Int(load.Running), language.Int(load.Waiting), language.Text(versionsText(u)),
 			language.Float(float64(now-u.SinceMS)/msPerMinute))
 	}
--- a/internal/show/show_test.go
+++ b/internal/show/show_test.go
@@ -34,6 +34,7 @@
 		{AddUsage: &usage.Report{Agent: "agent", Lines: []usage.Line{{Subject: usage.Subject{Account: "a"}, Figures: usage.Figures{Requests: 1}}}}},
 		{CloseWindow: &usage.CloseWindow{Number: 1, ToMS: 9}},
 		{PlanOrder: &rollout.Order{ID: "o", Action: "start"}},
+		{ID: "6", Evacuate: &ledger.Evacuate{FailureDomain: "d"}},
 	})
 	members := quorum.Members{Voters: []quorum.Member{{ID: "m", Address: "here"}}}
 	node := quorum.New(quorum.DefaultConfig("m"), quorum.Bootstrap(members), 0, rand.New(rand.NewPCG(1, 1)))
--- a/pkg/rollout/catalog/catalog.go
+++ b/pkg/rollout/catalog/catalog.go
@@ -23,6 +23,10 @@
 	// KindVersions is the kind of a change that replaces only the weight versions
 	// of an upstream. It has no table of its own.
 	KindVersions EntityKind = "versions"
+	// KindEvacuation is the kind of an evacuation. Daemons follow Evacuated of
+	// their upstreams instead, because a build without evacuations rejects an
+	// update with a kind that it does not know.
+	KindEvacuation EntityKind = "evacuation"
 )
 
 // feedLength is the number of changes that are kept for daemons that lag behind.
@@ -64,6 +68,9 @@
 	Targets   map[string]Target
 	Upstreams map[string]Upstream
 	Poisons   map[string]Poison
+	// Evacuations holds the evacuations in force by failure domain. Evacuated of
+	// an upstream is true if and only if its failure domain is in it.
+	Evacuations map[string]Evacuation `json:",omitempty"`
 	// ByDigest indexes Keys by digest.
 	ByDigest map[string]Key `json:"-"`
 
@@ -84,6 +91,8 @@
 		Upstreams: make(map[string]Upstream),
 		Poisons:   make(map[string]Poison),
 		ByDigest:  make(map[string]Key),
+
+		Evacuations: make(map[string]Evacuation),
 	}
 }
 
@@ -119,6 +128,8 @@
 		Upstreams: maps.Clone(c.Upstreams),
 		Poisons:   maps.Clone(c.Poisons),
 		ByDigest:  maps.Clone(c.ByDigest),
+
+		Evacuations: maps.Clone(c.Evacuations),
 	}
 }
 
@@ -167,6 +178,45 @@
 	return u
 }
 
+// Evacuate begins the evacuation of a failure domain and returns it. One that is
+// in force is returned unchanged.
+func (c *Catalog) Evacuate(version uint64, e Evacuation) Evacuation {
+	if old, ok := c.Evacuations[e.FailureDomain]; ok {
+		return old
+	}
+	c.Put(version, KindEvacuation, e.FailureDomain, e)
+	c.markEvacuated(version, e.FailureDomain, true)
+	return e
+}
+
+// EndEvacuation ends the evacuation of a failure domain, if one is in force.
+func (c *Catalog) EndEvacuation(version uint64, domain string) {
+	if _, ok := c.Evacuations[domain]; !ok {
+		return
+	}
+	c.Remove(version, KindEvacuation, domain)
+	c.markEvacuated(version, domain, false)
+}
+
+// markEvacuated sets Evacuated of the upstreams of a failure domain.
+func (c *Catalog) markEvacuated(version uint64, domain string, evacuated bool) {
+	for _, u := range c.SortedUpstreams() {
+		if u.FailureDomain == domain {
+			c.Put(version, KindUpstream, u.ID, u.WithEvacuated(evacuated))
+		}
+	}
+}
+
+// HasDomain reports whether an upstream is in a failure domain.
+func (c *Catalog) HasDomain(domain string) bool {
+	for _, u := range c.Upstreams {
+		if u.FailureDomain == domain {
+			return true
+		}
+	}
+	return false
+}
+
 // SortedUpstreams returns the upstreams sorted by ID.
 func (c *Catalog) SortedUpstreams() []Upstream {
 	us := make([]Upstream, 0, len(c.Upstreams))
@@ -199,6 +249,8 @@
 		return applyToTable(c.Upstreams, ch)
 	case KindPoison:
 		return applyToTable(c.Poisons, ch)
+	case KindEvacuation:
+		return applyToTable(c.Evacuations, ch)
 	case KindVersions:
 		return c.applyVersions(ch)
 	default:
@@ -231,6 +283,7 @@
 	u.Changes = appendTable(u.Changes, interest, KindTarget, c.Targets)
 	u.Changes = appendTable(u.Changes, interest, KindUpstream, c.Upstreams)
 	u.Changes = appendTable(u.Changes, interest, KindPoison, c.Poisons)
+	u.Changes = appendTable(u.Changes, interest, KindEvacuation, c.Evacuations)
 	for i := range u.Changes {
 		u.Changes[i].Version = c.Version
 	}
--- a/pkg/rollout/catalog/entities.go
+++ b/pkg/rollout/catalog/entities.go
@@ -94,6 +94,9 @@
 	Slots int
 	// Leaving is true while the upstream drains. It gets no new requests.
 	Leaving bool
+	// Evacuated is true while its failure domain is evacuated. It gets no new
+	// requests, but it is not stopped.
+	Evacuated bool `json:",omitempty"`
 	// SinceMS is when it first registered in this run of the agent.
 	SinceMS rollout.Millis
 	// Versions maps each trainer group to the weight version that the engine
@@ -101,6 +104,14 @@
 	Versions map[string]uint64
 }
 
+// Evacuation is the order that the upstreams of a failure domain get no new
+// requests.
+type Evacuation struct {
+	FailureDomain string
+	// SinceMS is when the order was proposed.
+	SinceMS rollout.Millis
+}
+
 // Poison is a request that was running on an upstream when the upstream crashed.
 type Poison struct {
 	Fingerprint string
@@ -176,6 +187,15 @@
 	return u
 }
 
+// WithEvacuated returns the upstream with Evacuated set.
+func (u Upstream) WithEvacuated(evacuated bool) Upstream {
+	u.Evacuated = evacuated
+	return u
+}
+
+// AcceptsRequests reports whether the upstream may get new requests.
+func (u Upstream) AcceptsRequests() bool { return !u.Leaving && !u.Evacuated }
+
 // WithVersions returns the upstream with the given weight versions.
 func (u Upstream) WithVersions(v map[string]uint64) Upstream {
 	u.Versions = maps.Clone(v)
--- a/pkg/rollout/claim/claim.go
+++ b/pkg/rollout/claim/claim.go
@@ -44,6 +44,14 @@
 	Claim Claim
 }
 
+// Find is the command that looks a claim up. It changes nothing; it goes through the
+// log so that the answer is up to date.
+type Find struct {
+	Account   string
+	RequestID string
+	Digest    string
+}
+
 // Void is the command that voids a claim. It is sent after the agent has
 // confirmed that the attempt never began and has barred it from beginning.
 type Void struct {
@@ -85,8 +93,7 @@
 	key := tableKey(c.Account, c.RequestID)
 	old, ok := t.Claims[key]
 	if ok && old.Digest != c.Digest {
-		return TakeResult{}, rollout.NewError(rollout.KindConflict,
-			"request ID %q was used for another request", c.RequestID).WithNotRun()
+		return TakeResult{}, digestError(c.RequestID)
 	}
 	if ok && !old.Void {
 		return TakeResult{Claim: old}, nil
@@ -105,6 +112,24 @@
 	return TakeResult{New: true, Claim: c}, nil
 }
 
+// Find returns the claim in force for a request ID, or the zero claim if there is
+// none.
+func (t *Table) Find(now rollout.Millis, req Find) (Claim, error) {
+	c, ok := t.Claims[tableKey(req.Account, req.RequestID)]
+	if !ok || c.Void || now-c.AtMS >= t.RetentionMS {
+		return Claim{}, nil
+	}
+	if c.Digest != req.Digest {
+		return Claim{}, digestError(req.RequestID)
+	}
+	return c, nil
+}
+
+// digestError returns the error for a request ID that was used for another request.
+func digestError(requestID string) error {
+	return rollout.NewError(rollout.KindConflict, "request ID %q was used for another request", requestID).WithNotRun()
+}
+
 // Void voids a claim, so that another attempt may take it. It does nothing if
 // another attempt holds the claim.
 func (t *Table) Void(req Void) {
--- a/pkg/rollout/fleet/fleet.go
+++ b/pkg/rollout/fleet/fleet.go
@@ -141,6 +141,16 @@
 	return names, authority.LeaseExpired(now, t.sinceMS)
 }
 
+// HasDomain reports whether a daemon in a failure domain is in the table.
+func (t *Table) HasDomain(domain string) bool {
+	for _, d := range t.daemons {
+		if d.FailureDomain == domain {
+			return true
+		}
+	}
+	return false
+}
+
 // Lost reports whether the upstreams of an incarnation of an agent must be
 // removed. An incarnation that has not renewed with this leader gets twice
 // LostAfterMS from the start of the leader's term.
--- a/pkg/rollout/ledger/command.go
+++ b/pkg/rollout/ledger/command.go
@@ -34,6 +34,9 @@
 	Drop         *Drop            `json:",omitempty"`
 	DrainRequest *Drain           `json:",omitempty"`
 
+	Evacuate      *Evacuate      `json:",omitempty"`
+	EndEvacuation *EndEvacuation `json:",omitempty"`
+
 	PublishWeights *PublishWeights   `json:",omitempty"`
 	PutUpstream    *catalog.Upstream `json:",omitempty"`
 	LoseUpstream   *LoseUpstream     `json:",omitempty"`
@@ -43,6 +46,7 @@
 
 	TakeClaim *claim.Take `json:",omitempty"`
 	VoidClaim *claim.Void `json:",omitempty"`
+	FindClaim *claim.Find `json:",omitempty"`
 
 	OpenStep     *stream.OpenStep     `json:",omitempty"`
 	CommitSample *stream.CommitSample `json:",omitempty"`
@@ -78,6 +82,23 @@
 // Drain marks an upstream as leaving, so that it gets no new requests.
 type Drain struct{ Upstream string }
 
+// Evacuate orders that the upstreams of a failure domain get no new requests. It
+// has no effect if the order is in force.
+type Evacuate struct {
+	FailureDomain string
+	// HasHost is set by the leader if a host is in the failure domain. The ledger
+	// knows only the upstreams.
+	HasHost bool `json:",omitempty"`
+}
+
+// EndEvacuation withdraws the order to evacuate a failure domain. It has no effect
+// if the domain is not evacuated.
+type EndEvacuation struct {
+	FailureDomain string
+	// HasHost is as in Evacuate.
+	HasHost bool `json:",omitempty"`
+}
+
 // PublishWeights publishes a weight version of a trainer group.
 type PublishWeights struct {
 	Group   string
--- a/pkg/rollout/ledger/ledger.go
+++ b/pkg/rollout/ledger/ledger.go
@@ -153,6 +153,8 @@
 	case c.VoidClaim != nil:
 		s.Claims.Void(*c.VoidClaim)
 		return nil, nil
+	case c.FindClaim != nil:
+		return s.Claims.Find(c.AtMS, *c.FindClaim)
 	case c.OpenStep != nil, c.CommitSample != nil, c.Handover != nil, c.LoseSample != nil:
 		return s.applyStream(c)
 	case c.AddUsage != nil:
@@ -211,6 +213,11 @@
 		}
 		cat.Put(index, catalog.KindUpstream, u.ID, u)
 		return u, nil
+	case c.Evacuate != nil:
+		return cat.Evacuate(index, catalog.Evacuation{FailureDomain: c.Evacuate.FailureDomain, SinceMS: c.AtMS}), nil
+	case c.EndEvacuation != nil:
+		cat.EndEvacuation(index, c.EndEvacuation.FailureDomain)
+		return nil, nil
 	default:
 		return s.applyReport(index, c)
 	}
@@ -229,7 +236,8 @@
 		cat.Put(index, catalog.KindGroup, g.Name, g)
 		return g, nil
 	case c.PutUpstream != nil:
-		u := *c.PutUpstream
+		_, evacuated := cat.Evacuations[c.PutUpstream.FailureDomain]
+		u := c.PutUpstream.WithEvacuated(evacuated)
 		if old, ok := cat.Upstreams[u.ID]; ok && old.Incarnation == u.Incarnation {
 			u = u.WithLeaving(u.Leaving || old.Leaving)
 			u.SinceMS = old.SinceMS
--- a/pkg/rollout/ledger/ledger_test.go
+++ b/pkg/rollout/ledger/ledger_test.go
@@ -21,7 +21,7 @@
 	name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name")
 	n := rapid.IntRange(0, 3).Draw(t, "n")
 	c := Command{AtMS: at}
-	switch rapid.IntRange(0, 11).Draw(t, "kind") {
+	switch rapid.IntRange(0, 13).Draw(t, "kind") {
 	case 0:
 		c.ID, c.PutAccount = fmt.Sprint("op", n), &catalog.Account{Name: name, Weight: n}
 	case 1:
@@ -34,7 +34,7 @@
 		c.PublishWeights = &PublishWeights{Group: name, Version: uint64(n)}
 	case 5:
 		c.PutUpstream = &catalog.Upstream{
-			ID: name, Slots: n / 2, Incarnation: "1", Versions: map[string]uint64{"g": uint64(at)},
+			ID: name, FailureDomain: fmt.Sprint("d", n%2), Slots: n / 2, Incarnation: "1", Versions: map[string]uint64{"g": uint64(at)},
 		}
 	case 6:
 		c.TakeClaim = &claim.Take{Claim: claim.Claim{Account: name, RequestID: fmt.Sprint(n), Digest: "d", Attempt: fmt.Sprint(at)}}
@@ -46,6 +46,10 @@
 		c.Handover = &stream.Handover{Group: name, After: uint64(n), Max: 2}
 	case 10:
 		c.AddUsage = &usage.Report{Agent: name, Incarnation: "1", Lines: []usage.Line{{Subject: usage.Subject{Account: name, Pool: "p"}, Figures: usage.Figures{Requests: uint64(n)}}}}
+	case 11:
+		c.ID, c.Evacuate = fmt.Sprint("evacuate", at), &Evacuate{FailureDomain: fmt.Sprint("d", n%2)}
+	case 12:
+		c.ID, c.EndEvacuation = fmt.Sprint("end", at), &EndEvacuation{FailureDomain: fmt.Sprint("d", n%2)}
 	default:
 		c.Crash = &Crash{ID: fmt.Sprint(n), Fingerprints: []string{name}}
 	}
@@ -90,7 +94,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		s, follower := New(), catalog.New()
 		all := catalog.EntryInterest()
-		all.Kinds = append(all.Kinds, catalog.KindTarget)
+		all.Kinds = append(all.Kinds, catalog.KindTarget, catalog.KindEvacuation)
 		for index := range rapid.Uint64Range(1, 60).Draw(t, "entries") {
 			s.Apply(index+1, []Command{drawCommand(t, rollout.Millis(index+1))})
 			if rapid.Bool().Draw(t, "follow") {
--- a/pkg/rollout/ledger/validate.go
+++ b/pkg/rollout/ledger/validate.go
@@ -35,6 +35,10 @@
 		return s.validateDrop(*c.Drop)
 	case c.DrainRequest != nil:
 		return requireExists(cat.Upstreams, "upstream", c.DrainRequest.Upstream)
+	case c.Evacuate != nil:
+		return s.validateDomain(c.Evacuate.FailureDomain, c.Evacuate.HasHost)
+	case c.EndEvacuation != nil:
+		return s.validateDomain(c.EndEvacuation.FailureDomain, c.EndEvacuation.HasHost)
 	default:
 		return nil
 	}
@@ -86,6 +90,15 @@
 	return requireExists(s.Catalog.Accounts, "account", g.Account)
 }
 
+// validateDomain checks that a host or an upstream is in a failure domain. A domain
+// that was lost while it is evacuated is valid too, so that the evacuation can end.
+func (s *State) validateDomain(domain string, hasHost bool) error {
+	if _, evacuated := s.Catalog.Evacuations[domain]; evacuated || hasHost || s.Catalog.HasDomain(domain) {
+		return nil
+	}
+	return rollout.NewError(rollout.KindNotFound, "no failure domain %q", domain)
+}
+
 // requireExists returns a not-found error if the table has no such entity.
 func requireExists[V any](table map[string]V, kind, name string) error {
 	if _, ok := table[name]; !ok {
