Plan no starts, drains or weight swaps in evacuated domains

Capacity counted the upstreams of an evacuated domain and would have started and drained there. Its minimum is now replaced by the other domains within their maximums, also without demand: a pool whose upstreams are all evacuated refuses its requests at once, so that none waits and the demand falls to 0. Nothing is drained there, because the upstreams serve again when the order is withdrawn. Engines of the domain get no weights; the share of engines that swap at a time is taken from the others.

Tests of capacity, weights and control pass.

--- a/internal/control/leader_tasks.go
+++ b/internal/control/leader_tasks.go
@@ -166,6 +166,10 @@
 		d.Waiting += l.fleet.Queued(pool)
 		in.Demand[pool] = d
 	}
+	in.Evacuated = func(domain string) bool {
+		_, evacuated := cat.Evacuations[domain]
+		return evacuated
+	}
 	in.Idle = func(id string) bool { return l.isIdle(cat.Upstreams[id]) }
 	return in
 }
--- a/internal/control/renew.go
+++ b/internal/control/renew.go
@@ -162,15 +162,17 @@
 	}
 }
 
-// countUpstreams returns the number of upstreams in each pool, cached until the
-// catalog changes.
+// countUpstreams returns the number of upstreams in each pool that are not
+// evacuated, cached until the catalog changes.
 func (l *eventLoop) countUpstreams() map[string]int {
 	if l.upstreamsPerPoolVersion == l.state.Catalog.Version && l.upstreamsPerPool != nil {
 		return l.upstreamsPerPool
 	}
 	l.upstreamsPerPool = make(map[string]int)
 	for _, u := range l.state.Catalog.Upstreams {
-		l.upstreamsPerPool[u.Pool]++
+		if !u.Evacuated {
+			l.upstreamsPerPool[u.Pool]++
+		}
 	}
 	l.upstreamsPerPoolVersion = l.state.Catalog.Version
 	return l.upstreamsPerPool
--- a/pkg/rollout/capacity/capacity.go
+++ b/pkg/rollout/capacity/capacity.go
@@ -1,6 +1,6 @@
 // Package capacity decides which upstreams to start and to stop. It gives each
 // pool the capacity that its load requires, within the targets of each failure
-// domain. If a failure domain is lost, the others take over its share.
+// domain. If a failure domain is lost or evacuated, the others take over its share.
 package capacity
 
 import (
@@ -63,6 +63,9 @@
 	Orders []Order
 	// Demand holds the load by pool.
 	Demand map[string]Demand
+	// Evacuated reports whether a failure domain is evacuated. Nil means that none
+	// is.
+	Evacuated func(domain string) bool
 	// Idle reports whether an upstream that is leaving has no work left.
 	Idle func(upstream string) bool
 }
@@ -108,6 +111,9 @@
 	pending int
 	// overdue means that a pending start order is older than StartTimeoutMS.
 	overdue bool
+	// evacuated means that the failure domain is evacuated. Nothing is started or
+	// drained there, so that its upstreams can serve again when the evacuation ends.
+	evacuated bool
 	// desired is the number of upstreams to run.
 	desired int
 }
@@ -117,7 +123,8 @@
 func (p *Planner) Plan(now rollout.Millis, prefix string, in Input) Plan {
 	targetStates := p.targetStates(now, in)
 	for pool, poolStates := range groupByPool(targetStates) {
-		p.distribute(poolStates, p.requiredUpstreams(poolStates, in.Demand[pool]))
+		required := max(p.requiredUpstreams(poolStates, in.Demand[pool]), minimumDuringEvacuation(poolStates))
+		p.distribute(poolStates, required)
 	}
 	var plan Plan
 	for _, s := range targetStates {
@@ -135,13 +142,14 @@
 
 // distribute sets the desired number of upstreams of each target. Each gets its
 // minimum. The rest of the required upstreams go to targets below their maximum
-// that are not overdue. The minimum of an overdue target does not count towards
-// the required number, so that other failure domains replace it.
+// that are not overdue or evacuated. The minimum of an overdue or evacuated target
+// does not count towards the required number, so that other failure domains replace
+// it.
 func (p *Planner) distribute(states []*targetState, required int) {
 	total := 0
 	for _, s := range states {
 		s.desired = s.target.Min
-		if !s.overdue {
+		if s.canGrow() {
 			total += s.desired
 		}
 	}
@@ -156,12 +164,12 @@
 }
 
 // bestTarget returns the target that gets the next upstream, or nil if every
-// target is overdue or at its maximum. Targets that already run more than the
+// target is overdue, evacuated or at its maximum. Targets that already run more than the
 // desired number come first, then those with the lowest desired number.
 func bestTarget(states []*targetState) *targetState {
 	var best *targetState
 	for _, s := range states {
-		if s.overdue || s.desired >= s.target.Max {
+		if !s.canGrow() || s.desired >= s.target.Max {
 			continue
 		}
 		if best == nil || s.before(best) {
@@ -171,6 +179,24 @@
 	return best
 }
 
+// canGrow reports whether upstreams of the target count as capacity.
+func (s *targetState) canGrow() bool { return !s.overdue && !s.evacuated }
+
+// minimumDuringEvacuation returns the sum of all minimums if a target is evacuated,
+// and 0 otherwise. Without it the demand would not replace an evacuated minimum:
+// requests of a pool without other upstreams are refused at once and never wait.
+func minimumDuringEvacuation(states []*targetState) int {
+	total, evacuated := 0, false
+	for _, s := range states {
+		total += s.target.Min
+		evacuated = evacuated || s.evacuated
+	}
+	if !evacuated {
+		return 0
+	}
+	return total
+}
+
 // before reports whether s gets the next upstream before o.
 func (s *targetState) before(o *targetState) bool {
 	spare, otherSpare := len(s.running) > s.desired, len(o.running) > o.desired
@@ -203,6 +229,9 @@
 	have := len(s.running) + s.pending
 	name := s.target.Name()
 	switch {
+	case s.evacuated:
+		delete(p.growSince, name)
+		delete(p.shrinkSince, name)
 	case have < s.desired:
 		delete(p.shrinkSince, name)
 		p.planStarts(now, prefix, s, have, plan)
@@ -255,7 +284,7 @@
 func (p *Planner) targetStates(now rollout.Millis, in Input) []*targetState {
 	targetStates := make([]*targetState, 0, len(in.Targets))
 	for _, t := range in.Targets {
-		s := &targetState{target: t}
+		s := &targetState{target: t, evacuated: in.Evacuated != nil && in.Evacuated(t.FailureDomain)}
 		for _, u := range in.Upstreams {
 			if u.Pool != t.Pool || u.FailureDomain != t.FailureDomain {
 				continue
--- a/pkg/rollout/capacity/capacity_test.go
+++ b/pkg/rollout/capacity/capacity_test.go
@@ -83,6 +83,32 @@
 	assertPlan(t, p.Plan(2_010, "o", in), map[string]int{"a": 2}, 0)
 }
 
+// TestEvacuatedDomainIsReplaced checks that nothing is started or drained in an
+// evacuated domain, and that the others take over within their targets, also if no
+// request waits because all of them are refused.
+func TestEvacuatedDomainIsReplaced(t *testing.T) {
+	for _, tc := range []struct {
+		name      string
+		busy      int
+		targets   []catalog.Target
+		upstreams [][]catalog.Upstream
+		want      map[string]int
+	}{
+		{"by demand", 8, []catalog.Target{target("a", 1, 3), target("b", 1, 9)}, [][]catalog.Upstream{upstreams("a", 1), upstreams("b", 1)}, map[string]int{"a": 2}},
+		{"minimum without demand", 0, []catalog.Target{target("a", 0, 4), target("b", 2, 9)}, [][]catalog.Upstream{upstreams("b", 2)}, map[string]int{"a": 2}},
+		{"missing minimum", 0, []catalog.Target{target("b", 2, 9)}, nil, map[string]int{}},
+		{"excess", 0, []catalog.Target{target("b", 0, 1)}, [][]catalog.Upstream{upstreams("b", 3)}, map[string]int{}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			p := New(cfg)
+			in := input(tc.busy, tc.targets, tc.upstreams...)
+			in.Evacuated = func(domain string) bool { return domain == "b" }
+			p.Plan(0, "o", in)
+			assertPlan(t, p.Plan(10, "o", in), tc.want, 0)
+		})
+	}
+}
+
 func TestLeavingUpstreamIsStoppedOnceWhenIdle(t *testing.T) {
 	p := New(cfg)
 	us := upstreams("a", 2)
--- a/pkg/rollout/weights/weights.go
+++ b/pkg/rollout/weights/weights.go
@@ -92,7 +92,8 @@
 	activeFetches map[Blob]map[string]activeFetch
 	// swapStartedAt holds the time at which each swap was last allowed.
 	swapStartedAt map[Swap]rollout.Millis
-	// upstreamsPerPool holds the number of upstreams of each pool.
+	// upstreamsPerPool holds the number of upstreams of each pool, without those
+	// that are evacuated.
 	upstreamsPerPool map[string]int
 }
 
@@ -135,8 +136,9 @@
 	}
 }
 
-// NextTasks returns the next tasks of an agent. upstreamsPerPool holds the
-// number of upstreams of each pool.
+// NextTasks returns the next tasks of an agent. Evacuated engines get none.
+// upstreamsPerPool holds the number of upstreams of each pool that are not
+// evacuated.
 func (p *Planner) NextTasks(now rollout.Millis, a Agent, groups map[string]catalog.Group, upstreamsPerPool map[string]int) Tasks {
 	p.upstreamsPerPool = upstreamsPerPool
 	var tasks Tasks
@@ -166,6 +168,9 @@
 	b := Blob{Group: g.Name, Version: g.Version}
 	outdated := false
 	for _, u := range a.Upstreams {
+		if u.Evacuated {
+			continue
+		}
 		if u.Kind == catalog.UpstreamEngine && u.Pool == g.Pool && u.Versions[g.Name] < g.Version {
 			outdated = true
 			p.planSwap(now, a, Swap{Blob: b, Upstream: u.ID}, g.Pool, tasks)
--- a/pkg/rollout/weights/weights_test.go
+++ b/pkg/rollout/weights/weights_test.go
@@ -169,6 +169,33 @@
 	s.run(t, 30_000)
 }
 
+// TestEvacuatedEnginesAreNotSwapped checks that the engines of an evacuated failure
+// domain get no tasks, and that they are updated once the evacuation has ended.
+func TestEvacuatedEnginesAreNotSwapped(t *testing.T) {
+	s := newSimulation(14)
+	evacuate := func(evacuated bool) {
+		for _, a := range s.agents {
+			for i, u := range a.Upstreams {
+				a.Upstreams[i] = u.WithEvacuated(evacuated && a.FailureDomain == "3")
+			}
+		}
+	}
+	evacuate(true)
+	s.after(20_000, func() {
+		for _, a := range s.agents {
+			for _, u := range a.Upstreams {
+				if swapped := u.Versions["g"] == 1; swapped == u.Evacuated {
+					t.Errorf("%s: swapped %v, evacuated %v", u.ID, swapped, u.Evacuated)
+				}
+			}
+		}
+		evacuate(false)
+	})
+	if took := s.run(t, 40_000); took <= 20_000 {
+		t.Fatalf("all engines updated after %d ms, during the evacuation", took)
+	}
+}
+
 func TestNewerVersionSupersedesOlder(t *testing.T) {
 	s := newSimulation(20)
 	s.after(1_200, func() { s.groups = map[string]catalog.Group{"g": {Name: "g", Pool: "p", Version: 2}} })
