Send nothing new to upstreams of evacuated domains

Entries and agents now follow the mark of evacuated upstreams. The router leaves them out for requests, retries, hedges and samples, and the gate of the agent refuses what an entry sent before it learned of the order. What runs ends. A request that may run only once still attaches to its attempt: the refusal would state that it did not run. For the same reason an error after an attempt that had begun is no longer marked as not run. Ruled out: a check in the router alone, which requests on their way pass by. Routed and RouteFailed name the evacuated domains that were passed over.

Tests of routing, gate, entry (with -race), agent and control pass.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -102,6 +102,21 @@
 	}
 }
 
+// Refuse rejects all waiting requests of a pool with an error.
+func (q *Queues) Refuse(pool string, err *rollout.Error) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	p := q.pools[pool]
+	if p == nil {
+		return
+	}
+	for id, ready := range p.waiting {
+		p.queue.Cancel(id)
+		ready <- err
+		delete(p.waiting, id)
+	}
+}
+
 func (q *Queues) pool(name string) *poolQueue {
 	p := q.pools[name]
 	if p == nil {
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -259,6 +259,10 @@
 			if !ok || u.Incarnation != a.incarnation {
 				l.reported = nil
 			}
+			if ok && u.Incarnation == a.incarnation && u.Evacuated != l.evacuated {
+				l.evacuated, changed = u.Evacuated, true
+				a.log.Info("UpstreamEvacuated", zap.String("Upstream", id), zap.Bool("Evacuated", u.Evacuated))
+			}
 			if ok && u.Incarnation == a.incarnation && u.Leaving && !l.leaving {
 				l.leaving, changed = true, true
 				a.log.Info("UpstreamLeaving", zap.String("Upstream", id), zap.String("Reason", "configuration"))
--- a/internal/agent/upstreams.go
+++ b/internal/agent/upstreams.go
@@ -62,6 +62,8 @@
 	// leaving is true once the upstream, the configuration or a shutdown has
 	// requested it.
 	leaving bool
+	// evacuated is true while the configuration evacuates the failure domain.
+	evacuated bool
 	// reported is the catalog entry that the leader last accepted, or nil if it
 	// has none.
 	reported *catalog.Upstream
@@ -97,7 +99,8 @@
 func (a *agent) recordAnnouncement(now rollout.Millis, an announcement) {
 	l := a.upstreams[an.ID]
 	if l == nil {
-		l = &localUpstream{}
+		u := a.renewer.View().Upstreams[an.ID]
+		l = &localUpstream{evacuated: u.Evacuated && u.Incarnation == a.incarnation}
 		a.upstreams[an.ID] = l
 		a.log.Info("UpstreamAnnounced", zap.String("Upstream", an.ID), zap.String("Pool", an.Pool), zap.Int("Slots", an.Slots))
 	}
@@ -273,7 +276,7 @@
 			continue
 		}
 		targets[id] = target{url: l.announced.URL, pool: l.announced.Pool, engine: l.announced.Kind == catalog.UpstreamEngine, versions: l.status.Versions}
-		a.gate.SetUpstream(gate.Upstream{ID: id, Slots: l.announced.Slots, Leaving: l.leaving})
+		a.gate.SetUpstream(gate.Upstream{ID: id, Slots: l.announced.Slots, Leaving: l.leaving, Evacuated: l.evacuated})
 	}
 	a.targets.Store(&targets)
 }
--- a/internal/agent/weights.go
+++ b/internal/agent/weights.go
@@ -159,7 +159,7 @@
 }
 
 // sendSwap requests an engine to load a weight version. It sends the request only
-// while the agent has authority.
+// while the agent has authority and the engine is not evacuated.
 func (a *agent) sendSwap(url string, s weights.Swap, fencing uint64, data []byte) error {
 	ctx, cancel := context.WithTimeout(context.Background(), swapTimeout)
 	defer cancel()
@@ -171,6 +171,9 @@
 	if !a.renewer.Valid() {
 		return rollout.NewError(rollout.KindNoAuthority, "agent %s has no authority to swap the weights of upstream %s", a.cfg.Name, s.Upstream).WithNotRun()
 	}
+	if a.renewer.View().Upstreams[s.Upstream].Evacuated {
+		return rollout.NewError(rollout.KindNoUpstream, "the failure domain of upstream %s is evacuated", s.Upstream).WithNotRun()
+	}
 	resp, err := a.client.Do(req)
 	if err != nil {
 		return err
--- a/internal/e2e/session_test.go
+++ b/internal/e2e/session_test.go
@@ -30,6 +30,7 @@
 	{regexp.MustCompile(`127\.0\.0\.1:\d+`), "ADDRESS"},
 	{regexp.MustCompile(`"IdleMS":\d+`), `"IdleMS":0`},
 	{regexp.MustCompile(`"Service":"[^"]+"`), `"Service":"ID"`},
+	{regexp.MustCompile(`\d{4}-\d\d-\d\dT[\d:]+Z  \d+ +`), "TIME  N  "},
 }
 
 // TestSessions runs the scripts in testdata/sessions, which act as operators,
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -28,7 +28,7 @@
 // claim binds a request that may run only once to one attempt at one upstream,
 // before anything is sent.
 func (e *entry) claim(x *exchange) error {
-	if x.requestID == "" || x.repeatable {
+	if !x.needsClaim() || x.claimed != nil {
 		return nil
 	}
 	if x.openRoute && x.account.Name == "" {
@@ -39,6 +39,9 @@
 	return err
 }
 
+// needsClaim reports whether the request may run only once.
+func (x *exchange) needsClaim() bool { return x.requestID != "" && !x.repeatable }
+
 // takeClaim takes a claim on one of the upstreams that are not in tried, or
 // returns the claim that another exchange holds for the request ID.
 func (e *entry) takeClaim(x *exchange, tried []string) (*claimedAttempt, error) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -178,15 +178,22 @@
 	e.routeMu.Lock()
 	e.router.Sync(c)
 	pools := make(map[string]int)
+	evacuated := 0
 	for _, u := range c.Upstreams {
 		pools[u.Pool] = e.router.Slots(u.Pool)
+		if u.Evacuated {
+			evacuated++
+		}
 	}
 	e.routeMu.Unlock()
+	e.metrics.evacuatedUpstreams.Set(float64(evacuated))
 	e.admission.SetSlots(pools)
+	e.refuseWaiting()
 }
 
 // monitorAuthority cancels the running requests of callers while the lease is not
-// held, and rejects waiting requests whose deadline has passed.
+// held, and rejects waiting requests whose deadline has passed or whose pool is
+// evacuated.
 func (e *entry) monitorAuthority(ctx context.Context) error {
 	ticker := time.NewTicker(expiryCheckInterval)
 	defer ticker.Stop()
@@ -197,6 +204,7 @@
 		case <-ticker.C:
 		}
 		e.admission.Expire()
+		e.refuseWaiting()
 		if !e.renewer.Valid() {
 			e.sessions.CancelAll(rollout.NewError(rollout.KindNoAuthority, "the lease of entry %s has expired", e.cfg.Name))
 		}
--- a/internal/entry/filters.go
+++ b/internal/entry/filters.go
@@ -276,8 +276,12 @@
 
 func (x *exchange) containsKey(s string) bool { return x.secret != "" && strings.Contains(s, x.secret) }
 
-// admit waits until the fair queue of the pool admits the request.
+// admit waits until the fair queue of the pool admits the request. A request that
+// attaches to an attempt needs no admission.
 func (e *entry) admit(x *exchange) error {
+	if err := e.checkEvacuated(x); err != nil || x.claimed != nil {
+		return err
+	}
 	e.routeMu.Lock()
 	e.budget.RecordRequest()
 	e.routeMu.Unlock()
@@ -285,6 +289,9 @@
 		Account: x.account.Name, Weight: x.account.Weight, Priority: x.account.Priority,
 		MaxQueued: x.account.MaxQueued, Cost: x.cost, DeadlineMS: x.deadline,
 	})
+	if err != nil && e.poolEvacuated(x.pool) {
+		return e.checkEvacuated(x)
+	}
 	if err != nil {
 		e.log.Info("AdmissionRefused", zap.String("Request", x.id), zap.String("Account", x.account.Name), zap.String("Pool", x.pool), zap.Error(err))
 		return err
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -40,14 +40,15 @@
 		return e.forwardClaimed(x)
 	}
 	var tried []string
+	begun := false
 	for number := 1; ; number++ {
 		choice, err := e.route(x, tried)
-		if err != nil && x.upstreamsFull && e.waitForCapacity(x) {
+		if err != nil && x.upstreamsFull && !e.poolEvacuated(x.pool) && e.waitForCapacity(x) {
 			tried, number = nil, 0
 			continue
 		}
 		if err != nil {
-			return err
+			return withBegun(err, begun)
 		}
 		err = e.tryUpstream(x, choice)
 		if err == nil {
@@ -60,8 +61,9 @@
 			Err: rollout.AsError(err), Repeatable: x.repeatable && x.ctx.Err() == nil,
 			Number: number, Remaining: x.remaining(e),
 		}
+		begun = begun || !a.Err.NotRun
 		if !e.mayRetry(a) {
-			return e.finalError(x, a)
+			return withBegun(e.finalError(x, a), begun)
 		}
 		if a.Err.Kind == rollout.KindOverloaded {
 			x.upstreamsFull = true
@@ -72,6 +74,14 @@
 	}
 }
 
+// withBegun returns the error of a request without NotRun if an earlier attempt has
+// begun at an upstream.
+func withBegun(err error, begun bool) error {
+	r := *rollout.AsError(err)
+	r.NotRun = r.NotRun && !begun
+	return &r
+}
+
 // waitForCapacity waits before upstreams that were full are tried again. It returns
 // false if the context ends first.
 func (e *entry) waitForCapacity(x *exchange) bool {
@@ -96,11 +106,16 @@
 	})
 	e.routeMu.Unlock()
 	if !ok {
-		e.log.Info("RouteFailed", zap.String("Request", x.id), zap.String("Pool", x.pool), zap.Uint64("MinVersion", x.minVersion), zap.Int("Tried", len(tried)))
-		return choice, rollout.NewError(rollout.KindNoUpstream, "pool %s has no available upstream", x.pool).WithNotRun()
+		return choice, e.routeError(x, len(tried))
+	}
+	fields := []zap.Field{
+		zap.String("Request", x.id), zap.String("Account", x.account.Name), zap.String("Pool", x.pool),
+		zap.String("Upstream", choice.Upstream.ID), zap.String("Reason", string(choice.Reason)), zap.Float64("Load", choice.Load),
+	}
+	if len(choice.Evacuated) > 0 {
+		fields = append(fields, zap.Strings("Evacuated", choice.Evacuated))
 	}
-	e.log.Info("Routed", zap.String("Request", x.id), zap.String("Account", x.account.Name), zap.String("Pool", x.pool),
-		zap.String("Upstream", choice.Upstream.ID), zap.String("Reason", string(choice.Reason)), zap.Float64("Load", choice.Load))
+	e.log.Info("Routed", fields...)
 	return choice, nil
 }
 
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -6,6 +6,8 @@
 	registry *prometheus.Registry
 	requests *prometheus.CounterVec
 	samples  *prometheus.CounterVec
+
+	evacuatedUpstreams prometheus.Gauge
 }
 
 func newMetrics() *metrics {
@@ -18,6 +20,9 @@
 			Name: "coltsfootspoke_samples_total", Help: "Attempts for samples, by outcome.",
 		}, []string{"outcome"}),
 	}
-	m.registry.MustRegister(m.requests, m.samples)
+	m.evacuatedUpstreams = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "coltsfootspoke_evacuated_upstreams", Help: "Upstreams that get no new requests from this entry because of an evacuation.",
+	})
+	m.registry.MustRegister(m.requests, m.samples, m.evacuatedUpstreams)
 	return m
 }
--- a/pkg/rollout/gate/gate.go
+++ b/pkg/rollout/gate/gate.go
@@ -1,6 +1,6 @@
 // Package gate is the admission check of an agent before it sends a request to
 // an upstream. Each attempt begins at most once, and a barred attempt never
-// begins. Requests to upstreams that are leaving or full are rejected. The gate
+// begins. Requests to upstreams that are leaving, evacuated or full are rejected. The gate
 // also tracks which requests run on each upstream, so that the suspects of a
 // crash are known.
 package gate
@@ -55,6 +55,8 @@
 	ID      string
 	Slots   int
 	Leaving bool
+	// Evacuated is true while the failure domain is evacuated.
+	Evacuated bool
 }
 
 type attemptState uint8
@@ -182,6 +184,9 @@
 	if u.Leaving {
 		return rollout.NewError(rollout.KindNoUpstream, "upstream %s is leaving", req.Upstream).WithNotRun()
 	}
+	if u.Evacuated {
+		return rollout.NewError(rollout.KindNoUpstream, "the failure domain of upstream %s is evacuated", req.Upstream).WithNotRun()
+	}
 	if float64(len(g.running[req.Upstream])) >= overcommit*float64(u.Slots) {
 		return rollout.NewError(rollout.KindOverloaded, "upstream %s is full: %d requests running, %d slots", req.Upstream, len(g.running[req.Upstream]), u.Slots).WithNotRun()
 	}
--- a/pkg/rollout/gate/gate_test.go
+++ b/pkg/rollout/gate/gate_test.go
@@ -37,6 +37,19 @@
 	}
 }
 
+// TestEvacuatedUpstreamBeginsNothing guards against requests that an entry sent before
+// it learned of the evacuation. What has begun can still be attached to.
+func TestEvacuatedUpstreamBeginsNothing(t *testing.T) {
+	g := newGate(4)
+	v, err := begin(g, "a", nil)
+	assertVerdict(t, v, err, VerdictRun)
+	g.SetUpstream(Upstream{ID: "u", Slots: 4, Evacuated: true})
+	_, err = begin(g, "b", nil)
+	assertRejected(t, err, rollout.KindNoUpstream, true)
+	v, err = begin(g, "a", func(r *Request) { r.Attach = true })
+	assertVerdict(t, v, err, VerdictAttach)
+}
+
 func TestAttemptBeginsOnce(t *testing.T) {
 	g := newGate(4)
 	v, err := begin(g, "a", nil)
--- a/pkg/rollout/routing/routing.go
+++ b/pkg/rollout/routing/routing.go
@@ -97,6 +97,9 @@
 	Reason   Reason
 	// Load is the number of requests per slot at the upstream before this one.
 	Load float64
+	// Evacuated holds the evacuated failure domains whose upstreams were passed
+	// over, sorted. It must not be changed.
+	Evacuated []string
 }
 
 // Outcome is the result of a request at an upstream.
@@ -160,13 +163,16 @@
 }
 
 type pool struct {
-	// candidates are the upstreams that are not leaving, sorted by ID.
+	// candidates are the upstreams that accept requests, sorted by ID.
 	candidates []*candidate
+	// evacuated holds the failure domains of the upstreams that are evacuated and
+	// not leaving, sorted. It is not changed in place.
+	evacuated []string
 	// sameDomain are those of candidates in the failure domain of this host.
 	sameDomain []*candidate
 	ring       []ringPoint
-	// outstanding is the sum over all upstreams of the pool, leaving ones
-	// included.
+	// outstanding is the sum over all upstreams of the pool, leaving and evacuated
+	// ones included.
 	outstanding int
 	// slots is the sum over candidates.
 	slots int
@@ -205,7 +211,7 @@
 // outstanding there.
 func (r *Router) PickUpstream(now rollout.Millis, id string, q Query) (Choice, bool) {
 	c := r.candidates[id]
-	if c == nil || c.upstream.Pool != q.Pool || c.upstream.Leaving || !r.eligible(now, c, q) {
+	if c == nil || c.upstream.Pool != q.Pool || !c.upstream.AcceptsRequests() || !r.eligible(now, c, q) {
 		return Choice{}, false
 	}
 	return r.place(now, r.pools[q.Pool], c, ReasonLimit), true
@@ -217,7 +223,7 @@
 	c.outstanding++
 	p.outstanding++
 	c.probing = c.probing || c.ejectedUntil > 0
-	return Choice{Upstream: c.upstream, Reason: reason, Load: load}
+	return Choice{Upstream: c.upstream, Reason: reason, Load: load, Evacuated: p.evacuated}
 }
 
 // Finished records the outcome of a request that Pick placed at an upstream.
@@ -242,7 +248,29 @@
 	c.recordOutcome(now, r.cfg, o.Failed)
 }
 
-// Slots returns the total slots of the upstreams of a pool that are not leaving.
+// Evacuated returns the evacuated failure domains that have upstreams of a pool,
+// sorted. all is true if no other upstream of the pool accepts requests, so that no
+// request can run until an evacuation ends or an upstream starts elsewhere.
+func (r *Router) Evacuated(name string) (domains []string, all bool) {
+	p := r.pools[name]
+	if p == nil {
+		return nil, false
+	}
+	return p.evacuated, len(p.evacuated) > 0 && len(p.candidates) == 0
+}
+
+// FullyEvacuatedPools returns the pools all of whose upstreams are evacuated.
+func (r *Router) FullyEvacuatedPools() []string {
+	var names []string
+	for name := range r.pools {
+		if _, all := r.Evacuated(name); all {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// Slots returns the total slots of the upstreams of a pool that accept requests.
 func (r *Router) Slots(name string) int {
 	if p := r.pools[name]; p != nil {
 		return p.slots
@@ -267,7 +295,7 @@
 			changed[u.Pool] = true
 			continue
 		}
-		if c.upstream.Leaving != u.Leaving || c.upstream.Pool != u.Pool || c.upstream.Slots != u.Slots {
+		if c.upstream.Leaving != u.Leaving || c.upstream.Evacuated != u.Evacuated || c.upstream.Pool != u.Pool || c.upstream.Slots != u.Slots {
 			changed[u.Pool], changed[c.upstream.Pool] = true, true
 		}
 		c.upstream = u
@@ -414,12 +442,16 @@
 			continue
 		}
 		p.outstanding += c.outstanding
-		if c.upstream.Leaving {
+		if c.upstream.Evacuated && !c.upstream.Leaving && !slices.Contains(p.evacuated, c.upstream.FailureDomain) {
+			p.evacuated = append(p.evacuated, c.upstream.FailureDomain)
+		}
+		if !c.upstream.AcceptsRequests() {
 			continue
 		}
 		p.candidates = append(p.candidates, c)
 		p.slots += c.upstream.Slots
 	}
+	slices.Sort(p.evacuated)
 	slices.SortFunc(p.candidates, func(a, b *candidate) int { return cmp.Compare(a.upstream.ID, b.upstream.ID) })
 	for _, c := range p.candidates {
 		if c.upstream.FailureDomain == r.cfg.FailureDomain {
--- a/pkg/rollout/routing/routing_test.go
+++ b/pkg/rollout/routing/routing_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
@@ -70,6 +71,46 @@
 	})
 }
 
+// TestEvacuatedUpstreamsGetNoRequests guards against each way by which a request
+// could still reach an evacuated upstream.
+func TestEvacuatedUpstreamsGetNoRequests(t *testing.T) {
+	for name, q := range map[string]Query{
+		"load": {}, "prefix": {Prefix: 7}, "retry": {Exclude: []string{"u1"}}, "group": {Group: "g", MinVersion: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRouter(6, func(_ int, u *catalog.Upstream) { u.Evacuated = u.FailureDomain != "d1" })
+			for range 20 {
+				c := pick(t, r, 0, q)
+				if c.Upstream.FailureDomain != "d1" || !slices.Equal(c.Evacuated, []string{"d0", "d2"}) {
+					t.Fatalf("Pick() = %s with evacuated domains %v, want one of d1 and domains d0, d2", c.Upstream.ID, c.Evacuated)
+				}
+			}
+		})
+	}
+	t.Run("by ID", func(t *testing.T) {
+		r := newRouter(2, func(i int, u *catalog.Upstream) { u.Evacuated = i == 0 })
+		if c, ok := r.PickUpstream(0, "u0", Query{Pool: "p"}); ok {
+			t.Fatalf("PickUpstream() = %s, want none", c.Upstream.ID)
+		}
+	})
+	t.Run("all, and one is leaving", func(t *testing.T) {
+		r := newRouter(3, func(i int, u *catalog.Upstream) { u.Evacuated, u.Leaving = i != 1, i == 1 })
+		assertNoChoice(t, r, 0, Query{})
+		if domains, all := r.Evacuated("p"); !all || !slices.Equal(domains, []string{"d0", "d2"}) {
+			t.Fatalf("Evacuated() = %v, %v, want d0, d2 and all", domains, all)
+		}
+	})
+	t.Run("taken back", func(t *testing.T) {
+		r := newRouter(1, func(_ int, u *catalog.Upstream) { u.Evacuated = true })
+		c := catalog.New()
+		c.Upstreams["u0"] = catalog.Upstream{ID: "u0", Pool: "p", Slots: 8, Incarnation: "1"}
+		r.Sync(c)
+		if got := pick(t, r, 0, Query{}); len(got.Evacuated) > 0 {
+			t.Fatalf("evacuated domains %v, want none", got.Evacuated)
+		}
+	})
+}
+
 func TestFailingUpstreamIsEjectedAndProbed(t *testing.T) {
 	r := newRouter(1, nil)
 	cfg := DefaultConfig("")
