Refuse weight swaps of evacuated engines by the agent's own state

The check before the send read the renewer's copy, which no test could set. The event loop now refuses the swap by the state that the gate uses, and reports it as failed, so that the leader lets another engine swap without waiting for the time-out.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -17,6 +17,7 @@
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/catalog"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/clock"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/weights"
 )
 
 func newTestAgent(t *testing.T) *agent {
@@ -72,6 +73,35 @@
 	}
 }
 
+// TestEvacuatedUpstreamGetsNothingNew checks that an agent refuses attempts and swaps
+// at an evacuated upstream, but does not report it as draining: capacity stops idle
+// upstreams that drain.
+func TestEvacuatedUpstreamGetsNothingNew(t *testing.T) {
+	a := newTestAgent(t)
+	a.upstreams["u"] = &localUpstream{announced: announcement{ID: "u", Slots: 1}, polled: true, polling: true}
+	swap := weights.Swap{Blob: weights.Blob{Group: "g", Version: 1}, Upstream: "u"}
+	a.blobs[swap.Blob] = fetchedBlob{}
+	for _, evacuated := range []bool{true, false} {
+		c := catalog.New()
+		c.Upstreams["u"] = catalog.Upstream{ID: "u", Incarnation: a.incarnation, Evacuated: evacuated}
+		a.UpdateCatalog(c)
+		a.runInputs()
+		_, _, err := a.tryGate(&wire.RunRequest{Attempt: fmt.Sprint(evacuated), Upstream: "u"}, false)
+		if (err != nil) != evacuated {
+			t.Fatalf("evacuated %v: error %v", evacuated, err)
+		}
+		if a.startSwap(swap); a.upstreams["u"].swapping == evacuated {
+			t.Fatalf("evacuated %v: swapping %v", evacuated, !evacuated)
+		}
+		if a.loads()[0].Draining || a.catalogEntry("u", a.upstreams["u"]).Leaving {
+			t.Fatal("evacuated upstream is reported as draining")
+		}
+	}
+	if len(a.swapOutcomes) != 1 || !a.swapOutcomes[0].Failed {
+		t.Fatalf("swap outcomes %+v, want the refused swap as failed", a.swapOutcomes)
+	}
+}
+
 func TestUpstreamLostByLeaderIsReportedAgain(t *testing.T) {
 	a := newTestAgent(t)
 	l := &localUpstream{announced: announcement{ID: "u", Slots: 1}, polled: true, reported: &catalog.Upstream{ID: "u"}}
--- a/internal/agent/weights.go
+++ b/internal/agent/weights.go
@@ -142,6 +142,8 @@
 	return io.ReadAll(resp.Body)
 }
 
+// startSwap starts a swap. A swap that the leader allowed before an evacuation is
+// reported as failed, so that another engine may swap.
 func (a *agent) startSwap(s weights.Swap) {
 	l := a.upstreams[s.Upstream]
 	a.blobMu.Lock()
@@ -150,6 +152,10 @@
 	if l == nil || !ok || l.swapping {
 		return
 	}
+	if l.evacuated {
+		a.recordSwap(s, rollout.NewError(rollout.KindNoUpstream, "the failure domain of upstream %s is evacuated", s.Upstream).WithNotRun())
+		return
+	}
 	l.swapping = true
 	url, fencing := l.announced.URL, a.renewer.View().Version
 	a.background.Go(func() {
@@ -159,7 +165,7 @@
 }
 
 // sendSwap requests an engine to load a weight version. It sends the request only
-// while the agent has authority and the engine is not evacuated.
+// while the agent has authority.
 func (a *agent) sendSwap(url string, s weights.Swap, fencing uint64, data []byte) error {
 	ctx, cancel := context.WithTimeout(context.Background(), swapTimeout)
 	defer cancel()
@@ -171,9 +177,6 @@
 	if !a.renewer.Valid() {
 		return rollout.NewError(rollout.KindNoAuthority, "agent %s has no authority to swap the weights of upstream %s", a.cfg.Name, s.Upstream).WithNotRun()
 	}
-	if a.renewer.View().Upstreams[s.Upstream].Evacuated {
-		return rollout.NewError(rollout.KindNoUpstream, "the failure domain of upstream %s is evacuated", s.Upstream).WithNotRun()
-	}
 	resp, err := a.client.Do(req)
 	if err != nil {
 		return err
--- a/internal/entry/evacuation_test.go
+++ b/internal/entry/evacuation_test.go
@@ -43,7 +43,8 @@
 	t.Helper()
 	x := &exchange{id: "x", pool: "p", cost: 1, repeatable: true, deadline: 60_000}
 	x.ctx, x.cancel = context.WithCancelCause(t.Context())
-	t.Cleanup(func() { x.cancel(nil) })
+	timer := time.AfterFunc(5*time.Second, func() { x.cancel(context.DeadlineExceeded) })
+	t.Cleanup(func() { timer.Stop(); x.cancel(nil) })
 	return x
 }
 
@@ -108,6 +109,9 @@
 		x := newTestExchange(t)
 		x.upstreamsFull = true
 		assertEvacuatedError(t, e.forward(x))
+		if x.ctx.Err() != nil {
+			t.Fatal("the request was tried again until its deadline")
+		}
 	})
 }
 
--- a/pkg/rollout/claim/claim_test.go
+++ b/pkg/rollout/claim/claim_test.go
@@ -24,6 +24,26 @@
 	}
 }
 
+// TestFindReturnsOnlyClaimsInForce guards against a repeated request that attaches to
+// an attempt that never begins, and against a look-up that takes a claim.
+func TestFindReturnsOnlyClaimsInForce(t *testing.T) {
+	table := New()
+	find := func(now rollout.Millis, want string) {
+		t.Helper()
+		if c, err := table.Find(now, Find{Account: "a", RequestID: "r", Digest: "d"}); err != nil || c.Attempt != want {
+			t.Fatalf("Find() = attempt %q, error %v, want %q", c.Attempt, err, want)
+		}
+	}
+	find(1, "")
+	take(t, table, 1, "r", "d", "first")
+	find(2, "first")
+	find(1+table.RetentionMS, "")
+	_, err := table.Find(2, Find{Account: "a", RequestID: "r", Digest: "other"})
+	assertKind(t, err, rollout.KindConflict)
+	table.Void(Void{Account: "a", RequestID: "r", Attempt: "first"})
+	find(3, "")
+}
+
 func TestOnlyOneAttemptHoldsAClaim(t *testing.T) {
 	table := New()
 	if !take(t, table, 1, "r", "d", "first").New {
--- a/pkg/rollout/ledger/evacuation_test.go
+++ b/pkg/rollout/ledger/evacuation_test.go
@@ -175,6 +175,18 @@
 	}
 }
 
+func TestFullUpdateHoldsEvacuations(t *testing.T) {
+	s := newStateWithDomains()
+	applyOne(t, s, 2, evacuate("a", "1"))
+	follower := catalog.New()
+	all := catalog.EntryInterest()
+	all.Kinds = append(all.Kinds, catalog.KindEvacuation)
+	if err := follower.Apply(s.Catalog.Since(0, all)); err != nil {
+		t.Fatal(err)
+	}
+	assertEvacuated(t, follower, "a")
+}
+
 func assertNoUnknownKind(t *testing.T, u catalog.Update) {
 	t.Helper()
 	for _, ch := range u.Changes {
