--- a/internal/e2e/evacuation_test.go
+++ b/internal/e2e/evacuation_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -56,6 +58,9 @@
 	}()
 	eventually(t, "the order runs", waitTimeout, func() bool { return d.runCounts("orders-1")["order-1"] == 1 })
 	d.change("evacuate domain paraiso")
+	if !d.logContains(d.leader(), "Event=EvacuationChanged") {
+		t.Error("the leader logged no EvacuationChanged")
+	}
 	t.Run("what runs ends", func(t *testing.T) {
 		repeated, err := d.post(1, "/r/orders/tags", key, "order-1", `{}`)
 		must(t, err)
@@ -64,6 +69,11 @@
 				t.Fatalf("answer %+v", r)
 			}
 		}
+		repeated, err = d.post(1, "/r/orders/tags", key, "order-1", `{}`)
+		must(t, err)
+		if repeated.status != http.StatusOK || !strings.Contains(repeated.body, `"Run":1`) {
+			t.Fatalf("answer %+v to an order that has ended", repeated)
+		}
 		eventually(t, "running requests end", waitTimeout, func() bool { return d.countRunning("engine-1") == 0 })
 	})
 	t.Run("nothing begins", func(t *testing.T) {
@@ -115,6 +125,10 @@
 	d.assertRefused("/v1/completions", "", shortCall)
 	d.assertRefused("/v1/completions", "once", shortCall)
 	p.post("s1", 16)
+	time.Sleep(refusedLimit)
+	if data, _ := os.ReadFile(filepath.Join(d.layout.Dir, "entry-1.log")); strings.Count(string(data), "Event=SampleFailed") > 16 {
+		t.Fatal("samples are tried again and again while all upstreams are evacuated")
+	}
 	if samples := p.pull(); len(samples) > 0 {
 		t.Fatalf("samples %v while all upstreams are evacuated", samples)
 	}
--- a/internal/entry/step_runner.go
+++ b/internal/entry/step_runner.go
@@ -207,6 +207,19 @@
 		case <-sr.ctx.Done():
 		case <-time.After(sampleRetryDelay):
 		}
+		s.waitWhileEvacuated(sr.ctx, run.group)
+	}
+}
+
+// waitWhileEvacuated waits while all upstreams of a group's pool are evacuated, which
+// may take hours. An attempt each time would fill the log.
+func (s *stepRunner) waitWhileEvacuated(ctx context.Context, group string) {
+	for s.entry.poolEvacuated(s.entry.renewer.View().Groups[group].Pool) {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(sampleRetryDelay):
+		}
 	}
 }
 
