Refuse the waiting requests of an evacuated pool in one pass

Each waiting request was cancelled by itself, which goes through the whole queue and holds its lock: with n waiting requests, n passes. Tests of fair, admission and entry pass with -race.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -110,10 +110,9 @@
 	if p == nil {
 		return
 	}
-	for id, ready := range p.waiting {
-		p.queue.Cancel(id)
-		ready <- err
-		delete(p.waiting, id)
+	for _, req := range p.queue.CancelAll() {
+		p.waiting[req.ID] <- err
+		delete(p.waiting, req.ID)
 	}
 }
 
--- a/pkg/rollout/fair/fair.go
+++ b/pkg/rollout/fair/fair.go
@@ -119,6 +119,11 @@
 	return len(q.removeWaiting(func(r Request) bool { return r.ID == id })) > 0
 }
 
+// CancelAll removes all waiting requests and returns them.
+func (q *Queue) CancelAll() []Request {
+	return q.removeWaiting(func(Request) bool { return true })
+}
+
 // Limit returns the maximum number of running requests.
 func (q *Queue) Limit() int { return int(q.limit) }
 
