--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -102,6 +102,20 @@
 	}
 }
 
+// Refuse rejects all waiting requests of a pool with an error.
+func (q *Queues) Refuse(pool string, err *rollout.Error) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	p := q.pools[pool]
+	if p == nil {
+		return
+	}
+	for _, req := range p.queue.CancelAll() {
+		p.waiting[req.ID] <- err
+		delete(p.waiting, req.ID)
+	}
+}
+
 func (q *Queues) pool(name string) *poolQueue {
 	p := q.pools[name]
 	if p == nil {
--- a/internal/agent/weights.go
+++ b/internal/agent/weights.go
@@ -142,6 +142,8 @@
 	return io.ReadAll(resp.Body)
 }
 
+// startSwap starts a swap. A swap that the leader allowed before an evacuation is
+// reported as failed, so that another engine may swap.
 func (a *agent) startSwap(s weights.Swap) {
 	l := a.upstreams[s.Upstream]
 	a.blobMu.Lock()
@@ -150,6 +152,10 @@
 	if l == nil || !ok || l.swapping {
 		return
 	}
+	if l.evacuated {
+		a.recordSwap(s, rollout.NewError(rollout.KindNoUpstream, "the failure domain of upstream %s is evacuated", s.Upstream).WithNotRun())
+		return
+	}
 	l.swapping = true
 	url, fencing := l.announced.URL, a.renewer.View().Version
 	a.background.Go(func() {
