Grant permits for cold upstreams and leave out absent hosts

Cause: hosts knew the limit of a cold upstream, but nothing held requests back to it, and a host cut off from control does not know which upstreams are cold.

Ruled out: a share with saved credit as for limits that upstreams name. With 300 hosts each would hold one request, and all could be sent in one second. Random phases instead of turns keep to the bound on average only. Replies of the divider do not end a cold limit, because they may be older than the news.

Change: the gate holds the lower of the named and the cold limit; only the table ends the latter. The divider bounds the permits of 1,150 ms for cold upstreams, engines get half of the rate. Watch replies tell each entry its turn among all entries; one that has had no confirmed watch for 1.5 s sends in its turns only. limit.Shares leaves out the shares of absent entries and of an absent leader of the job store until they have left the window, also after a change of leader.

--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -117,6 +117,8 @@
 	poisonRevision uint64
 	// divider divides the limits of upstreams among the hosts.
 	divider *limit.Divider
+	// shares records which shares of cold upstreams absent hosts have.
+	shares limit.Shares
 	// refusalsToPropose holds the refused requests that the replicated state lacks.
 	refusalsToPropose []string
 	// origins holds where streams of callers began. Each control host holds its own part.
@@ -243,6 +245,7 @@
 // leader's tasks until ctx is done.
 func (d *Director) runAsLeader(ctx context.Context, term uint64) {
 	d.mu.Lock()
+	d.shares = d.inheritShares()
 	d.leadTerm, d.leadStartMS = term, d.clock.Now()
 	d.daemons = make(map[string]watchingDaemon)
 	d.usage = make(map[uint64]map[string]map[string]uint64)
--- a/internal/director/watch.go
+++ b/internal/director/watch.go
@@ -46,6 +46,7 @@
 		reply, hasChanges, changed := d.buildReply(term, req)
 		reply.HeldMS = held
 		if hasChanges || expired {
+			d.addColdShare(&reply, req)
 			return reply, nil
 		}
 		select {
@@ -193,6 +194,12 @@
 		daemon.returnedMS = now
 	}
 	daemon.lastRequest, daemon.lastSeenMS = req, now
+	switch {
+	case req.Role == view.RoleEntry:
+		d.shares.Watched(now, key, req.CopyAgeMS)
+	case req.Store != nil:
+		d.shares.StoreWatched(now, key, req.CopyAgeMS, req.Store.Leading)
+	}
 	d.daemons[key] = daemon
 	if u := req.Usage; u != nil {
 		for window, counts := range u.Windows {
--- a/internal/view/protocol.go
+++ b/internal/view/protocol.go
@@ -10,6 +10,7 @@
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/discovery"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/document"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/limit"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/poison"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/quorum"
 )
@@ -46,6 +47,8 @@
 	FactsRevision   uint64
 	// AcceptsPacked is true if the caller understands Reply.PackedDocument.
 	AcceptsPacked bool `json:",omitempty"`
+	// CopyAgeMS is the time since a leader last confirmed the copy, or negative if none has.
+	CopyAgeMS rollout.Millis `json:",omitempty"`
 	// WaitMS is the maximum time that the leader waits for a change.
 	WaitMS rollout.Millis
 	// Usage holds the request totals of usage windows that are still open.
@@ -146,6 +149,11 @@
 	// Facts is nil if the caller's copy is current.
 	Facts         *Facts `json:",omitempty"`
 	FactsRevision uint64
+	// ColdShare is the caller's share if it loses control, or nil if no upstream can be cold.
+	// Hosts that store jobs get none.
+	ColdShare *limit.Share `json:",omitempty"`
+	// Senders describes the entries to control hosts.
+	Senders []limit.Sender `json:",omitempty"`
 }
 
 // PackDocument encodes a document for Reply.PackedDocument.
--- a/internal/view/watcher.go
+++ b/internal/view/watcher.go
@@ -15,6 +15,7 @@
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/discovery"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/document"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/limit"
 )
 
 const (
@@ -47,6 +48,11 @@
 	// ConfirmedMS is the time for which a leader last confirmed that the copy is
 	// current, or 0 if none has yet.
 	ConfirmedMS rollout.Millis
+	// ColdShare is the share of an entry if it loses control, as of ConfirmedMS. It is zero
+	// if no upstream can be cold.
+	ColdShare limit.Share
+	// Senders describes the entries that have such shares to the next leader of control.
+	Senders []limit.Sender
 }
 
 // Options configures a Watcher.
@@ -228,6 +234,10 @@
 		Host: w.opts.Host, Role: w.opts.Role, Address: w.opts.Address, FailureDomain: w.opts.FailureDomain,
 		Epoch: base.Epoch, TableRevision: base.TableRevision, FactsRevision: base.FactsRevision, WaitMS: wait, AcceptsPacked: true,
 	}
+	req.CopyAgeMS = neverConfirmedMS
+	if base.ConfirmedMS > 0 {
+		req.CopyAgeMS = w.opts.Clock.Now() - base.ConfirmedMS
+	}
 	if base.Index != nil {
 		req.DocumentVersion = base.Index.Document.Version
 	}
@@ -308,9 +318,9 @@
 		w.metrics.observeDocument(r.DocumentAgeMS)
 	}
 	for _, u := range r.Upstreams {
-		if before, ok := old.Upstreams[u.ID]; !ok || before.State != u.State || before.Born != u.Born || before.Silent != u.Silent {
+		if before, ok := old.Upstreams[u.ID]; !ok || before.State != u.State || before.Born != u.Born || before.Silent != u.Silent || before.ColdLimit != u.ColdLimit {
 			w.opts.Log.Info("UpstreamChanged", zap.String("Upstream", u.ID), zap.String("Pool", u.Pool),
-				zap.String("Address", u.Address), zap.String("State", string(u.State)), zap.Bool("Silent", u.Silent))
+				zap.String("Address", u.Address), zap.String("State", string(u.State)), zap.Bool("Silent", u.Silent), coldField(u))
 		}
 	}
 	if w.opts.OnChange != nil && (r.Document != nil || r.Facts != nil || len(r.Upstreams) > 0) {
@@ -318,12 +328,24 @@
 	}
 }
 
+// coldField is the log field of an upstream that is cold.
+func coldField(u discovery.Upstream) zap.Field {
+	if u.ColdLimit <= 0 {
+		return zap.Skip()
+	}
+	return zap.Float64("ColdLimit", u.ColdLimit)
+}
+
 // With returns the state with the changes of a reply. It ignores a document whose
 // version is not higher. Upstreams that a new leader does not know are kept and
 // marked as silent, unless the leader knows another upstream at their address.
 func (s State) With(r Reply) State {
 	next := s
 	next.Epoch, next.TableRevision = r.Epoch, r.TableRevision
+	next.ColdShare, next.Senders = limit.Share{}, r.Senders
+	if r.ColdShare != nil {
+		next.ColdShare = *r.ColdShare
+	}
 	if r.Document != nil && (s.Index == nil || r.Document.Version > s.Index.Document.Version) {
 		next.Index = document.NewIndex(*r.Document)
 	}
--- a/pkg/rollout/discovery/discovery.go
+++ b/pkg/rollout/discovery/discovery.go
@@ -189,6 +189,16 @@
 	return r.Limit, true
 }
 
+// ColdLimit returns the pool of an incarnation and its limit while it is cold, or 0 if it is
+// warm, and whether the incarnation is known.
+func (t *Table) ColdLimit(id string, born int64) (pool string, limit float64, known bool) {
+	r := t.byID[id]
+	if r == nil || r.Born != born {
+		return "", 0, false
+	}
+	return r.Pool, r.ColdLimit, true
+}
+
 // Restore replaces all upstreams with those of another host's table at a revision.
 // All of them count as seen now. Later changes get higher revisions, also if the
 // upstreams that changed last have left the table since.
--- a/pkg/rollout/limit/divider.go
+++ b/pkg/rollout/limit/divider.go
@@ -23,6 +23,9 @@
 	// demandMS is how long demand that was not met is remembered. It spans two requests
 	// of a host.
 	demandMS = 2 * PermitMS
+	// coldWindowMS is the time in which a cold upstream gets no more permits than it may get
+	// requests in a second: all that may be used in one second are granted within it.
+	coldWindowMS = 1_000 + PermitMS
 	// saveMS is the time for which credit is saved while no host asks.
 	saveMS rollout.Millis = 500
 	// callersMemoryMS is how long permits are kept for callers after one wanted some.
@@ -72,7 +75,10 @@
 
 // bucket is the limit of one upstream.
 type bucket struct {
-	limit  float64
+	limit float64
+	// most is the number of permits that may be granted in coldWindowMS while the upstream
+	// is cold, or negative while it is warm.
+	most   int
 	usedMS rollout.Millis
 	// credit is the number of permits that may be granted as far as the rate allows, as
 	// of creditMS.
@@ -112,7 +118,7 @@
 	}
 	b := d.buckets[u]
 	if b == nil {
-		b = &bucket{creditMS: now, hosts: make(map[string]*demand)}
+		b = &bucket{most: -1, creditMS: now, hosts: make(map[string]*demand)}
 		if now < d.inheritUntilMS {
 			// The former divider may have granted all of its saved credit last.
 			b.credit = -mostSaved(ratePerMS(limit))
@@ -122,6 +128,14 @@
 	b.limit, b.usedMS = limit, now
 }
 
+// SetCold sets how many permits for an upstream with a limit may be granted in any second
+// and the time for which a permit is valid. A negative number removes this bound.
+func (d *Divider) SetCold(u discovery.Incarnation, most int) {
+	if b := d.buckets[u]; b != nil {
+		b.most = most
+	}
+}
+
 // Forget removes the limits that no host has used for long, and returns their upstreams.
 func (d *Divider) Forget(now rollout.Millis) []discovery.Incarnation {
 	var forgotten []discovery.Incarnation
@@ -164,6 +178,9 @@
 		ahead := float64(max(1, waiting)+1) / 2
 		g.NextMS = max(rollout.Millis((ahead-b.credit)/perMS), b.windowFreeMS(now, absent))
 	}
+	if b.most >= 0 && granted < w.Callers+w.Background {
+		g.NextMS = max(g.NextMS, b.coldFreeMS(now, perMS))
+	}
 	return g, true
 }
 
@@ -204,7 +221,17 @@
 // limit, less the part of absent hosts.
 func (b *bucket) available(now rollout.Millis, absent float64) int {
 	b.granted = slices.DeleteFunc(b.granted, func(at rollout.Millis) bool { return now-at > windowMS+PermitMS })
-	return max(0, min(int(b.credit), b.inWindow(absent)-len(b.granted)))
+	left := min(int(b.credit), b.inWindow(absent)-len(b.granted))
+	if b.most >= 0 {
+		left = min(left, b.most-b.grantedSince(now-coldWindowMS))
+	}
+	return max(0, left)
+}
+
+// grantedSince returns how many permits were granted at a time or later.
+func (b *bucket) grantedSince(from rollout.Millis) int {
+	i, _ := slices.BinarySearch(b.granted, from)
+	return len(b.granted) - i
 }
 
 // inWindow returns how many permits may be granted in a window.
@@ -224,6 +251,17 @@
 	return max(0, b.granted[i]+windowMS+PermitMS-now)
 }
 
+// coldFreeMS returns the time until a cold upstream may get another permit.
+func (b *bucket) coldFreeMS(now rollout.Millis, perMS float64) rollout.Millis {
+	if b.most == 0 || perMS <= 0 {
+		return coldWindowMS
+	}
+	if i := len(b.granted) - b.most; i >= 0 {
+		return max(0, b.granted[i]+coldWindowMS-now)
+	}
+	return 0
+}
+
 // shareOf returns how many of the permits at hand a host gets that asks: an equal part for
 // each host that waits, and at least one. Permits are not kept for the others, because many
 // of their requests have given up before they ask again.
--- a/pkg/rollout/limit/gate.go
+++ b/pkg/rollout/limit/gate.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/discovery"
 )
@@ -17,6 +19,9 @@
 	// answerMS is the time of a call to the divider. Requests that give up earlier want
 	// nothing of it.
 	answerMS rollout.Millis = 20
+	// turnPoll is the interval at which a request that waits looks for a turn. Several fall
+	// into turnMS.
+	turnPoll = 20 * time.Millisecond
 	// minLimit replaces lower limits, so that an upstream that takes nothing is asked
 	// again in the end.
 	minLimit = 0.01
@@ -38,14 +43,16 @@
 	// Callers and Background are the numbers of requests that wait.
 	Callers    int `json:",omitempty"`
 	Background int `json:",omitempty"`
-	// Limit is the limit as this host knows it, or 0 for none. Said is true if an upstream
-	// has named it to this host and others may not know it.
+	// Limit is the limit that the upstream named as this host knows it, or 0 for none. Said
+	// is true if an upstream has named it to this host and others may not know it.
 	Limit float64
 	Said  bool `json:",omitempty"`
+	// Cold is the limit of a cold upstream as this host knows it, or 0 for a warm one.
+	Cold float64 `json:",omitempty"`
 }
 
-// Gate holds requests to upstreams that name a limit until there is a permit. It is safe
-// for concurrent use.
+// Gate holds requests to upstreams that name a limit or are cold until there is a permit. It
+// is safe for concurrent use.
 type Gate struct {
 	clock rollout.Clock
 	// wake receives a value when there are new wants.
@@ -57,13 +64,22 @@
 	// 0. hosts is the number of hosts that share the limits.
 	unansweredMS rollout.Millis
 	hosts        int
+	// contact returns the last contact with control. It may be nil.
+	contact func() Contact
+	// shareRates holds the pools whose upstreams can be cold, with the rate of all entries
+	// that have lost control together, in requests a second.
+	shareRates map[string]float64
 }
 
-// gated is an upstream that has named a limit.
+// gated is an upstream that has named a limit or is cold.
 type gated struct {
-	// limit is in requests a second, or 0 if it has ended.
-	limit float64
-	// told is the limit that control last announced.
+	// named is the limit that the upstream named, in requests a second, or 0 if it has
+	// ended.
+	named float64
+	// cold is the limit while the upstream is cold, or 0 while it is warm. Only control
+	// changes it.
+	cold float64
+	// told is the named limit that control last announced.
 	told float64
 	// unsaid is true if control may not know the limit.
 	unsaid bool
@@ -73,17 +89,56 @@
 	// nextMS is when the next permit can be expected, and intervalMS the time from one to
 	// the next after it.
 	nextMS, intervalMS rollout.Millis
+	// canBeCold is true if the upstream gets only its share from a host that has lost
+	// control. shareRate is the rate of all such hosts together, and shift the part of a turn
+	// by which the turns are later here.
+	canBeCold        bool
+	shareRate, shift float64
+	// usedTurn is the last turn that this host used since usedContact.
+	usedTurn    int64
+	usedContact Contact
 	// ownCredit counts the permits of this host's fixed share, as of ownMS.
 	ownCredit float64
 	ownMS     rollout.Millis
 }
 
+// limit returns the limit, or 0 for none.
+func (s *gated) limit() float64 { return Lower(s.named, s.cold) }
+
+// holds reports whether a request may have to wait for an upstream. The caller holds mu.
+func (g *Gate) holds(s *gated, r Request, now rollout.Millis) bool {
+	if r.OwnColdBound {
+		return s.named > 0
+	}
+	return s.limit() > 0 || g.usesColdShare(s, now)
+}
+
+// usesColdShare reports whether this host sends an upstream no more than its share, because
+// it does not know whether it is cold. The caller holds mu.
+func (g *Gate) usesColdShare(s *gated, now rollout.Millis) bool {
+	if !s.canBeCold || g.contact == nil {
+		return false
+	}
+	c := g.contact()
+	return c.ConfirmedMS > 0 && now-c.ConfirmedMS > ownShareAfterMS
+}
+
+// Lower returns the lower of two limits, of which 0 means none.
+func Lower(a, b float64) float64 {
+	if a <= 0 || b <= 0 {
+		return max(a, b)
+	}
+	return min(a, b)
+}
+
 // Request describes a request that needs a permit.
 type Request struct {
 	// Priority ranks the requests of a host; 0 is the highest.
 	Priority int
 	// Background is true if no caller waits for the response. Callers go first.
 	Background bool
+	// OwnColdBound is true if the sender keeps to the bound of cold upstreams by itself.
+	OwnColdBound bool
 	// Patience is how long the request may wait.
 	Patience time.Duration
 }
@@ -110,23 +165,44 @@
 	return &Gate{clock: clock, wake: make(chan struct{}, 1), upstreams: make(map[discovery.Incarnation]*gated), hosts: 1}
 }
 
+// Follow sets the source of the last contact with control. It must be called before the gate
+// is used, and the source must not call the gate.
+func (g *Gate) Follow(contact func() Contact) { g.contact = contact }
+
+// SetShareRates sets the pools whose upstreams can be cold, from the next Sync on.
+func (g *Gate) SetShareRates(rates map[string]float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.shareRates = rates
+}
+
 // Wake returns a channel that receives a value when there are new wants.
 func (g *Gate) Wake() <-chan struct{} { return g.wake }
 
+// IsCold reports whether an upstream is cold or, for a host that has lost control, may be.
+func (g *Gate) IsCold(u discovery.Incarnation) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := g.upstreams[u]
+	return s != nil && (s.cold > 0 || g.usesColdShare(s, g.clock.Now()))
+}
+
 // Limited returns the IDs of the upstreams with a limit.
 func (g *Gate) Limited() []string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	now := g.clock.Now()
 	var ids []string
 	for u, s := range g.upstreams {
-		if s.limit > 0 {
+		if g.holds(s, Request{}, now) {
 			ids = append(ids, u.ID)
 		}
 	}
 	return ids
 }
 
-// Said records the limit that a response of an upstream named.
+// Said records the limit that a response of an upstream named. It does not end the limit of a
+// cold upstream.
 func (g *Gate) Said(u discovery.Incarnation, named rollout.RateLimit) {
 	limit := 0.0
 	if named.Limited {
@@ -142,11 +218,12 @@
 		s = &gated{}
 		g.upstreams[u] = s
 	}
-	if s.limit == limit {
+	if s.named == limit {
 		return
 	}
 	s.unsaid = s.told != limit
-	g.change(s, limit)
+	s.named = limit
+	g.changed(s)
 	g.signal()
 }
 
@@ -157,15 +234,22 @@
 	for _, u := range us {
 		key := discovery.Incarnation{ID: u.ID, Born: u.Born}
 		s := g.upstreams[key]
-		if s == nil && u.Limit > 0 {
+		rate, canBeCold := g.shareRates[u.Pool]
+		if s == nil && (canBeCold || Lower(u.Limit, u.ColdLimit) > 0) {
 			s = &gated{}
 			g.upstreams[key] = s
 		}
-		if s == nil || s.told == u.Limit {
+		if s != nil {
+			s.canBeCold, s.shareRate, s.shift = canBeCold, rate, shiftOf(u.ID)
+		}
+		if s == nil || (s.told == u.Limit && s.cold == u.ColdLimit) {
 			continue
 		}
-		s.told, s.unsaid = u.Limit, false
-		g.change(s, u.Limit)
+		if s.told != u.Limit {
+			s.told, s.unsaid, s.named = u.Limit, false, u.Limit
+		}
+		s.cold = u.ColdLimit
+		g.changed(s)
 	}
 	for key, s := range g.upstreams {
 		if u, known := us[key.ID]; (!known || u.Born != key.Born) && len(s.waiters) == 0 {
@@ -174,26 +258,38 @@
 	}
 }
 
-// change sets the limit of an upstream. The caller holds mu.
-func (g *Gate) change(s *gated, limit float64) {
+// changed admits the requests that wait for an upstream if its limit has ended. The caller
+// has changed the limit and holds mu.
+func (g *Gate) changed(s *gated) {
 	now := g.clock.Now()
-	s.limit = limit
 	s.ownCredit, s.ownMS = 0, now
-	if limit > 0 {
-		return
-	}
-	for _, w := range s.waiters {
+	g.admitUnheld(s, now)
+}
+
+// admitUnheld admits the requests that no longer have to wait. The caller holds mu.
+func (g *Gate) admitUnheld(s *gated, now rollout.Millis) {
+	s.waiters = slices.DeleteFunc(s.waiters, func(w *waiter) bool {
+		if g.holds(s, w.Request, now) {
+			return false
+		}
 		close(w.admitted)
+		return true
+	})
+	if !g.holds(s, Request{}, now) {
+		s.permits = nil
 	}
-	s.waiters, s.permits = nil, nil
 }
 
+// shiftOf returns the part of a turn by which the turns at an upstream are later, so that a
+// host that has lost control does not have them at all upstreams at once.
+func shiftOf(id string) float64 { return float64(xxhash.Sum64String(id)>>11) / (1 << 53) }
+
 // Wait returns the predicted wait of one more request to an upstream.
 func (g *Gate) Wait(u discovery.Incarnation) rollout.Millis {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	s := g.upstreams[u]
-	if s == nil || s.limit <= 0 {
+	if s == nil || !g.holds(s, Request{}, g.clock.Now()) {
 		return 0
 	}
 	return g.waitOf(s)
@@ -207,12 +303,47 @@
 	if missing <= 0 {
 		return 0
 	}
-	if g.isLost(now) {
+	if g.usesColdShare(s, now) {
+		return g.shareWait(s, now, missing)
+	}
+	if s.cold <= 0 && g.isLost(now) {
 		return rollout.Millis(float64(missing) * 1_000 / max(g.ownRate(s), minLimit))
 	}
 	return max(0, s.nextMS-now) + rollout.Millis(missing-1)*max(PermitMS, s.intervalMS)
 }
 
+// turnsAt returns the turns of this host at an upstream and the number of those that it may
+// use now. It reports false if it has none. The caller holds mu.
+func (g *Gate) turnsAt(s *gated, now rollout.Millis) (t turns, open int64, ok bool) {
+	contact := g.contact()
+	if t, ok = newTurns(contact, s.shareRate, s.shift); !ok {
+		return t, 0, false
+	}
+	if s.usedContact != contact {
+		// Turns that began before this host may use them do not count.
+		s.usedContact, s.usedTurn = contact, t.begun(contact.ConfirmedMS+ownShareAfterMS)
+	}
+	s.usedTurn = max(s.usedTurn, t.begun(now-turnMS))
+	return t, t.begun(now) - s.usedTurn, true
+}
+
+// shareWait returns the predicted wait at this host's share if it is lacking a number of
+// permits. The caller holds mu.
+func (g *Gate) shareWait(s *gated, now rollout.Millis, missing int) rollout.Millis {
+	t, open, ok := g.turnsAt(s, now)
+	if !ok {
+		return forgetMS
+	}
+	wait := rollout.Millis(0)
+	if left := int64(missing) - open; left > 0 {
+		wait = t.untilMS(now, t.begun(now)+left)
+	}
+	if s.named > 0 {
+		wait = max(wait, rollout.Millis(float64(missing)*1_000/max(g.ownRate(s), minLimit)))
+	}
+	return wait
+}
+
 // isLost reports whether this host has lost the divider. The caller holds mu.
 func (g *Gate) isLost(now rollout.Millis) bool {
 	return g.unansweredMS > 0 && now-g.unansweredMS > ownShareAfterMS
@@ -222,10 +353,10 @@
 // saved up. The caller holds mu.
 func (g *Gate) ownRate(s *gated) float64 {
 	hosts := float64(max(1, g.hosts))
-	if own := float64(allowance(s.limit)) / hosts; own > 1 {
+	if own := float64(allowance(s.named)) / hosts; own > 1 {
 		return 1_000 * (own - 1) / float64(windowMS+PermitMS)
 	}
-	return 1_000 * ratePerMS(s.limit) / hosts
+	return 1_000 * ratePerMS(s.named) / hosts
 }
 
 // Acquire waits for a permit for an upstream. It fails at once if the request has not the
@@ -235,15 +366,44 @@
 	if w == nil || err != nil {
 		return err
 	}
-	timer := time.NewTimer(r.Patience)
+	timer, poll := time.NewTimer(r.Patience), time.NewTicker(turnPoll)
 	defer timer.Stop()
-	select {
-	case <-w.admitted:
-		return nil
-	case <-timer.C:
-	case <-ctx.Done():
+	defer poll.Stop()
+	for {
+		select {
+		case <-w.admitted:
+			return nil
+		case <-poll.C:
+			g.useTurns(u)
+			continue
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		return g.leave(u, w)
+	}
+}
+
+// useTurns admits requests in the turns of this host at an upstream.
+func (g *Gate) useTurns(u discovery.Incarnation) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if s := g.upstreams[u]; s != nil && s.canBeCold {
+		g.update(s)
+	}
+}
+
+// update admits the requests that may be sent by now. The caller holds mu.
+func (g *Gate) update(s *gated) {
+	now := g.clock.Now()
+	if s.canBeCold && len(s.waiters) == 0 {
+		// Turns are left to requests that come.
+		return
+	}
+	g.useOwnShare(s)
+	s.admit(now)
+	if s.canBeCold {
+		g.admitUnheld(s, now)
 	}
-	return g.leave(u, w)
 }
 
 // join returns nil if a request may be sent now, or else its place in the queue.
@@ -252,7 +412,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	s := g.upstreams[u]
-	if s == nil || s.limit <= 0 {
+	if s == nil || !g.holds(s, r, g.clock.Now()) {
 		return nil, nil
 	}
 	g.useOwnShare(s)
@@ -262,7 +422,7 @@
 		return nil, nil
 	}
 	if wait := g.waitOf(s); wait > patience {
-		return nil, newLimitError(u, s.limit, wait)
+		return nil, newLimitError(u, s.limit(), wait)
 	}
 	w := &waiter{Request: r, admitted: make(chan struct{}), untilMS: g.clock.Now() + patience}
 	i := slices.IndexFunc(s.waiters, func(other *waiter) bool { return r.goesBefore(other.Request) })
@@ -288,7 +448,7 @@
 		return newLimitError(u, 0, 0)
 	}
 	s.waiters = slices.DeleteFunc(s.waiters, func(other *waiter) bool { return other == w })
-	return newLimitError(u, s.limit, g.waitOf(s))
+	return newLimitError(u, s.limit(), g.waitOf(s))
 }
 
 func newLimitError(u discovery.Incarnation, limit float64, wait rollout.Millis) error {
@@ -303,7 +463,7 @@
 	defer g.mu.Unlock()
 	now := g.clock.Now()
 	for u, s := range g.upstreams {
-		want := Want{Upstream: u, Limit: s.limit, Said: s.unsaid}
+		want := Want{Upstream: u, Limit: s.named, Said: s.unsaid, Cold: s.cold}
 		for _, w := range s.waiters {
 			switch {
 			case w.untilMS-now <= answerMS:
@@ -327,7 +487,8 @@
 }
 
 // Apply applies the grants for wants that were sent at a time, by a divider that knows a
-// number of hosts. An upstream without a grant has no limit any more.
+// number of hosts. An upstream without a grant names no limit any more. Only Sync ends the
+// limit of a cold one, because a reply may be older than the news that it is cold.
 func (g *Gate) Apply(sentMS rollout.Millis, wants []Want, grants []Grant, hosts int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -335,14 +496,15 @@
 	g.unansweredMS, g.hosts = 0, hosts
 	for _, w := range wants {
 		s := g.upstreams[w.Upstream]
-		if s == nil || w.Limit != s.limit {
+		if s == nil || w.Limit != s.named {
 			continue
 		}
 		if w.Said {
 			s.unsaid = false
 		}
 		if !slices.ContainsFunc(grants, func(grant Grant) bool { return grant.Upstream == w.Upstream }) {
-			g.change(s, 0)
+			s.named = 0
+			g.changed(s)
 		}
 	}
 	for _, grant := range grants {
@@ -365,8 +527,7 @@
 	defer g.mu.Unlock()
 	waiting := g.unansweredMS > 0
 	for _, s := range g.upstreams {
-		g.useOwnShare(s)
-		s.admit(g.clock.Now())
+		g.update(s)
 		waiting = waiting || len(s.waiters) > 0 || s.unsaid
 	}
 	return waiting
@@ -376,18 +537,39 @@
 // caller holds mu.
 func (g *Gate) useOwnShare(s *gated) {
 	now := g.clock.Now()
-	if !g.isLost(now) || s.limit <= 0 {
+	coldShare := g.usesColdShare(s, now)
+	if !g.isLost(now) || s.named <= 0 || (s.cold > 0 && !coldShare) {
 		s.ownCredit, s.ownMS = 0, now
+		if coldShare && s.named <= 0 {
+			g.useTurn(s, now)
+		}
 		return
 	}
 	s.ownCredit = min(1, s.ownCredit+g.ownRate(s)*float64(now-s.ownMS)/1_000)
 	s.ownMS = now
+	if coldShare {
+		if s.ownCredit >= 1 && g.useTurn(s, now) {
+			s.ownCredit--
+		}
+		return
+	}
 	if s.ownCredit >= 1 {
 		s.ownCredit--
 		s.permits = append(s.permits, now+PermitMS)
 	}
 }
 
+// useTurn adds a permit if this host has a turn at an upstream, and reports whether it does.
+// The caller holds mu.
+func (g *Gate) useTurn(s *gated, now rollout.Millis) bool {
+	if _, open, ok := g.turnsAt(s, now); !ok || open <= 0 {
+		return false
+	}
+	s.usedTurn++
+	s.permits = append(s.permits, now+turnPermitMS)
+	return true
+}
+
 // admit gives permits to the requests that have waited longest.
 func (s *gated) admit(now rollout.Millis) {
 	s.dropExpired(now)
