Hold callers' requests and scorer calls to cold upstreams

Cause: the balancer treated cold upstreams like warm ones.

Ruled out: cold upstreams as one more preference of the router; it does not know permits. An item needs none, because the leader of the job store counts its own.

Change: the balancer selects warm upstreams with room first, and a cold one only with a permit within the patience of the request. The last attempt goes to a cold one if all before found no room, as nothing may be refused that one could serve. Entries and the leader of the job store pass their contact with control to the gate. Requests that waited are logged (ColdUpstreamAwaited) and counted.

Not measured with processes.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -104,7 +104,8 @@
 	// limits holds requests to upstreams that name a limit.
 	limits *limit.Gate
 	// known holds the upstreams as control knows them.
-	known map[string]discovery.Upstream
+	known   map[string]discovery.Upstream
+	metrics *metrics
 	// nextSyncMS is when the router must be synced because of leaving upstreams, or 0.
 	nextSyncMS rollout.Millis
 }
@@ -120,7 +121,7 @@
 	cfg := routing.DefaultConfig(domain)
 	cfg.EjectAfter, cfg.EjectMS, cfg.MaxEjectMS = ejectAfter, ejectMS, maxEjectMS
 	cfg.LocalLoadLimit, cfg.ReuseMS = localLoadLimit, reuseMS
-	return &Balancer{upstreams: upstreams, clock: clock, log: log, router: routing.New(cfg, globalRandom{}), leaving: discovery.NewLeavingLog(), limits: limit.NewGate(clock), crashes: poison.NewDetector(), suspectRuns: make(map[string]int), crashRecorded: make(chan struct{}, 1)}
+	return &Balancer{upstreams: upstreams, clock: clock, log: log, router: routing.New(cfg, globalRandom{}), leaving: discovery.NewLeavingLog(), limits: limit.NewGate(clock), crashes: poison.NewDetector(), suspectRuns: make(map[string]int), crashRecorded: make(chan struct{}, 1), metrics: newMetrics()}
 }
 
 const (
@@ -322,7 +323,7 @@
 		return false
 	}
 	suspect := c.isSuspect()
-	choice, err := c.balancer.selectUpstream(selection{pool: c.req.Pool, software: c.req.Software, avoid: c.req.Avoid, tried: c.tried, suspect: suspect, hedge: hedge, background: c.req.Background, patience: c.req.LimitPatience})
+	choice, err := c.balancer.selectUpstream(selection{pool: c.req.Pool, software: c.req.Software, avoid: c.req.Avoid, tried: c.tried, suspect: suspect, hedge: hedge, background: c.req.Background, last: c.sends == maxSends-1, patience: c.req.LimitPatience})
 	if err != nil {
 		if c.sends == 0 {
 			c.refuse(err)
--- a/internal/balance/select.go
+++ b/internal/balance/select.go
@@ -34,6 +34,8 @@
 	// background excludes upstreams without a limit at unlimitedMaxLoad, so that calls
 	// that wait for nothing else do not crowd them.
 	background bool
+	// last is true if the request can't be sent again after this attempt.
+	last bool
 	// patience is how long the request may wait for an upstream with a limit.
 	patience time.Duration
 }
@@ -130,23 +132,20 @@
 	for _, u := range limited {
 		unlimited.Exclude = append(unlimited.Exclude, u.id)
 	}
+	if s.last {
+		// The warm upstreams that were tried had no room.
+		if choice, _, ok := b.pickLimited(now, s, query, limited, func(u limitedUpstream) bool { return u.cold }); ok {
+			return choice, nil
+		}
+	}
 	free := unlimited
 	free.MaxLoad = unlimitedMaxLoad
 	if choice, err := pick(b.router, now, free); err == nil {
 		return choice, nil
 	}
-	var wait rollout.Millis
-	for _, u := range limited {
-		if s.hedge || slices.Contains(s.tried, u.id) {
-			continue
-		}
-		wait = cmp.Or(wait, u.waitMS)
-		if u.waitMS > rollout.Millis(s.patience.Milliseconds()) {
-			break
-		}
-		if choice, ok := b.router.PickUpstream(now, u.id, query); ok {
-			return choice, nil
-		}
+	choice, wait, ok := b.pickLimited(now, s, query, limited, func(limitedUpstream) bool { return true })
+	if ok {
+		return choice, nil
 	}
 	if !s.background {
 		if choice, err := pick(b.router, now, unlimited); err == nil {
@@ -160,6 +159,25 @@
 	return routing.Choice{}, noUpstreamError(s.pool)
 }
 
+// pickLimited picks the upstream whose limit lets a request through first, of those that are
+// allowed, if the request has the patience. It also returns the shortest wait. The caller
+// holds mu.
+func (b *Balancer) pickLimited(now rollout.Millis, s selection, q routing.Query, us []limitedUpstream, allowed func(limitedUpstream) bool) (choice routing.Choice, wait rollout.Millis, ok bool) {
+	for _, u := range us {
+		if s.hedge || slices.Contains(s.tried, u.id) || !allowed(u) {
+			continue
+		}
+		wait = cmp.Or(wait, u.waitMS)
+		if u.waitMS > rollout.Millis(s.patience.Milliseconds()) {
+			break
+		}
+		if choice, ok := b.router.PickUpstream(now, u.id, q); ok {
+			return choice, wait, true
+		}
+	}
+	return routing.Choice{}, wait, false
+}
+
 // pick picks an upstream with the router.
 func pick(r *routing.Router, now rollout.Millis, q routing.Query) (routing.Choice, error) {
 	choice, ok := r.Pick(now, q)
@@ -178,23 +196,37 @@
 	id     string
 	slots  int
 	waitMS rollout.Millis
+	// cold is true if control reports the upstream as cold.
+	cold bool
 }
 
 // limitedByWait returns the upstreams of a pool with a limit, those with the shortest
-// wait first. The caller holds mu.
+// wait first, and warm ones before cold ones. The caller holds mu.
 func (b *Balancer) limitedByWait(pool string) []limitedUpstream {
 	var us []limitedUpstream
 	for _, id := range b.limits.Limited() {
 		if u, known := b.known[id]; known && u.Pool == pool {
-			us = append(us, limitedUpstream{id, u.Slots, b.limits.Wait(discovery.Incarnation{ID: id, Born: u.Born})})
+			us = append(us, limitedUpstream{id, u.Slots, b.limits.Wait(discovery.Incarnation{ID: id, Born: u.Born}), u.ColdLimit > 0})
 		}
 	}
 	slices.SortFunc(us, func(a, b limitedUpstream) int {
-		return cmp.Or(cmp.Compare(a.waitMS, b.waitMS), cmp.Compare(a.id, b.id))
+		return cmp.Or(cmp.Compare(a.waitMS, b.waitMS), compareBools(a.cold, b.cold), cmp.Compare(a.id, b.id))
 	})
 	return us
 }
 
+// compareBools compares two values, of which false is the lower.
+func compareBools(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
+
 // limitedSlots is the number of slots for which an upstream with a limit counts: one for a
 // request that runs and one for a request that waits for a permit.
 const limitedSlots = 2
@@ -215,7 +247,12 @@
 // the limit that the response names.
 func (b *Balancer) sendWithinLimit(ctx context.Context, req rollout.UpstreamRequest, u catalog.Upstream, r Request) attempt {
 	upstream := discovery.Incarnation{ID: u.ID, Born: bornOf(u.Incarnation)}
-	if err := b.limits.Acquire(ctx, upstream, limit.Request{Priority: r.Priority, Background: r.Background, Patience: r.LimitPatience}); err != nil {
+	cold, started := b.limits.IsCold(upstream), b.clock.Now()
+	err := b.limits.Acquire(ctx, upstream, limit.Request{Priority: r.Priority, Background: r.Background, Patience: r.LimitPatience})
+	if waited := b.clock.Now() - started; cold && (waited > 0 || err != nil) {
+		b.recordColdWait(req.AttemptID, u.ID, waited, err)
+	}
+	if err != nil {
 		return attempt{started: time.Now(), err: rollout.AsError(err)}
 	}
 	req.BudgetMS = max(1, rollout.Millis(time.Until(r.Deadline).Milliseconds()))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -27,6 +27,7 @@
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/clock"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/discovery"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/document"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/limit"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/poison"
 )
 
@@ -55,7 +56,9 @@
 	WindowMS rollout.Millis
 	// ApplyMS is the time within which a configuration must be in force after its
 	// acknowledgement. 0 selects defaultApplyMS.
-	ApplyMS   rollout.Millis
+	ApplyMS rollout.Millis
+	// ColdBound bounds the requests that a cold upstream gets.
+	ColdBound limit.ColdBound
 	Upstreams rollout.UpstreamClient
 	Secret    string
 	Log       *zap.Logger
@@ -99,6 +102,7 @@
 	g := &Gateway{opts: opts, dialer: link.NewDialer(opts.Secret), metrics: newMetrics(opts.Registry)}
 	g.client = fabric.NewClient(g.dialer)
 	g.balancer = balance.New(opts.Upstreams, clock.Boottime{}, opts.FailureDomain, opts.Log)
+	g.balancer.RegisterMetrics(opts.Registry)
 	id := make([]byte, incarnationIDBytes)
 	_, _ = rand.Read(id)
 	g.meter = newMeter(hex.EncodeToString(id), opts.WindowMS)
@@ -106,9 +110,16 @@
 		Host: opts.Host, Role: view.RoleEntry, FailureDomain: opts.FailureDomain, Seeds: opts.Controls,
 		Client: g.client, Clock: clock.Boottime{}, Log: opts.Log, Registry: opts.Registry, Usage: g.meter.totals, BrokenConnections: g.brokenConnections, CrashRecorded: g.balancer.CrashRecorded(), Leaving: g.balancer.Leaving().Report,
 		OnChange: func(v view.State) {
+			if v.Index != nil {
+				g.balancer.Limits().SetShareRates(g.opts.ColdBound.ShareRates(v.Index.Document.Pools))
+			}
 			g.balancer.Sync(discovery.WithEvacuated(v.Upstreams, v.Facts.Evacuated))
 		},
 	})
+	g.balancer.Limits().Follow(func() limit.Contact {
+		v := g.watcher.State()
+		return limit.Contact{ConfirmedMS: v.ConfirmedMS, Share: v.ColdShare}
+	})
 	g.origins = origins.NewClient(origins.Options{Client: g.client, Clock: clock.Boottime{}, Log: opts.Log, Hosts: func() []string { return g.watcher.State().Facts.Controls }})
 	return g
 }
--- a/internal/jobstore/item.go
+++ b/internal/jobstore/item.go
@@ -102,7 +102,7 @@
 // its text.
 func (r *runner) generate(ctx context.Context, w *workItem, a dispatch.Assignment) dispatch.Outcome {
 	started := time.Now()
-	if err := r.acquire(ctx, a.Engine, limit.Request{Priority: w.route.Priority, Background: true, Patience: itemLimitPatience}); err != nil {
+	if err := r.acquire(ctx, a.Engine, limit.Request{Priority: w.route.Priority, Background: true, OwnColdBound: true, Patience: itemLimitPatience}); err != nil {
 		r.logRun(w, a, started, 0, err)
 		if ctx.Err() != nil {
 			return dispatch.OutcomeCancelled
--- a/internal/jobstore/load.go
+++ b/internal/jobstore/load.go
@@ -64,7 +64,7 @@
 // awaitOrderPermit waits until the limit of an engine allows an order. The order is sent
 // in any case, because the engine must not go on with an old version.
 func (r *runner) awaitOrderPermit(ctx context.Context, l dispatch.WeightLoad) {
-	if err := r.acquire(ctx, l.Engine, limit.Request{Patience: itemLimitPatience}); err != nil {
+	if err := r.acquire(ctx, l.Engine, limit.Request{OwnColdBound: true, Patience: itemLimitPatience}); err != nil {
 		r.store.opts.Log.Info("WeightOrderBeyondLimit", zap.String("Upstream", l.Engine), zap.Error(err))
 	}
 }
--- a/internal/jobstore/store.go
+++ b/internal/jobstore/store.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -77,6 +78,9 @@
 	packer   *pack.Packer
 	metrics  *metrics
 
+	// leadingSinceMS is when this host became the leader of the job store, or 0.
+	leadingSinceMS atomic.Int64
+
 	mu sync.Mutex
 	// state and the fields below are guarded by mu.
 	state *job.StateMachine
@@ -100,6 +104,7 @@
 	s.orderCooldown = authority.NewCooldown(s.clock.Now(), opts.OrderCooldownMS)
 	s.client = fabric.NewClient(s.dialer)
 	s.balancer = balance.New(opts.Upstreams, s.clock, opts.FailureDomain, opts.Log)
+	s.balancer.RegisterMetrics(opts.Registry)
 	var err error
 	s.replica, err = replica.Open(ctx, replica.Options{
 		Dir: opts.Dir, Address: opts.Address, FailureDomain: opts.FailureDomain,
@@ -114,9 +119,21 @@
 		Host: opts.Host, Role: view.RoleStore, Address: opts.Address, FailureDomain: opts.FailureDomain,
 		Seeds: opts.Controls, Client: s.client, Clock: s.clock, Log: opts.Log, Registry: opts.Registry, Store: s.status, Leaving: s.balancer.Leaving().Report, OnChange: s.applyView,
 	})
+	s.balancer.Limits().Follow(s.contact)
 	return s, nil
 }
 
+// contact returns the last contact with control. Only the leader of the job store has a share
+// without it, and no sooner than control may have heard of the former leader last.
+func (s *Store) contact() limit.Contact {
+	c := limit.Contact{ConfirmedMS: s.watcher.State().ConfirmedMS}
+	since := rollout.Millis(s.leadingSinceMS.Load())
+	if since > 0 && s.clock.Now()-since > limit.OwnShareAfterMS {
+		c.Share = limit.Share{Hosts: 1, ClockMS: c.ConfirmedMS}
+	}
+	return c
+}
+
 // Serve handles calls and, while this host leads, runs items until the context
 // ends. It then transfers the leadership to another member.
 func (s *Store) Serve(ctx context.Context, listener net.Listener) error {
@@ -155,6 +172,9 @@
 		retiring[address] = true
 	}
 	s.replica.SetRetiring(retiring)
+	if v.Index != nil {
+		s.balancer.Limits().SetShareRates(s.opts.ColdBound.ShareRates(v.Index.Document.Pools))
+	}
 	s.balancer.Sync(discovery.WithEvacuated(v.Upstreams, v.Facts.Evacuated))
 	s.mu.Lock()
 	r := s.runner
@@ -204,6 +224,8 @@
 
 // runAsLeader runs items until the context ends with the lease of this term.
 func (s *Store) runAsLeader(ctx context.Context, term uint64) {
+	s.leadingSinceMS.Store(int64(s.clock.Now()))
+	defer s.leadingSinceMS.Store(0)
 	r := newRunner(s, term)
 	s.mu.Lock()
 	s.runner = r
