--- a/pkg/rollout/limit/cold_rules_test.go
+++ b/pkg/rollout/limit/cold_rules_test.go
@@ -32,6 +32,8 @@
 	g, c := newColdGate()
 	w := mustWait(t, g, Request{})
 	g.Said(engine, rollout.RateLimit{})
+	g.Said(engine, rollout.RateLimit{Limited: true, PerSecond: coldRate / 2})
+	g.Said(engine, rollout.RateLimit{})
 	wants, _ := g.Ask()
 	g.Apply(c.Now(), wants, nil, 1)
 	if g.Tick(); isAdmitted(w) || !g.IsCold(engine) {
--- a/pkg/rollout/limit/cold_test.go
+++ b/pkg/rollout/limit/cold_test.go
@@ -60,15 +60,20 @@
 // coldSimulation runs hosts that send to the upstreams of a failure domain that come back
 // cold together, without a network.
 type coldSimulation struct {
-	clock   *clock.Manual
-	rand    *rand.Rand
-	pool    document.Pool
-	hosts   []*coldHost
+	clock *clock.Manual
+	rand  *rand.Rand
+	pool  document.Pool
+	hosts []*coldHost
+	// entries is the number of hosts that are entries. Their requests come in bursts.
+	entries int
+	bursts  bool
 	divider *Divider
 	shares  Shares
-	// senders and inherited are what the next leader knows of the entries.
-	senders []Sender
-	offset  rollout.Millis
+	// senders and offset are what the next leader knows of the entries. It knows nothing if
+	// the control hosts are forgetful.
+	senders   []Sender
+	offset    rollout.Millis
+	forgetful bool
 	// leaderFrom is the time from which there is a leader.
 	leaderFrom rollout.Millis
 	coldFrom   rollout.Millis
@@ -76,7 +81,7 @@
 }
 
 func newColdSimulation(seed uint64, pool document.Pool, entries int) *coldSimulation {
-	s := &coldSimulation{clock: clock.NewManual(1_000_000), rand: rand.New(rand.NewPCG(seed, 1)), pool: pool, divider: NewDivider(), sends: make([][]rollout.Millis, len(coldUpstream))}
+	s := &coldSimulation{clock: clock.NewManual(1_000_000), rand: rand.New(rand.NewPCG(seed, 1)), pool: pool, entries: entries, divider: NewDivider(), sends: make([][]rollout.Millis, len(coldUpstream))}
 	s.coldFrom = s.clock.Now() + warmMS
 	for i := range entries + 1 {
 		h := &coldHost{name: fmt.Sprint("host-", i), gate: NewGate(s.clock), reachable: true, store: i == entries}
@@ -100,6 +105,10 @@
 // run calls atStep before each step.
 func (s *coldSimulation) run(atStep func(now rollout.Millis)) {
 	for end := s.coldFrom + coldMS; s.clock.Now() < end; s.clock.Advance(stepMS) {
+		if now := s.clock.Now(); s.hasLeader() && !s.forgetful && now%watchMS == 0 {
+			// A control host that follows the leader gets a reply.
+			s.senders, s.offset = s.shares.Senders(), s.shares.clockOffsetMS
+		}
 		atStep(s.clock.Now())
 		for _, i := range s.rand.Perm(len(s.hosts)) {
 			s.step(s.hosts[i])
@@ -117,8 +126,26 @@
 	s.shares = NewSharesAfter(s.leaderFrom, s.senders, s.offset+latencyMS, true)
 }
 
-// step runs a host for stepMS. Its requests want 4 times the rate together with those of the
-// other hosts.
+// demand returns the requests that a host wants to send in stepMS on average. Entries want 4
+// times the rate together, all of it at the start of each period if it comes in bursts, and
+// scorers twice the rate.
+func (s *coldSimulation) demand(h *coldHost) float64 {
+	const entriesWant, scorersWant, burstMS = 4, 2, 2_000
+	perStep := s.pool.ColdPerSecond * float64(stepMS) / 1_000
+	if h.store {
+		return scorersWant * perStep
+	}
+	perStep *= entriesWant / float64(s.entries)
+	if !s.bursts {
+		return perStep
+	}
+	if (s.clock.Now()-s.coldFrom)%burstMS == 0 {
+		return perStep * float64(burstMS/stepMS)
+	}
+	return 0
+}
+
+// step runs a host for stepMS.
 func (s *coldSimulation) step(h *coldHost) {
 	now := s.clock.Now()
 	s.watch(h)
@@ -127,8 +154,7 @@
 		if !h.told && !lost {
 			break
 		}
-		const excess = 4
-		for p := excess * s.pool.ColdPerSecond / float64(len(s.hosts)) * float64(stepMS) / 1_000; s.rand.Float64() < p; p-- {
+		for p := s.demand(h); s.rand.Float64() < p; p-- {
 			w, err := h.gate.join(u, Request{Background: h.store, Patience: time.Duration(patienceMS) * time.Millisecond})
 			switch {
 			case err != nil:
@@ -184,7 +210,6 @@
 	h.contact = Contact{ConfirmedMS: now - latencyMS}
 	if h.store {
 		h.contact.Share = Share{Hosts: 1, ClockMS: h.contact.ConfirmedMS}
-		s.senders, s.offset = s.shares.Senders(), s.shares.clockOffsetMS
 	} else {
 		h.contact.Share = s.shares.Tell(now, h.name)
 	}
@@ -260,9 +285,9 @@
 // Guards against cold upstreams that get more than they bear when a failure domain comes back,
 // from hosts in contact with control and hosts that have lost it together.
 func TestFailureDomainReturnsColdWhileHostsAreCutOff(t *testing.T) {
-	cut := func(s *coldSimulation, from int) {
+	cut := func(s *coldSimulation) {
 		for i, h := range s.hosts {
-			h.reachable = i%3 != 0 || i < from
+			h.reachable = i%3 != 0
 		}
 	}
 	heal := func(s *coldSimulation) {
@@ -274,30 +299,39 @@
 		"all in contact": func(*coldSimulation, rollout.Millis) {},
 		"third cut off before": func(s *coldSimulation, after rollout.Millis) {
 			if after == -4_000 {
-				cut(s, 0)
+				cut(s)
 			}
 		},
 		"third cut off during": func(s *coldSimulation, after rollout.Millis) {
 			if after == 2_000 {
-				cut(s, 0)
+				cut(s)
 			}
 		},
 		"cut off and back": func(s *coldSimulation, after rollout.Millis) {
 			switch (after + warmMS) % 5_000 {
 			case 0:
-				cut(s, 0)
+				cut(s)
 			case 3_500:
 				heal(s)
 			}
 		},
 		"third cut off, leader changes": func(s *coldSimulation, after rollout.Millis) {
 			if after == -1_000 {
-				cut(s, 0)
+				cut(s)
 			}
 			if (after+warmMS)%7_000 == 6_500 {
 				s.changeLeader()
 			}
 		},
+		"third cut off, leader changes without copy": func(s *coldSimulation, after rollout.Millis) {
+			s.forgetful = true
+			if after == -1_000 {
+				cut(s)
+			}
+			if after == 500 {
+				s.changeLeader()
+			}
+		},
 		"all cut off": func(s *coldSimulation, after rollout.Millis) {
 			if after == 4_000 {
 				s.leaderFrom = s.coldFrom + coldMS
@@ -315,6 +349,7 @@
 					}
 					for seed := uint64(1); seed <= coldSeeds; seed++ {
 						s := newColdSimulation(seed, pool, entries)
+						s.bursts = seed%2 == 0
 						if len(pool.Models) > 0 {
 							// The leader of the job store uses the other half.
 							s.hosts = s.hosts[:entries]
