Give a store host a share only while its lease lasts

Cause: the runner may wind down after the lease of its term has ended, and the next leader of the job store has the same share by then.

Result: tests of internal/jobstore and internal/gateway passed. No test covers the moment between the end of the lease and that of the runner.

--- a/internal/jobstore/store.go
+++ b/internal/jobstore/store.go
@@ -128,7 +128,7 @@
 func (s *Store) contact() limit.Contact {
 	c := limit.Contact{ConfirmedMS: s.watcher.State().ConfirmedMS}
 	since := rollout.Millis(s.leadingSinceMS.Load())
-	if since > 0 && s.clock.Now()-since > limit.OwnShareAfterMS {
+	if _, leads := s.replica.Leading(0); leads && since > 0 && s.clock.Now()-since > limit.OwnShareAfterMS {
 		c.Share = limit.Share{Hosts: 1, ClockMS: c.ConfirmedMS}
 	}
 	return c
