Rank the open steps in the job store

Cause: the leader of the job store passed items to the scheduler without regard to the groups that a trainer waits for.

Ruled out: replicating the ranks. They follow from jobs, results and texts, which a new leader has, and are computed again within 250 ms.

Change: the runner plans when a step opens or ends, when a group has ended, an item was abandoned or 250 ms have passed, and applies the ranks before it assigns tasks. A step that can't meet its due time is logged once per leader as StepUnattainable and counted in coltsfootspoke_job_unattainable_steps_total.

--- a/internal/jobstore/item.go
+++ b/internal/jobstore/item.go
@@ -375,7 +375,8 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	w.done = true
+	w.done, w.result = true, result.State
+	r.groupEnded(w)
 	r.store.metrics.items.WithLabelValues(string(result.State)).Inc()
 }
 
--- a/internal/jobstore/metrics.go
+++ b/internal/jobstore/metrics.go
@@ -11,6 +11,8 @@
 	continuations *prometheus.CounterVec
 	weightOrders  *prometheus.CounterVec
 	waitingItems  prometheus.Gauge
+	// unattainableSteps counts the steps that can't meet their due time.
+	unattainableSteps *prometheus.CounterVec
 }
 
 func newMetrics(registry *prometheus.Registry) *metrics {
@@ -34,7 +36,10 @@
 		waitingItems: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "coltsfootspoke_job_waiting_items", Help: "Items that wait for an engine, at the leader.",
 		}),
+		unattainableSteps: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "coltsfootspoke_job_unattainable_steps_total", Help: "Steps that can't meet their due time, by whether they could without the other steps.",
+		}, []string{"yields"}),
 	}
-	registry.MustRegister(m.items, m.runs, m.runSeconds, m.continuations, m.weightOrders, m.waitingItems)
+	registry.MustRegister(m.items, m.runs, m.runSeconds, m.continuations, m.weightOrders, m.waitingItems, m.unattainableSteps)
 	return m
 }
