Keep requests and jobs in allowed regions at entries

A request could reach any upstream of its pool. balance.Request.Restrict returns the failure domains that are allowed at present; it is called before each attempt, so that retries and hedges follow the configuration in force. A field with a fixed policy was ruled out, as a retry could then go where a new configuration forbids. Upstreams outside are excluded before all other rules (limits, suspects, avoided ones). Without an allowed ready upstream the request fails at once with the new kind RegionNotAllowed: 503, not run, Retry-After 2 s.

Entries ignored the regions of routes and client accounts. A request, its retries, hedges and the further runs of its stream now go only to upstreams in regions that both allow. A request whose pool has none goes to another pool of its route that has one, as the choice between pools is random.

A restricted job is sent only if each known member of the job store is in an allowed region or in that of the entry, and only to such members: redirects to other hosts and founders that control does not list are not followed. The check is repeated before each attempt. The entry passes on what it knew of the regions, for a job store with an older configuration.

The copy of the facts keeps the failure domains of job store members that a new leader of control does not know, because a member that is down would otherwise make all restricted jobs be refused.

Refusals are counted in coltsfootspoke_gateway_region_refusals_total and logged as RegionRefused.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -64,6 +64,21 @@
 	// OnStarted is called once, after the first attempt that may have run the
 	// request has returned. It may be nil.
 	OnStarted func()
+	// Restrict returns the failure domains to which the request may be sent at present. It
+	// is called before each attempt. It may be nil.
+	Restrict func() Restriction
+}
+
+// Restriction reports whether a request may be sent to the upstreams of a failure domain.
+// It is nil if it may be sent to all.
+type Restriction func(domain string) bool
+
+// Restriction returns the restriction of an attempt that begins now.
+func (r Request) Restriction() Restriction {
+	if r.Restrict == nil {
+		return nil
+	}
+	return r.Restrict()
 }
 
 // Response is the response of an upstream.
@@ -322,7 +337,7 @@
 		return false
 	}
 	suspect := c.isSuspect()
-	choice, err := c.balancer.selectUpstream(selection{pool: c.req.Pool, software: c.req.Software, avoid: c.req.Avoid, tried: c.tried, suspect: suspect, hedge: hedge, background: c.req.Background, patience: c.req.LimitPatience})
+	choice, err := c.balancer.selectUpstream(selection{pool: c.req.Pool, software: c.req.Software, avoid: c.req.Avoid, tried: c.tried, suspect: suspect, hedge: hedge, background: c.req.Background, patience: c.req.LimitPatience, within: c.req.Restriction()})
 	if err != nil {
 		if c.sends == 0 {
 			c.refuse(err)
--- a/internal/balance/select.go
+++ b/internal/balance/select.go
@@ -36,6 +36,8 @@
 	background bool
 	// patience is how long the request may wait for an upstream with a limit.
 	patience time.Duration
+	// within excludes the upstreams of other failure domains, or is nil for none.
+	within Restriction
 }
 
 // selectUpstream returns the upstream for the next attempt of a request. A suspect gets
@@ -47,6 +49,12 @@
 	if b.nextSyncMS > 0 && b.clock.Now() >= b.nextSyncMS {
 		b.syncRouter()
 	}
+	if s.within != nil {
+		if !b.hasReady(s.pool, s.within) {
+			return routing.Choice{}, b.noUpstreamWithin(s.pool)
+		}
+		s.tried = slices.AppendSeq(slices.Clone(s.tried), b.outside(s.pool, s.within))
+	}
 	if s.software != "" {
 		s.tried = slices.AppendSeq(slices.Clone(s.tried), b.ofOtherSoftware(s.pool, s.software))
 	}
@@ -90,19 +98,59 @@
 	}
 }
 
-// HasUpstream reports whether a pool has a ready upstream of a software version, besides
-// those with the given IDs.
-func (b *Balancer) HasUpstream(pool, software string, besides ...string) bool {
+// HasUpstream reports whether a pool has a ready upstream of a software version within a
+// restriction, besides those with the given IDs.
+func (b *Balancer) HasUpstream(pool, software string, within Restriction, besides ...string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for id, u := range b.known {
-		if u.Pool == pool && u.Software == software && u.State == discovery.StateReady && !slices.Contains(besides, id) {
+		if u.Pool == pool && u.Software == software && u.State == discovery.StateReady && within.allows(u) && !slices.Contains(besides, id) {
+			return true
+		}
+	}
+	return false
+}
+
+func (r Restriction) allows(u discovery.Upstream) bool { return r == nil || r(u.FailureDomain) }
+
+// HasReady reports whether a pool has a ready upstream within a restriction.
+func (b *Balancer) HasReady(pool string, within Restriction) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.hasReady(pool, within)
+}
+
+// hasReady is HasReady. The caller holds mu.
+func (b *Balancer) hasReady(pool string, within Restriction) bool {
+	for _, u := range b.known {
+		if u.Pool == pool && u.State == discovery.StateReady && within.allows(u) {
 			return true
 		}
 	}
 	return false
 }
 
+// outside returns the IDs of the upstreams of a pool that a restriction excludes. The caller
+// holds mu.
+func (b *Balancer) outside(pool string, within Restriction) iter.Seq[string] {
+	return func(yield func(string) bool) {
+		for id, u := range b.known {
+			if u.Pool == pool && !within.allows(u) && !yield(id) {
+				return
+			}
+		}
+	}
+}
+
+// noUpstreamWithin returns the error of a request whose restriction excludes all ready
+// upstreams of its pool. The caller holds mu.
+func (b *Balancer) noUpstreamWithin(pool string) error {
+	if !b.hasReady(pool, nil) {
+		return noUpstreamError(pool)
+	}
+	return rollout.NewError(rollout.KindRegionNotAllowed, "pool %s has no upstream in a region that the route and the client account allow", pool).WithNotRun()
+}
+
 // softwareOf returns the software version of an incarnation of an upstream, or an empty
 // string if it is unknown, as when the upstream has started again since.
 func (b *Balancer) softwareOf(id, incarnation string) string {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -8,7 +8,6 @@
 	"crypto/rand"
 	"encoding/hex"
 	"math"
-	mathrand "math/rand/v2"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -28,6 +27,7 @@
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/discovery"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/document"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/poison"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/residency"
 )
 
 const (
@@ -48,6 +48,8 @@
 type Options struct {
 	Host          string
 	FailureDomain string
+	// Regions holds the region of each failure domain of the deployment. It may be empty.
+	Regions map[string]string
 	// Controls returns addresses of control hosts, which may change between
 	// calls.
 	Controls func() []string
@@ -70,6 +72,7 @@
 	watcher  *view.Watcher
 	balancer *balance.Balancer
 	origins  *origins.Client
+	regions  residency.Map
 	meter    *meter
 	metrics  *metrics
 	draining atomic.Bool
@@ -96,7 +99,7 @@
 
 // New returns an entry.
 func New(opts Options) *Gateway {
-	g := &Gateway{opts: opts, dialer: link.NewDialer(opts.Secret), metrics: newMetrics(opts.Registry)}
+	g := &Gateway{opts: opts, dialer: link.NewDialer(opts.Secret), metrics: newMetrics(opts.Registry), regions: residency.NewMap(opts.Regions)}
 	g.client = fabric.NewClient(g.dialer)
 	g.balancer = balance.New(opts.Upstreams, clock.Boottime{}, opts.FailureDomain, opts.Log)
 	id := make([]byte, incarnationIDBytes)
@@ -209,16 +212,19 @@
 			budget = min(budget, limit)
 		}
 	}
+	clientAccount := g.accountNamed(account)
+	restrict := g.restrict(route, clientAccount)
 	req := balance.Request{
 		UpstreamRequest: rollout.UpstreamRequest{
 			Method: in.Method, URI: in.URI, Host: in.Host, Header: in.Header, AttemptID: in.AttemptID,
 			Account: account, Body: in.Body,
 		},
-		Pool:        route.PickPool(mathrand.Float64()),
+		Pool:        g.pickPool(route, restrict()),
 		Repeatable:  isRepeatable(route),
 		MaxAttempts: max(1, route.MaxAttempts),
 		Deadline:    in.Received.Add(time.Duration(budget) * time.Millisecond),
 		OnStarted:   func() { g.meter.count(account) },
+		Restrict:    restrict,
 	}
 	req.LimitPatience = time.Duration(hedgeLatencyFraction * float64(route.TargetLatencyMS) * float64(time.Millisecond))
 	req.HedgeAfter = req.LimitPatience
@@ -238,6 +244,9 @@
 	}
 	g.metrics.observe(in.Received, err)
 	if err != nil {
+		if rollout.AsError(err).Kind == rollout.KindRegionNotAllowed {
+			g.recordRegionRefusal(refusedRequest, in.AttemptID, g.policyOf(route, clientAccount))
+		}
 		g.logFailure(in, route, err)
 		return response, err
 	}
--- a/internal/gateway/jobs.go
+++ b/internal/gateway/jobs.go
@@ -26,9 +26,18 @@
 )
 
 // SubmitJob submits a job to the job store. After KindOutcomeUnknown, the job may
-// or may not have been accepted.
+// or may not have been accepted. A job that is restricted to regions is sent only to the
+// known members of the job store, and only if all of them may keep it.
 func (g *Gateway) SubmitJob(ctx context.Context, spec job.Spec) error {
-	err := callStore(ctx, g, "", jobstore.MethodSubmit, 0, spec, &jobstore.Empty{})
+	policy := g.setResidency(&spec)
+	call := storeCall{method: jobstore.MethodSubmit}
+	if policy.IsRestricted() {
+		call.permit = func(address string) error { return g.checkStore(policy, address) }
+	}
+	err := callStore(ctx, g, call, spec, &jobstore.Empty{})
+	if err != nil && rollout.AsError(err).Kind == rollout.KindRegionNotAllowed {
+		g.recordRegionRefusal(refusedJob, spec.ID, policy)
+	}
 	g.opts.Log.Info("JobForwarded", zap.String("Job", spec.ID), zap.String("Account", spec.Account), zap.Int("Items", len(spec.Items)), zap.Error(err))
 	return err
 }
@@ -36,20 +45,20 @@
 // ReadResults returns results of a job.
 func (g *Gateway) ReadResults(ctx context.Context, req jobstore.ReadRequest) (jobstore.Page, error) {
 	var page jobstore.Page
-	err := callStore(ctx, g, g.localStoreAddress(), jobstore.MethodRead, req.WaitMS, req, &page)
+	err := callStore(ctx, g, storeCall{method: jobstore.MethodRead, first: g.localStoreAddress(), waitMS: req.WaitMS}, req, &page)
 	return page, err
 }
 
 // ItemBody returns the body of an item of a job.
 func (g *Gateway) ItemBody(ctx context.Context, req jobstore.BodyRequest) ([]byte, error) {
 	var body jobstore.Body
-	err := callStore(ctx, g, g.localStoreAddress(), jobstore.MethodBody, 0, req, &body)
+	err := callStore(ctx, g, storeCall{method: jobstore.MethodBody, first: g.localStoreAddress()}, req, &body)
 	return body.Bytes, err
 }
 
 // EndJob ends a job.
 func (g *Gateway) EndJob(ctx context.Context, req jobstore.EndRequest) error {
-	return callStore(ctx, g, "", jobstore.MethodEnd, 0, req, &jobstore.Empty{})
+	return callStore(ctx, g, storeCall{method: jobstore.MethodEnd}, req, &jobstore.Empty{})
 }
 
 // AccountForKey returns the name of the client account of a key. It is empty if
@@ -85,25 +94,40 @@
 	return account.Name, nil
 }
 
+// storeCall is a call of the job store.
+type storeCall struct {
+	method string
+	// first is the address to try first, or empty.
+	first string
+	// waitMS is how long a read may wait.
+	waitMS rollout.Millis
+	// permit is called before each attempt. Its error ends the call. If it is not nil, only
+	// known members are called.
+	permit func(address string) error
+}
+
 // callStore calls the leader of the job store and follows redirects to another
-// leader. It retries until the call succeeds, is rejected with KindNotFound or
-// KindConflict, or times out, so all methods must be idempotent. On a timeout,
-// the kind of the error shows whether an attempt may have been executed. first
-// is the address to try first, or empty.
-func callStore(ctx context.Context, g *Gateway, first, method string, waitMS rollout.Millis, in, out any) error {
-	wait := time.Duration(waitMS) * time.Millisecond
+// leader. It retries until the call succeeds, is rejected with KindNotFound,
+// KindConflict or KindRegionNotAllowed, is not permitted any more, or times out, so
+// all methods must be idempotent. Unless it succeeds or is rejected, the kind of
+// the error shows whether an attempt may have been executed.
+func callStore(ctx context.Context, g *Gateway, call storeCall, in, out any) error {
+	wait := time.Duration(call.waitMS) * time.Millisecond
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout+wait)
 	defer cancel()
-	hint, maybeExecuted := first, false
+	hint, maybeExecuted := call.first, false
 	failed := make(map[string]bool)
 	var last *rollout.Error
 	for attempt := 0; ; attempt++ {
-		address := g.nextStoreAddress(hint, attempt, failed)
+		address := g.nextStoreAddress(hint, attempt, failed, call.permit != nil)
 		hint = ""
+		if err := call.check(address); err != nil {
+			return call.withOutcome(err, maybeExecuted)
+		}
 		callCtx, cancelCall := context.WithTimeout(ctx, storeCallTimeout+wait)
-		err := g.client.Call(callCtx, address, method, in, out)
+		err := g.client.Call(callCtx, address, call.method, in, out)
 		cancelCall()
-		g.metrics.jobCalls.WithLabelValues(method, outcome(err)).Inc()
+		g.metrics.jobCalls.WithLabelValues(call.method, outcome(err)).Inc()
 		if err == nil {
 			return nil
 		}
@@ -111,6 +135,8 @@
 		switch last.Kind {
 		case rollout.KindNotFound, rollout.KindConflict:
 			return last
+		case rollout.KindRegionNotAllowed:
+			return call.withOutcome(last, maybeExecuted)
 		case rollout.KindNotLeader:
 			if next := strings.TrimPrefix(last.Message, "leader is "); next != "" && next != address && !failed[next] {
 				hint = next
@@ -122,15 +148,29 @@
 		}
 		select {
 		case <-ctx.Done():
-			if maybeExecuted {
-				return rollout.NewError(rollout.KindOutcomeUnknown, "outcome of %s is unknown", method).WithCause(last)
-			}
-			return rollout.NewError(rollout.KindUnavailable, "no leader of the job store answered %s", method).WithCause(last).WithNotRun()
+			return call.withOutcome(rollout.NewError(rollout.KindUnavailable, "no leader of the job store answered %s", call.method).WithCause(last), maybeExecuted)
 		case <-time.After(leaderRetryDelay):
 		}
 	}
 }
 
+// check returns an error if the call may not be sent to an address.
+func (c storeCall) check(address string) error {
+	if c.permit == nil {
+		return nil
+	}
+	return c.permit(address)
+}
+
+// withOutcome returns the error of a call that ended without success, which says whether an
+// attempt may have been executed.
+func (c storeCall) withOutcome(err error, maybeExecuted bool) error {
+	if maybeExecuted {
+		return rollout.NewError(rollout.KindOutcomeUnknown, "outcome of %s is unknown", c.method).WithCause(err)
+	}
+	return rollout.AsError(err).WithNotRun()
+}
+
 // localStoreAddress returns the address of a job store member in the failure
 // domain of this host, or an empty string.
 func (g *Gateway) localStoreAddress() string {
@@ -145,8 +185,9 @@
 
 // nextStoreAddress returns the address for an attempt. A hint has priority. Even
 // attempts use the leader known to the control hosts, and the others the members
-// in round-robin order. Addresses that have failed are used only if all have.
-func (g *Gateway) nextStoreAddress(hint string, attempt int, failed map[string]bool) string {
+// in round-robin order. Addresses that have failed are used only if all have. Founders that
+// control does not list as members are used unless onlyMembers is true.
+func (g *Gateway) nextStoreAddress(hint string, attempt int, failed map[string]bool, onlyMembers bool) string {
 	if hint != "" {
 		return hint
 	}
@@ -156,7 +197,7 @@
 	}
 	addresses := slices.Clone(f.Stores)
 	for _, m := range f.Founders {
-		if !slices.Contains(addresses, m.Address) {
+		if !onlyMembers && !slices.Contains(addresses, m.Address) {
 			addresses = append(addresses, m.Address)
 		}
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -16,6 +16,8 @@
 	refusalCopyAge prometheus.Histogram
 	// streams counts the events in the life of streams on resumable routes.
 	streams *prometheus.CounterVec
+	// regionRefusals counts refusals because of the regions that are allowed.
+	regionRefusals *prometheus.CounterVec
 }
 
 func newMetrics(registry *prometheus.Registry) *metrics {
@@ -37,8 +39,11 @@
 		streams: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "coltsfootspoke_gateway_streams_total", Help: "Streams on resumable routes that were Begun, Continued in their response, BrokenOff, TakenUp or NotTakenUp.",
 		}, []string{"event"}),
+		regionRefusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "coltsfootspoke_gateway_region_refusals_total", Help: "Refusals because only hosts in regions that are not allowed could have taken a Request or kept a Job.",
+		}, []string{"refused"}),
 	}
-	registry.MustRegister(m.streams, m.requests, m.requestSeconds, m.jobCalls, m.refusalCopyAge)
+	registry.MustRegister(m.regionRefusals, m.streams, m.requests, m.requestSeconds, m.jobCalls, m.refusalCopyAge)
 	return m
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -126,7 +126,7 @@
 			return false
 		case <-silence.C:
 		}
-		if s.mayRunAgain() && s.gateway.balancer.HasUpstream(s.request.Pool, s.request.Software, run.Upstream) {
+		if s.mayRunAgain() && s.gateway.balancer.HasUpstream(s.request.Pool, s.request.Software, s.request.Restriction(), run.Upstream) {
 			run.Close()
 			return true
 		}
@@ -153,7 +153,7 @@
 	if req.Deadline.Before(giveUp) {
 		giveUp = req.Deadline
 	}
-	for s.mayRunAgain() && s.gateway.balancer.HasUpstream(req.Pool, req.Software) && time.Now().Before(giveUp) {
+	for s.mayRunAgain() && s.gateway.balancer.HasUpstream(req.Pool, req.Software, req.Restriction()) && time.Now().Before(giveUp) {
 		req.MaxAttempts = min(maxRunsPerBreak, s.request.MaxAttempts-s.runs)
 		response, err := s.gateway.balancer.Do(s.ctx, req)
 		if err == nil && response.Head.Streaming && response.Head.Status < statusMultiple && response.Software == req.Software {
--- a/internal/view/protocol.go
+++ b/internal/view/protocol.go
@@ -4,6 +4,7 @@
 package view
 
 import (
+	"cmp"
 	"encoding/json"
 
 	"github.com/coltsfootspoke/coltsfootspoke/internal/pack"
@@ -124,6 +125,20 @@
 	Evacuated []string `json:",omitempty"`
 }
 
+// withKnownDomains returns the facts with the failure domains of job store members that
+// only earlier facts hold. A new leader of control does not know those of members that have
+// been down since before it led.
+func (f Facts) withKnownDomains(earlier Facts) Facts {
+	domains := make(map[string]string)
+	for _, address := range f.Stores {
+		if domain := cmp.Or(f.StoreDomains[address], earlier.StoreDomains[address]); domain != "" {
+			domains[address] = domain
+		}
+	}
+	f.StoreDomains = domains
+	return f
+}
+
 // Reply holds the changes since the caller's copy.
 type Reply struct {
 	Epoch uint64
--- a/internal/view/view_test.go
+++ b/internal/view/view_test.go
@@ -84,3 +84,18 @@
 		t.Errorf("encoded %s, error %v, want no Crashes", data, err)
 	}
 }
+
+// Guards against restricted jobs that are refused because a new leader of control does not
+// know the failure domain of a job store member that has been down since before it led.
+func TestKnownDomainsOfStoresAreKept(t *testing.T) {
+	s := view.State{}.With(view.Reply{Epoch: 1, Facts: &view.Facts{Stores: []string{"a", "b"}, StoreDomains: map[string]string{"a": "d1", "b": "d2"}}})
+	s = s.With(view.Reply{Epoch: 2, Facts: &view.Facts{Stores: []string{"a", "b"}, StoreDomains: map[string]string{"a": "d3"}}})
+	if d := s.Facts.StoreDomains; d["a"] != "d3" || d["b"] != "d2" {
+		t.Fatalf("got failure domains %v, want the reported one of a and the known one of b", d)
+	}
+	s = s.With(view.Reply{Epoch: 2, Facts: &view.Facts{Stores: []string{"a"}}})
+	s = s.With(view.Reply{Epoch: 2, Facts: &view.Facts{Stores: []string{"a", "b"}}})
+	if d := s.Facts.StoreDomains; d["a"] != "d3" || d["b"] != "" {
+		t.Fatalf("got failure domains %v, want none of b, which has left in between", d)
+	}
+}
--- a/internal/view/watcher.go
+++ b/internal/view/watcher.go
@@ -328,7 +328,7 @@
 		next.Index = document.NewIndex(*r.Document)
 	}
 	if r.Facts != nil {
-		next.Facts = *r.Facts
+		next.Facts = r.Facts.withKnownDomains(s.Facts)
 	}
 	next.FactsRevision = r.FactsRevision
 	if !r.Whole && len(r.Upstreams) == 0 {
--- a/pkg/rollout/document/document.go
+++ b/pkg/rollout/document/document.go
@@ -186,14 +186,16 @@
 	byHost map[string][]Route
 	// byKey holds the client account of each key.
 	byKey map[string]Account
-	pools map[string]Pool
+	// accounts holds the client accounts by name.
+	accounts map[string]Account
+	pools    map[string]Pool
 }
 
 // NewIndex returns the index of a document.
 func NewIndex(d Document) *Index {
 	x := &Index{
 		Document: d, byHost: make(map[string][]Route),
-		byKey: make(map[string]Account), pools: make(map[string]Pool),
+		byKey: make(map[string]Account), accounts: make(map[string]Account), pools: make(map[string]Pool),
 	}
 	for _, r := range d.Routes {
 		host := strings.ToLower(r.Host)
@@ -203,6 +205,7 @@
 		slices.SortFunc(rs, func(a, b Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
 	for _, a := range d.Accounts {
+		x.accounts[a.Name] = a
 		for _, k := range a.Keys {
 			x.byKey[k] = a
 		}
@@ -219,6 +222,12 @@
 	return a, ok && key != ""
 }
 
+// AccountByName returns the client account with a name.
+func (x *Index) AccountByName(name string) (Account, bool) {
+	a, ok := x.accounts[name]
+	return a, ok
+}
+
 // Pool returns the pool with a name.
 func (x *Index) Pool(name string) (Pool, bool) {
 	p, ok := x.pools[name]
--- a/pkg/rollout/errors.go
+++ b/pkg/rollout/errors.go
@@ -41,6 +41,9 @@
 	KindStorage
 	// KindNotResumable means that a stream cannot be taken up and must begin anew.
 	KindNotResumable
+	// KindRegionNotAllowed means that only hosts in regions that the route and the client
+	// account do not allow could take the request.
+	KindRegionNotAllowed
 	kindCount
 )
 
@@ -75,6 +78,7 @@
 	KindNotLeader:        {"NotLeader", 503, 500},
 	KindStorage:          {"Storage", 507, 10_000},
 	KindNotResumable:     {"NotResumable", 503, 0},
+	KindRegionNotAllowed: {"RegionNotAllowed", 503, 2_000},
 }
 
 // Response returns the response for the kind. An unknown kind gets the response
--- a/pkg/rollout/job/job.go
+++ b/pkg/rollout/job/job.go
@@ -57,6 +57,21 @@
 	Items   []Item
 	// SubmittedMS is the wall-clock time of the submission.
 	SubmittedMS rollout.Millis
+	// Residency is nil if neither the route nor the client account named regions when the
+	// job was accepted.
+	Residency *Residency `json:",omitempty"`
+}
+
+// Residency is what the entry that accepted a job knew of the regions in which it may run.
+// It applies until the job store has that configuration, and where a later one has no such
+// route or client account.
+type Residency struct {
+	// DocumentVersion is the version of the configuration that the entry had.
+	DocumentVersion uint64
+	// RouteRegions and AccountRegions are empty for any region.
+	RouteRegions, AccountRegions []string
+	// EntryDomain is the failure domain of the entry.
+	EntryDomain string
 }
 
 // ItemState is the final state of an item, as stored in its result.
