Restrict tasks of the scheduler to regions

Tasks could run at any engine of their pool. A task now carries the policy of its item, which is part of its requirements, so that a task that no engine may run does not hold up others, and moves and restarts count engines in allowed regions only.

--- a/pkg/rollout/dispatch/dispatch.go
+++ b/pkg/rollout/dispatch/dispatch.go
@@ -8,6 +8,7 @@
 
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/discovery"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/residency"
 )
 
 // Task is an item of a job that is queued for an engine. It is immutable.
@@ -25,6 +26,8 @@
 	// Software is the only version of the engines' software that may run the task, because
 	// it generated the text so far, or empty for any.
 	Software string
+	// Policy holds the regions whose engines may run the task.
+	Policy residency.Policy
 	// TextEvents is the number of events in the text so far.
 	TextEvents uint64
 	// QueuedMS is when the task was queued.
@@ -49,10 +52,11 @@
 type requirements struct {
 	pool, model, software   string
 	minVersion, onlyVersion uint64
+	policy                  residency.Policy
 }
 
 func (t Task) requirements() requirements {
-	return requirements{t.Pool, t.Model, t.Software, t.MinVersion, t.OnlyVersion}
+	return requirements{t.Pool, t.Model, t.Software, t.MinVersion, t.OnlyVersion, t.Policy}
 }
 
 // withoutText returns the task as it is once its text has been discarded.
@@ -61,10 +65,11 @@
 	return t
 }
 
-// allows reports whether the versions of an engine's weights and software may run the task.
+// allows reports whether an engine may run the task with its region and the versions of its
+// weights and software.
 func (t Task) allows(e *engine) bool {
 	v := e.knownVersions[t.Model]
-	return v >= t.MinVersion && (t.OnlyVersion == 0 || v == t.OnlyVersion) && (t.Software == "" || e.Software == t.Software)
+	return t.Policy.Allows(e.region) && v >= t.MinVersion && (t.OnlyVersion == 0 || v == t.OnlyVersion) && (t.Software == "" || e.Software == t.Software)
 }
 
 // Assignment is a task and the engine that is to run it.
@@ -97,6 +102,8 @@
 	// FailureDomain is the failure domain of this host. Its engines are
 	// preferred.
 	FailureDomain string
+	// Regions holds the region of each failure domain.
+	Regions residency.Map
 	// WeightLoadMS is how long an engine takes to load weights.
 	WeightLoadMS rollout.Millis
 	// EnginesPerWeightLoad is the number of engines of a pool for each one that may
@@ -132,6 +139,8 @@
 
 type engine struct {
 	discovery.Upstream
+	// region is the region of the engine's failure domain, or empty if it is unknown.
+	region string
 	// knownVersions holds the newest known weight version by model.
 	knownVersions map[string]uint64
 	running       int
@@ -354,7 +363,7 @@
 			e = &engine{knownVersions: make(map[string]uint64), groups: make(map[string]bool)}
 			s.engines[id] = e
 		}
-		e.Upstream = u
+		e.Upstream, e.region = u, s.cfg.Regions.Region(u.FailureDomain)
 		for _, m := range u.Models {
 			e.knownVersions[m.Name] = max(e.knownVersions[m.Name], m.Version)
 		}
