Run jobs in allowed regions and refuse those that members may not keep

The job store ignored the regions of routes and client accounts. The policy of an item follows the configuration of the leader, also when it changes; until the leader has the configuration of the entry that accepted the job, and when the route or the client account is removed, what was known before applies. Scorer calls obey the policy of their item and that of their own route.

The leader checks all members, learners too, before it keeps a restricted job, since the copy of an entry may be old. A job that it already has is confirmed as before.

Items of a restricted job were never given up while they waited in the queue, since the maximum queueing time is checked only when an item is queued. Those for which no engine is in an allowed region are now abandoned after that time; all other items wait as before.

--- a/internal/jobstore/calls.go
+++ b/internal/jobstore/calls.go
@@ -95,6 +95,11 @@
 	if err != nil {
 		return Empty{}, err
 	}
+	if !s.hasJob(spec.ID) {
+		if err := r.checkMembers(&spec); err != nil {
+			return Empty{}, err
+		}
+	}
 	err = s.propose(ctx, job.Command{Submit: &spec})
 	s.opts.Log.Info("JobSubmitted", zap.String("Job", spec.ID), zap.String("Account", spec.Account), zap.String("Model", spec.Model),
 		zap.Int("Step", spec.Step), zap.Uint64("MinVersion", spec.MinVersion), zap.Int("Items", len(spec.Items)), zap.Error(err))
@@ -104,6 +109,13 @@
 	return Empty{}, err
 }
 
+// hasJob reports whether a job has been accepted before.
+func (s *Store) hasJob(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state.Jobs[id] != nil
+}
+
 // checkAuthoritative returns an error if this host may not answer a read of a
 // job. Committed results never change, so any host may return them. The response
 // that there are none yet may come from the leader or from a follower that has
--- a/internal/jobstore/item.go
+++ b/internal/jobstore/item.go
@@ -250,7 +250,7 @@
 		return
 	}
 	for scoreFailures := 0; ; {
-		score, failures := r.callScorer(ctx, w.item.Scorer)
+		score, failures := r.callScorer(ctx, w)
 		switch {
 		case ctx.Err() != nil:
 			return
@@ -302,13 +302,11 @@
 	return max(1, route.MaxAttempts)
 }
 
-// callScorer returns the scorer's signature of its response. If there is none,
-// failures is 1 if the scorer responded with a 500, or else 0.
-func (r *runner) callScorer(ctx context.Context, sc *job.Scorer) (score string, failures int) {
-	r.mu.Lock()
-	index := r.index
-	r.mu.Unlock()
-	route, ok := index.Route(sc.Host, sc.Path)
+// callScorer returns the scorer's signature of its response to an item. If there is
+// none, failures is 1 if the scorer responded with a 500, or else 0.
+func (r *runner) callScorer(ctx context.Context, w *workItem) (score string, failures int) {
+	sc := w.item.Scorer
+	route, ok := r.scorerRoute(sc)
 	if !ok {
 		r.store.opts.Log.Warn("ScorerRouteNotFound", zap.String("Request", sc.ID), zap.String("Host", sc.Host))
 		return "", 0
@@ -322,6 +320,7 @@
 		UpstreamRequest: rollout.UpstreamRequest{Method: "POST", URI: sc.Path, Host: sc.Host, AttemptID: sc.ID, Body: sc.Body},
 		Pool:            pool, Repeatable: true, MaxAttempts: 1,
 		Deadline: time.Now().Add(scoreTimeout), Priority: route.Priority, Background: true, LimitPatience: scoreLimitPatience,
+		Restrict: func() balance.Restriction { return r.restrictScorer(w, route) },
 	})
 	if err != nil {
 		r.store.opts.Log.Info("ScorerFailed", zap.String("Request", sc.ID), zap.Error(err))
--- a/internal/jobstore/metrics.go
+++ b/internal/jobstore/metrics.go
@@ -11,6 +11,8 @@
 	continuations *prometheus.CounterVec
 	weightOrders  *prometheus.CounterVec
 	waitingItems  prometheus.Gauge
+	// regionRefusals counts jobs refused because of the regions of the members.
+	regionRefusals prometheus.Counter
 }
 
 func newMetrics(registry *prometheus.Registry) *metrics {
@@ -34,7 +36,10 @@
 		waitingItems: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "coltsfootspoke_job_waiting_items", Help: "Items that wait for an engine, at the leader.",
 		}),
+		regionRefusals: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "coltsfootspoke_job_region_refusals_total", Help: "Jobs that the leader refused because a member of the job store is in a region that may not keep them.",
+		}),
 	}
-	registry.MustRegister(m.items, m.runs, m.runSeconds, m.continuations, m.weightOrders, m.waitingItems)
+	registry.MustRegister(m.regionRefusals, m.items, m.runs, m.runSeconds, m.continuations, m.weightOrders, m.waitingItems)
 	return m
 }
--- a/internal/jobstore/runner.go
+++ b/internal/jobstore/runner.go
@@ -48,6 +48,8 @@
 	spec  *job.Spec
 	item  *job.Item
 	route document.Route
+	// regions are those in which the item may run.
+	regions jobRegions
 	// queuedMS is when this leader first queued the item, by its own clock. Unlike
 	// the submission time, it does not depend on the clocks of other hosts and is
 	// never before the actual submission.
@@ -110,9 +112,11 @@
 }
 
 func newRunner(s *Store, term uint64) *runner {
+	cfg := dispatch.DefaultConfig(s.opts.FailureDomain)
+	cfg.Regions = s.regions
 	return &runner{
 		store: s, term: term, writer: rand.Text(), wake: make(chan struct{}, 1),
-		sched: dispatch.New(dispatch.DefaultConfig(s.opts.FailureDomain)),
+		sched: dispatch.New(cfg),
 		jobs:  make(map[string][]*workItem), scorerLanes: newScorerLanes(),
 	}
 }
@@ -223,10 +227,12 @@
 	r.jobs[jobID] = items
 	r.sched.RaiseMinVersion(spec.Model, spec.MinVersion)
 	route, now := r.routeOf(&spec), r.store.clock.Now()
+	regions := regionsAtSubmission(&spec).with(r.index, &spec)
 	for _, w := range items {
 		r.lastQueuePosition++
 		w.queuePosition, w.queuedMS, w.ageMS = r.lastQueuePosition, now, ageMS
 		w.setRoute(route)
+		w.regions = regions
 		r.enqueue(w)
 	}
 	r.wakeUp()
@@ -242,9 +248,13 @@
 	t := dispatch.Task{
 		JobID: w.spec.ID, ItemID: w.item.ID, Pool: w.route.PickPool(0), Model: w.spec.Model, Group: w.item.Group,
 		MinVersion: w.spec.MinVersion, Begun: w.begun, ExpectedTokens: w.item.ExpectedTokens, DueMS: w.dueMS, Order: w.queuePosition,
+		Policy: w.regions.policy(),
 	}
 	w.text.discardUnlessAllowed(w.spec.MinVersion, w.route.SingleVersion)
 	w.text.discardIfSoftwareUnknown()
+	if w.route.MaxQueueMS > 0 {
+		t.ExpiresMS = w.queuedMS + w.route.MaxQueueMS
+	}
 	t.Software, t.TextEvents, t.QueuedMS = w.text.software, w.text.lastID, r.store.clock.Now()
 	if w.route.SingleVersion && len(w.text.versions) > 0 {
 		t.OnlyVersion = w.text.versions[0]
@@ -273,25 +283,31 @@
 	w.dueMS = w.queuedMS + route.ResultDeadlineMS - min(w.ageMS, route.ResultDeadlineMS)
 }
 
-// updateRoutes applies the routes of the configuration to the open jobs. A job may have
+// updateRoutes applies the routes and the regions of the configuration to the open jobs. A job may have
 // been accepted by an entry with a newer copy of the configuration than this host had,
 // so its route may be unknown or outdated here at first. A job keeps a route that is
 // removed later. The caller holds r.mu.
 func (r *runner) updateRoutes() {
 	for jobID, items := range r.jobs {
-		route, ok := r.index.RouteByName(items[0].spec.Route)
-		if !ok || reflect.DeepEqual(route, items[0].route) {
+		first := items[0]
+		route, ok := r.index.RouteByName(first.spec.Route)
+		if !ok {
+			route = first.route
+		}
+		regions := first.regions.with(r.index, first.spec)
+		if reflect.DeepEqual(route, first.route) && regions.policy() == first.regions.policy() {
 			continue
 		}
 		for _, w := range items {
 			w.setRoute(route)
+			w.regions = regions
 		}
 		for _, t := range r.sched.TakeJob(jobID) {
 			if w := r.findItem(t); w != nil {
 				r.enqueue(w)
 			}
 		}
-		r.store.opts.Log.Info("JobRouteChanged", zap.String("Job", jobID), zap.String("Route", route.Name), zap.String("Pool", route.PickPool(0)))
+		r.store.opts.Log.Info("JobRouteChanged", zap.String("Job", jobID), zap.String("Route", route.Name), zap.String("Pool", route.PickPool(0)), zap.Stringer("Regions", regions.policy()))
 	}
 }
 
@@ -403,6 +419,7 @@
 		r.plannedMS = now
 		r.planOrdersAndMoves(ctx, now)
 		r.restartStranded(now)
+		r.abandonExpired(now)
 	}
 	defer func() { r.store.metrics.waitingItems.Set(float64(r.sched.Waiting())) }()
 	for _, a := range r.sched.AssignTasks(now) {
@@ -445,6 +462,16 @@
 	}
 }
 
+// abandonExpired abandons queued items that have waited their maximum queueing time while no
+// engine was in a region where they may run. The caller holds r.mu.
+func (r *runner) abandonExpired(now rollout.Millis) {
+	for _, t := range r.sched.TakeExpired(now) {
+		if w := r.findItem(t); w != nil {
+			r.enqueue(w)
+		}
+	}
+}
+
 // startItem runs an item in a new goroutine. The caller holds r.mu.
 func (r *runner) startItem(w *workItem, a dispatch.Assignment) {
 	ctx, cancel := context.WithCancel(r.ctx)
--- a/internal/jobstore/runner_test.go
+++ b/internal/jobstore/runner_test.go
@@ -178,7 +178,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	s, err := New(ctx, Options{
-		Host: "h", Dir: dir, Address: l.Addr().String(), FailureDomain: "d",
+		Host: "h", Dir: dir, Address: l.Addr().String(), FailureDomain: "d", Regions: testRegions,
 		Controls: func() []string { return []string{"127.0.0.1:1"} }, Upstreams: engines, RetentionMS: 1_000, Log: zap.NewNop(), Registry: prometheus.NewRegistry(),
 	})
 	if err != nil {
--- a/internal/jobstore/store.go
+++ b/internal/jobstore/store.go
@@ -28,6 +28,7 @@
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/job"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/limit"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/quorum"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/residency"
 )
 
 const (
@@ -47,6 +48,8 @@
 	Dir           string
 	Address       string
 	FailureDomain string
+	// Regions holds the region of each failure domain of the deployment. It may be empty.
+	Regions map[string]string
 	// Controls returns the current addresses of the control hosts.
 	Controls func() []string
 	// MaxLostHosts is the number of simultaneous host failures that the quorum
@@ -75,6 +78,7 @@
 	watcher  *view.Watcher
 	balancer *balance.Balancer
 	packer   *pack.Packer
+	regions  residency.Map
 	metrics  *metrics
 
 	mu sync.Mutex
@@ -94,7 +98,7 @@
 func New(ctx context.Context, opts Options) (*Store, error) {
 	s := &Store{
 		opts: opts, clock: clock.Boottime{}, dialer: link.NewDialer(opts.Secret),
-		state: job.NewStateMachine(), changed: make(chan struct{}), packer: pack.New(),
+		state: job.NewStateMachine(), changed: make(chan struct{}), packer: pack.New(), regions: residency.NewMap(opts.Regions),
 		metrics: newMetrics(opts.Registry),
 	}
 	s.orderCooldown = authority.NewCooldown(s.clock.Now(), opts.OrderCooldownMS)
--- a/pkg/rollout/dispatch/dispatch.go
+++ b/pkg/rollout/dispatch/dispatch.go
@@ -32,6 +32,8 @@
 	TextEvents uint64
 	// QueuedMS is when the task was queued.
 	QueuedMS rollout.Millis
+	// ExpiresMS is the time from which TakeExpired may take the task, or 0 for none.
+	ExpiresMS rollout.Millis
 	// Begun is true if the item has run before.
 	Begun bool
 	// ExpectedTokens is the caller's estimate of the output length, or 0.
@@ -272,6 +274,24 @@
 	return t.Software != "" && othersFree && now-t.QueuedMS > s.textMS(now, t)
 }
 
+// TakeExpired removes the tasks that have waited too long for an engine in a region that
+// they allow, as their pool has none, and returns them.
+func (s *Scheduler) TakeExpired(now rollout.Millis) []Task {
+	var expired []Task
+	s.waiting = slices.DeleteFunc(s.waiting, func(t Task) bool {
+		if t.ExpiresMS == 0 || now <= t.ExpiresMS || !t.Policy.IsRestricted() || s.hasEngineInRegions(t) {
+			return false
+		}
+		expired = append(expired, t)
+		return true
+	})
+	return expired
+}
+
+func (s *Scheduler) hasEngineInRegions(t Task) bool {
+	return slices.ContainsFunc(s.pools[t.Pool], func(e *engine) bool { return e.State == discovery.StateReady && t.Policy.Allows(e.region) })
+}
+
 // textMS returns how long an engine takes to generate the text of a task.
 func (s *Scheduler) textMS(now rollout.Millis, t Task) rollout.Millis {
 	return rollout.Millis(float64(t.TextEvents) * s.medianInterval(now, t.Pool))
