--- a/internal/gateway/regions_test.go
+++ b/internal/gateway/regions_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -68,7 +70,7 @@
 
 func (c *controlHost) setUpstreams(us []discovery.Upstream) { c.upstreams.Store(&us) }
 
-var regionRequest = Inbound{AttemptID: "r", Host: "h", Path: "/x", Key: "key", BudgetMS: 60_000}
+var regionRequest = Inbound{AttemptID: "r", Host: "h", Path: "/x", Key: "key", BudgetMS: 60_000, Body: []byte("body of the caller")}
 
 // doNow sends the request of the tests.
 func doNow(t *testing.T, g *Gateway) (Response, error) {
@@ -111,6 +113,7 @@
 				t.Fatalf("refused after %v with a retry delay of %d ms, want at once and a delay", took, rollout.AsError(err).RetryDelay())
 			}
 			u.assertRuns(t, 0)
+			assertNoContentLogged(t, observed)
 			if n := observed.FilterMessage("RegionRefused").Len(); n != 1 {
 				t.Fatalf("%d log events RegionRefused, want 1", n)
 			}
@@ -121,10 +124,11 @@
 // Guards against a stream that goes on in a region that is not allowed, although an idle
 // upstream there has its software version and is near.
 func TestStreamGoesOnInAllowedRegions(t *testing.T) {
+	logs, observed := observer.New(zapcore.DebugLevel)
 	u := &scriptedStreams{body: breakingOnce}
 	c := newControlHost(t, regionDocument([]string{"east", "north"}, nil))
 	c.setUpstreams(regionUpstreams("p", "w1", "w2", "e1", "n1"))
-	r, err := doNow(t, newRegionGateway(t, c, u, zap.NewNop()))
+	r, err := doNow(t, newRegionGateway(t, c, u, zap.New(logs)))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -136,6 +140,18 @@
 	assertEvents(t, got, 6)
 	u.assertRuns(t, 2)
 	u.assertOnlyRanAt(t, "e1", "n1")
+	assertNoContentLogged(t, observed)
+}
+
+// assertNoContentLogged fails if a log line holds the body of the tests' request, as log
+// lines leave the region.
+func assertNoContentLogged(t *testing.T, observed *observer.ObservedLogs) {
+	t.Helper()
+	for _, line := range observed.All() {
+		if text := fmt.Sprint(line.Message, line.ContextMap()); strings.Contains(text, string(regionRequest.Body)) {
+			t.Errorf("the body is logged: %s", text)
+		}
+	}
 }
 
 // Guards against a stream that goes on where it may no longer, after a change of the
