Lend engines to restricted tasks within their regions

Engines are assigned to models without regard to regions. Tasks whose regions have no engine with the weights of their model waited for ever, since the engines of other regions counted as capacity for them. Backlogs are now counted by model and policy, and an idle engine in an allowed region loads the weights. Assignment by region was ruled out here, as it would change how all engines are spread.

Without policies each model has one backlog, as before.

--- a/pkg/rollout/dispatch/borrow.go
+++ b/pkg/rollout/dispatch/borrow.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/residency"
 )
 
 const (
@@ -27,24 +28,31 @@
 	since rollout.Millis
 }
 
-// updateBacklogs counts the queued tasks of each model after a pass.
+// backlogKey identifies a backlog. Tasks of a model that other regions may run do not show
+// whether engines are missing in the regions of a policy.
+type backlogKey struct {
+	model  string
+	policy residency.Policy
+}
+
+// updateBacklogs counts the queued tasks of each model and policy after a pass.
 func (s *Scheduler) updateBacklogs(now rollout.Millis) {
-	tasks := make(map[string]int)
+	tasks := make(map[backlogKey]int)
 	for _, t := range s.waiting {
-		tasks[t.Model]++
+		tasks[backlogKey{t.Model, t.Policy}]++
 	}
-	for model := range s.backlogs {
-		if tasks[model] == 0 {
-			delete(s.backlogs, model)
+	for key := range s.backlogs {
+		if tasks[key] == 0 {
+			delete(s.backlogs, key)
 		}
 	}
-	for model, n := range tasks {
-		b, known := s.backlogs[model]
+	for key, n := range tasks {
+		b, known := s.backlogs[key]
 		if !known {
 			b.since = now
 		}
 		b.tasks = n
-		s.backlogs[model] = b
+		s.backlogs[key] = b
 	}
 }
 
@@ -54,12 +62,13 @@
 func (s *Scheduler) enginesToLend(now rollout.Millis, pool string, engines []*engine) []WeightLoad {
 	var loads []WeightLoad
 	lent := make(map[string]bool)
-	for _, model := range s.starvingModels(now, pool) {
-		missing := s.missingSlots(model, engines)
+	for _, key := range s.starving(now, pool) {
+		model, missing := key.model, s.missingSlots(key, engines)
 		target := s.targets[model]
 		var idle []*engine
 		for _, e := range engines {
 			switch {
+			case !key.policy.Allows(e.region):
 			case e.knownVersions[model] >= target:
 			case e.loadingModel == model && now < e.loadEndsAt:
 				missing -= e.Slots
@@ -82,16 +91,21 @@
 	return loads
 }
 
-// missingSlots returns how many more slots a model needs so that its last queued
-// task starts within maxQueueMS.
-func (s *Scheduler) missingSlots(model string, engines []*engine) int {
+// missingSlots returns how many more slots a backlog needs so that its last queued
+// task starts within maxQueueMS. It is at least one if no engine in the regions of a
+// policy serves the model, as its tasks would never start.
+func (s *Scheduler) missingSlots(key backlogKey, engines []*engine) int {
 	slots := 0
 	for _, e := range engines {
-		if v := e.knownVersions[model]; v >= s.minVersions[model] {
+		if v := e.knownVersions[key.model]; v >= s.minVersions[key.model] && key.policy.Allows(e.region) {
 			slots += e.Slots
 		}
 	}
-	return int(float64(s.backlogs[model].tasks)*s.runMS/float64(maxQueueMS)) - slots
+	missing := int(float64(s.backlogs[key].tasks)*s.runMS/float64(maxQueueMS)) - slots
+	if key.policy.IsRestricted() && slots == 0 {
+		return max(1, missing)
+	}
+	return missing
 }
 
 // updateRunMS adds a complete run to the moving average.
@@ -102,27 +116,31 @@
 	s.runMS += newestRunWeight * (float64(tookMS) - s.runMS)
 }
 
-// starvingModels returns the models of a pool that have had a backlog for
-// minBacklogMS, the longest backlog first.
-func (s *Scheduler) starvingModels(now rollout.Millis, pool string) []string {
-	var models []string
-	for _, m := range s.models[pool] {
-		if b, ok := s.backlogs[m]; ok && now-b.since >= minBacklogMS && s.targets[m] > 0 {
-			models = append(models, m)
+// starving returns the backlogs of a pool that have lasted for minBacklogMS, the
+// longest backlog first.
+func (s *Scheduler) starving(now rollout.Millis, pool string) []backlogKey {
+	var keys []backlogKey
+	for key, b := range s.backlogs {
+		if slices.Contains(s.models[pool], key.model) && now-b.since >= minBacklogMS && s.targets[key.model] > 0 {
+			keys = append(keys, key)
 		}
 	}
-	slices.SortFunc(models, func(a, b string) int {
-		return cmp.Or(cmp.Compare(s.backlogs[b].tasks, s.backlogs[a].tasks), cmp.Compare(a, b))
+	slices.SortFunc(keys, func(a, b backlogKey) int {
+		return cmp.Or(cmp.Compare(s.backlogs[b].tasks, s.backlogs[a].tasks), cmp.Compare(a.model, b.model), cmp.Compare(a.policy.String(), b.policy.String()))
 	})
-	return models
+	return keys
 }
 
 // idleForOthers reports whether an engine may load the weights of a model that it
-// is not assigned to: its own model is current and has no backlog, and most of its
-// slots are free.
+// is not assigned to: its own model is current and has no backlog that the engine may
+// run, and most of its slots are free.
 func (s *Scheduler) idleForOthers(now rollout.Millis, e *engine, model string) bool {
 	own := s.assignedModels[e.ID]
-	_, busy := s.backlogs[own]
-	return own != model && !busy && !e.orderPending && now >= e.nextOrderAt && now >= e.loadEndsAt && now >= e.retryAt &&
+	for key := range s.backlogs {
+		if key.model == own && key.policy.Allows(e.region) {
+			return false
+		}
+	}
+	return own != model && !e.orderPending && now >= e.nextOrderAt && now >= e.loadEndsAt && now >= e.retryAt &&
 		!e.Silent && float64(e.running) <= maxBorrowedFill*float64(e.Slots) && s.lag(e) == 0
 }
--- a/pkg/rollout/dispatch/dispatch.go
+++ b/pkg/rollout/dispatch/dispatch.go
@@ -190,8 +190,9 @@
 	// another model.
 	nextReassignmentAt rollout.Millis
 	waiting            []Task
-	// backlogs holds the models whose tasks found no engine in the last pass.
-	backlogs map[string]backlog
+	// backlogs holds the models whose tasks found no engine in the last pass, by the policy
+	// of the tasks.
+	backlogs map[backlogKey]backlog
 	// runMS is the moving average of the time of complete runs, or 0.
 	runMS   float64
 	running map[runKey]*run
@@ -208,7 +209,7 @@
 	return &Scheduler{
 		cfg: cfg, engines: make(map[string]*engine), models: make(map[string][]string),
 		targets: make(map[string]uint64), assignedModels: make(map[string]string), running: make(map[runKey]*run),
-		minVersions: make(map[string]uint64), recentEvents: make(map[string]float64), backlogs: make(map[string]backlog),
+		minVersions: make(map[string]uint64), recentEvents: make(map[string]float64), backlogs: make(map[backlogKey]backlog),
 	}
 }
 
--- a/pkg/rollout/dispatch/regions_test.go
+++ b/pkg/rollout/dispatch/regions_test.go
@@ -129,3 +129,31 @@
 		})
 	}
 }
+
+// Guards against restricted items that never start because all engines in their regions keep
+// another model current, and against loads in other regions on their behalf.
+func TestModelBorrowsIdleEngineInAllowedRegion(t *testing.T) {
+	for name, tc := range map[string]struct {
+		policy residency.Policy
+		want   int
+	}{"engine in the region": {inEast, 1}, "no allowed region": {inNowhere, 0}} {
+		t.Run(name, func(t *testing.T) {
+			// e0 in region west keeps m0 current, e1 in region east m1.
+			f := newRegionFixture(2, 2, "m0", "m1")
+			f.SetTargets(map[string]uint64{"m0": 2, "m1": 2})
+			f.completeLoads()
+			f.RaiseMinVersion("m0", 2)
+			f.add(1, dispatch.Task{Model: "m0", MinVersion: 2, Policy: tc.policy})
+			f.AssignTasks(f.now)
+			f.now += 600
+			f.AssignTasks(f.now)
+			loads := f.loadsOf("m0")
+			if len(loads) != tc.want || (tc.want == 1 && loads[0].Engine != "e1") {
+				t.Fatalf("loads %+v of the model, want %d at e1", loads, tc.want)
+			}
+			if n := assertEngines(t, f.AssignTasks(f.now), "e1"); n != tc.want {
+				t.Fatalf("%d tasks assigned after the loads, want %d", n, tc.want)
+			}
+		})
+	}
+}
