--- a/pkg/rollout/dispatch/dispatch.go
+++ b/pkg/rollout/dispatch/dispatch.go
@@ -8,6 +8,7 @@
 
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/discovery"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/residency"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/triage"
 )
 
@@ -26,10 +27,14 @@
 	// Software is the only version of the engines' software that may run the task, because
 	// it generated the text so far, or empty for any.
 	Software string
+	// Policy holds the regions whose engines may run the task.
+	Policy residency.Policy
 	// TextEvents is the number of events in the text so far.
 	TextEvents uint64
 	// QueuedMS is when the task was queued.
 	QueuedMS rollout.Millis
+	// ExpiresMS is the time from which TakeExpired may take the task, or 0 for none.
+	ExpiresMS rollout.Millis
 	// Begun is true if the item has run before.
 	Begun bool
 	// ExpectedTokens is the caller's estimate of the output length, or 0.
@@ -53,10 +58,11 @@
 type requirements struct {
 	pool, model, software   string
 	minVersion, onlyVersion uint64
+	policy                  residency.Policy
 }
 
 func (t Task) requirements() requirements {
-	return requirements{t.Pool, t.Model, t.Software, t.MinVersion, t.OnlyVersion}
+	return requirements{t.Pool, t.Model, t.Software, t.MinVersion, t.OnlyVersion, t.Policy}
 }
 
 // withoutText returns the task as it is once its text has been discarded.
@@ -65,10 +71,11 @@
 	return t
 }
 
-// allows reports whether the versions of an engine's weights and software may run the task.
+// allows reports whether an engine may run the task with its region and the versions of its
+// weights and software.
 func (t Task) allows(e *engine) bool {
 	v := e.knownVersions[t.Model]
-	return v >= t.MinVersion && (t.OnlyVersion == 0 || v == t.OnlyVersion) && (t.Software == "" || e.Software == t.Software)
+	return t.Policy.Allows(e.region) && v >= t.MinVersion && (t.OnlyVersion == 0 || v == t.OnlyVersion) && (t.Software == "" || e.Software == t.Software)
 }
 
 // Assignment is a task and the engine that is to run it.
@@ -101,6 +108,8 @@
 	// FailureDomain is the failure domain of this host. Its engines are
 	// preferred.
 	FailureDomain string
+	// Regions holds the region of each failure domain.
+	Regions residency.Map
 	// WeightLoadMS is how long an engine takes to load weights.
 	WeightLoadMS rollout.Millis
 	// EnginesPerWeightLoad is the number of engines of a pool for each one that may
@@ -138,6 +147,8 @@
 
 type engine struct {
 	discovery.Upstream
+	// region is the region of the engine's failure domain, or empty if it is unknown.
+	region string
 	// knownVersions holds the newest known weight version by model.
 	knownVersions map[string]uint64
 	running       int
@@ -192,8 +203,9 @@
 	// contended models.
 	ranks     map[triage.GroupKey]int
 	contended map[modelKey]bool
-	// backlogs holds the models whose tasks found no engine in the last pass.
-	backlogs map[string]backlog
+	// backlogs holds the models whose tasks found no engine in the last pass, by the policy
+	// of the tasks.
+	backlogs map[backlogKey]backlog
 	// runMS is the moving average of the time of complete runs, or 0.
 	runMS   float64
 	running map[runKey]*run
@@ -215,7 +227,7 @@
 	return &Scheduler{
 		cfg: cfg, engines: make(map[string]*engine), models: make(map[string][]string),
 		targets: make(map[string]uint64), assignedModels: make(map[string]string), running: make(map[runKey]*run),
-		minVersions: make(map[string]uint64), recentEvents: make(map[string]float64), backlogs: make(map[string]backlog),
+		minVersions: make(map[string]uint64), recentEvents: make(map[string]float64), backlogs: make(map[backlogKey]backlog),
 	}
 }
 
@@ -282,6 +294,24 @@
 	return t.Software != "" && othersFree && now-t.QueuedMS > s.textMS(now, t)
 }
 
+// TakeExpired removes the tasks that have waited too long for an engine in a region that
+// they allow, as their pool has none, and returns them.
+func (s *Scheduler) TakeExpired(now rollout.Millis) []Task {
+	var expired []Task
+	s.waiting = slices.DeleteFunc(s.waiting, func(t Task) bool {
+		if t.ExpiresMS == 0 || now <= t.ExpiresMS || !t.Policy.IsRestricted() || s.hasEngineInRegions(t) {
+			return false
+		}
+		expired = append(expired, t)
+		return true
+	})
+	return expired
+}
+
+func (s *Scheduler) hasEngineInRegions(t Task) bool {
+	return slices.ContainsFunc(s.pools[t.Pool], func(e *engine) bool { return e.State == discovery.StateReady && t.Policy.Allows(e.region) })
+}
+
 // textMS returns how long an engine takes to generate the text of a task.
 func (s *Scheduler) textMS(now rollout.Millis, t Task) rollout.Millis {
 	return rollout.Millis(float64(t.TextEvents) * s.medianInterval(now, t.Pool))
@@ -376,7 +406,7 @@
 			e = &engine{knownVersions: make(map[string]uint64), groups: make(map[string]bool)}
 			s.engines[id] = e
 		}
-		e.Upstream = u
+		e.Upstream, e.region = u, s.cfg.Regions.Region(u.FailureDomain)
 		for _, m := range u.Models {
 			e.knownVersions[m.Name] = max(e.knownVersions[m.Name], m.Version)
 		}
