--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -70,6 +70,7 @@
 	watcher  *view.Watcher
 	balancer *balance.Balancer
 	origins  *origins.Client
+	rooms    *rooms
 	meter    *meter
 	metrics  *metrics
 	draining atomic.Bool
@@ -98,6 +99,7 @@
 func New(opts Options) *Gateway {
 	g := &Gateway{opts: opts, dialer: link.NewDialer(opts.Secret), metrics: newMetrics(opts.Registry)}
 	g.client = fabric.NewClient(g.dialer)
+	g.rooms = newRooms(clock.Boottime{}, opts.Log, opts.Registry, g.largeAccounts)
 	g.balancer = balance.New(opts.Upstreams, clock.Boottime{}, opts.FailureDomain, opts.Log)
 	id := make([]byte, incarnationIDBytes)
 	_, _ = rand.Read(id)
@@ -230,7 +232,7 @@
 	err := g.resume(ctx, in, route, &req)
 	var response Response
 	if err == nil {
-		response.Response, err = g.balancer.Do(ctx, req)
+		response.Response, err = g.do(ctx, req, route)
 	}
 	if err == nil && req.Software != "" && response.Software != req.Software {
 		response.Close()
--- a/internal/view/protocol.go
+++ b/internal/view/protocol.go
@@ -85,6 +85,9 @@
 	Incarnation string
 	// Windows holds the number of requests by window and client account.
 	Windows map[uint64]map[string]uint64
+	// Refused holds the number of requests that were refused for lack of room at a pool, by
+	// window and client account.
+	Refused map[uint64]map[string]uint64 `json:",omitempty"`
 }
 
 // StoreStatus is the state of a host's member of the job store quorum.
