Name the accounts that had more than their share while a pool is short

A large account that sends through many entries took the windows of entries at which small ones wait, since each entry only knows its own callers. Ruled out: per-entry quotas from control, which admit more when they are old.

--- a/internal/director/leader.go
+++ b/internal/director/leader.go
@@ -55,6 +55,7 @@
 		}
 		d.updatePoisons()
 		d.forgetLimits()
+		d.updateLarge()
 		d.mu.Unlock()
 		d.proposeRefusals(ctx)
 		d.foundStore(ctx)
--- a/internal/director/watch.go
+++ b/internal/director/watch.go
@@ -113,7 +113,8 @@
 		f := d.facts()
 		reply.Facts = &f
 	}
-	hasChanges := newEpoch || len(reply.Upstreams) > 0 || reply.Document != nil || reply.PackedDocument != nil || reply.Facts != nil
+	reply.Large = d.largeForReply()
+	hasChanges := newEpoch || d.lacksLarge(req) || len(reply.Upstreams) > 0 || reply.Document != nil || reply.PackedDocument != nil || reply.Facts != nil
 	return reply, hasChanges, changed
 }
 
@@ -195,6 +196,7 @@
 	daemon.lastRequest, daemon.lastSeenMS = req, now
 	d.daemons[key] = daemon
 	if u := req.Usage; u != nil {
+		d.shares.Record(now, u.Incarnation, u.Windows, u.Refused)
 		for window, counts := range u.Windows {
 			if window <= d.state.ClosedTo {
 				continue
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -99,7 +99,7 @@
 func New(opts Options) *Gateway {
 	g := &Gateway{opts: opts, dialer: link.NewDialer(opts.Secret), metrics: newMetrics(opts.Registry)}
 	g.client = fabric.NewClient(g.dialer)
-	g.rooms = newRooms(clock.Boottime{}, opts.Log, opts.Registry, g.largeAccounts)
+	g.rooms = newRooms(clock.Boottime{}, opts.Log, opts.Registry, func() []string { return g.watcher.LargeAccounts() })
 	g.balancer = balance.New(opts.Upstreams, clock.Boottime{}, opts.FailureDomain, opts.Log)
 	id := make([]byte, incarnationIDBytes)
 	_, _ = rand.Read(id)
--- a/internal/gateway/room.go
+++ b/internal/gateway/room.go
@@ -76,9 +76,6 @@
 	return g.doWithinRoom(ctx, req)
 }
 
-// largeAccounts returns the accounts whose requests wait behind those of others.
-func (g *Gateway) largeAccounts() []string { return nil }
-
 // doWithinRoom sends a request to a pool once there is room for it.
 func (g *Gateway) doWithinRoom(ctx context.Context, req balance.Request) (balance.Response, error) {
 	admission, err := g.rooms.acquire(ctx, req)
--- a/internal/view/protocol.go
+++ b/internal/view/protocol.go
@@ -56,6 +56,9 @@
 	BrokenConnections *BrokenConnections `json:"Crashes,omitempty"`
 	// Leaving is nil if the leader has received the current ones.
 	Leaving *LeavingUpstreams `json:",omitempty"`
+	// Large identifies the large accounts that the caller has, as Reply.Large does. It is
+	// nil if the caller does not follow them.
+	Large *uint64 `json:",omitempty"`
 }
 
 // LeavingUpstreams holds the upstreams whose responses to a host said that they leave.
@@ -149,6 +152,16 @@
 	// Facts is nil if the caller's copy is current.
 	Facts         *Facts `json:",omitempty"`
 	FactsRevision uint64
+	// Large holds the accounts that have had more than their share while others wanted
+	// more. It is in each reply unless there are none.
+	Large *LargeAccounts `json:",omitempty"`
+}
+
+// LargeAccounts holds the accounts whose requests wait behind those of others.
+type LargeAccounts struct {
+	// Revision changes with the accounts. It is not 0.
+	Revision uint64
+	Accounts []string
 }
 
 // PackDocument encodes a document for Reply.PackedDocument.
--- a/pkg/rollout/room/room.go
+++ b/pkg/rollout/room/room.go
@@ -40,11 +40,16 @@
 	latencyWeight  = 1.0 / 8
 	firstLatencyMS = 100.0
 	meanWindowMS   = 1_000.0
+	// bufferDivisor divides the patience of requests that wait in any case, so that there is
+	// always one for a slot whose place is not used.
+	bufferDivisor = 6
 	// maxWaiting and maxPlaces bound the memory and the time for one decision.
 	maxWaiting = 1_024
 	maxPlaces  = 4_096
-	// placeGraceMS is how long a place is kept after the time that its caller was told.
+	// placeGraceMS is how long a place is kept after the time that its caller was told. After
+	// placeLateMS it is not expected to be used any more.
 	placeGraceMS rollout.Millis = 500
+	placeLateMS  rollout.Millis = 50
 	// maxRetryMS bounds the time that a caller is told. Nobody returns after longer times.
 	maxRetryMS rollout.Millis = 30_000
 	// useWeight is the weight of one place in the part of the places that are used, which
@@ -104,6 +109,10 @@
 	meanMS     rollout.Millis
 	// latencyMS is the mean time of successful requests at the upstreams.
 	latencyMS float64
+	// sampled is true once a request has succeeded.
+	sampled bool
+	// limitedMS is when the window became limited.
+	limitedMS rollout.Millis
 	// lastShrinkMS is when the window last shrank. admitted and rejections count requests
 	// and rejections since then.
 	lastShrinkMS         rollout.Millis
@@ -170,12 +179,12 @@
 		return nil, nil
 	}
 	r.lastShortMS = now
-	wait := r.waitOf(w)
+	wait := r.waitOf(now, w)
 	if wait > req.PatienceMS/smallWaitDivisor && !r.isLarge(w) {
 		r.smallShortMS = now
 	}
 	switch {
-	case wait > req.PatienceMS:
+	case wait > req.PatienceMS && r.timeFor(float64(len(r.waiting)+1)) > req.PatienceMS/bufferDivisor:
 		return nil, r.refuse(now, w, wait)
 	case len(r.waiting) >= maxWaiting:
 		if last := slices.MaxFunc(r.waiting, r.compare); r.compare(w, last) < 0 {
@@ -207,7 +216,7 @@
 		return nil
 	}
 	r.lastShortMS = now
-	return r.refuse(now, w, r.waitOf(w))
+	return r.refuse(now, w, r.waitOf(now, w))
 }
 
 // Reject records that an upstream rejected a request as full.
@@ -216,7 +225,7 @@
 	r.rejections++
 	if !r.Limited() {
 		r.window = float64(max(minWindow, r.inFlight))
-		r.meanWindow, r.meanMS = r.window, now
+		r.meanWindow, r.meanMS, r.limitedMS = r.window, now, now
 		r.finish = make(map[string]float64)
 		for i := range r.use {
 			r.use[i] = 1
@@ -241,11 +250,16 @@
 func (r *Room) Refuse(now rollout.Millis, req Request) error {
 	r.expirePlaces(now)
 	r.rejections += refusedRejections
+	if r.Limited() && float64(now-r.limitedMS) <= r.latencyMS {
+		// In the first round trip the window holds many requests that no upstream takes.
+		r.window = max(minWindow, min(r.window, float64(r.inFlight-1)))
+		r.meanWindow = r.window
+	}
 	if !r.Limited() {
 		return r.refusal(max(1, rollout.Millis(r.latencyMS)))
 	}
 	w := r.newWaiter(req)
-	return r.refuse(now, w, r.waitOf(w))
+	return r.refuse(now, w, r.waitOf(now, w))
 }
 
 // Finish ends an admitted request and admits those that wait for its room. tookMS is its
@@ -275,6 +289,9 @@
 
 // recordSuccess updates the latency, and grows the window if it was full.
 func (r *Room) recordSuccess(now, tookMS rollout.Millis) {
+	if !r.sampled {
+		r.latencyMS, r.sampled = float64(tookMS), true
+	}
 	r.latencyMS += (float64(tookMS) - r.latencyMS) * latencyWeight
 	if !r.Limited() || float64(r.inFlight+1) <= r.window {
 		return
@@ -358,7 +375,7 @@
 // evict refuses a waiting request in favor of one that goes before it.
 func (r *Room) evict(now rollout.Millis, w *Waiter) {
 	r.removeWaiting(w)
-	w.err = r.refuse(now, w, r.waitOf(w))
+	w.err = r.refuse(now, w, r.waitOf(now, w))
 	close(w.done)
 }
 
@@ -395,8 +412,8 @@
 }
 
 // waitOf returns the predicted wait of a request: the time for those before it and for
-// itself to find room. Of the places before it, the usual part counts.
-func (r *Room) waitOf(w *Waiter) rollout.Millis {
+// itself to find room. Of the places before it, the usual part counts, and late ones don't.
+func (r *Room) waitOf(now rollout.Millis, w *Waiter) rollout.Millis {
 	before := 1.0
 	for _, o := range r.waiting {
 		if r.compare(o, w) < 0 {
@@ -404,7 +421,7 @@
 		}
 	}
 	for _, p := range r.places {
-		if r.compare(p, w) < 0 {
+		if now <= p.dueMS+placeLateMS && r.compare(p, w) < 0 {
 			before += r.use[p.useClass]
 		}
 	}
--- a/pkg/rollout/room/share.go
+++ b/pkg/rollout/room/share.go
@@ -86,8 +86,8 @@
 // window and account.
 type Totals map[uint64]map[string]uint64
 
-// Shares adds up what accounts had and wanted at all entries. It is not safe for
-// concurrent use.
+// Shares adds up what accounts had and wanted at all entries. The zero value is empty. It is
+// not safe for concurrent use.
 type Shares struct {
 	entries map[string]entryTotals
 	demands map[string]Demand
@@ -104,14 +104,12 @@
 	atMS           rollout.Millis
 }
 
-// NewShares returns empty counts.
-func NewShares() *Shares {
-	return &Shares{entries: make(map[string]entryTotals), demands: make(map[string]Demand)}
-}
-
 // Record adds a report of an incarnation of an entry. The first one is only the base of
 // the next. The totals must not be changed later.
 func (s *Shares) Record(now rollout.Millis, incarnation string, begun, refused Totals) {
+	if s.entries == nil {
+		s.entries, s.demands = make(map[string]entryTotals), make(map[string]Demand)
+	}
 	last, known := s.entries[incarnation]
 	s.entries[incarnation] = entryTotals{begun: begun, refused: refused, atMS: now}
 	if !known {
--- a/pkg/rollout/room/sim_test.go
+++ b/pkg/rollout/room/sim_test.go
@@ -85,8 +85,8 @@
 	// served holds the times at which requests of each account were served.
 	served map[string][]rollout.Millis
 	keys   int
-	// shares names the large accounts, as the leader of control does. It may be nil.
-	shares *room.Shares
+	// shares names the large accounts, as the leader of control does.
+	shares room.Shares
 }
 
 func newSim(seed uint64, entries, upstreams, slots int, rooms bool) *sim {
@@ -152,7 +152,6 @@
 // entries 0.1 s later, until endMS.
 func (s *sim) report(endMS rollout.Millis) {
 	const everyMS, replyMS = 800, 100
-	s.shares = room.NewShares()
 	for i, e := range s.entries {
 		var tick func()
 		tick = func() {
