--- a/pkg/rollout/room/room.go
+++ b/pkg/rollout/room/room.go
@@ -79,7 +79,10 @@
 	request Request
 	// tag is the virtual time at which the request starts.
 	tag float64
-	seq uint64
+	// cost is the virtual time that the account is charged: 1, or for a place the part of
+	// such places that are used.
+	cost float64
+	seq  uint64
 	// dueMS is the time at which the caller of a place was told to return, or 0.
 	dueMS rollout.Millis
 	// useClass is the class of the time that the caller of a place was told.
@@ -335,7 +338,13 @@
 	r.seq++
 	tag := max(r.virtualTime, r.finish[req.Account])
 	r.finish[req.Account] = tag + 1
-	return &Waiter{request: req, tag: tag, seq: r.seq}
+	return &Waiter{request: req, tag: tag, cost: 1, seq: r.seq}
+}
+
+// charge changes the cost of a request.
+func (r *Room) charge(w *Waiter, cost float64) {
+	r.finish[w.request.Account] += cost - w.cost
+	w.cost = cost
 }
 
 // release gives the tag of a request that does not run back to its account.
@@ -343,11 +352,11 @@
 	for _, queue := range [][]*Waiter{r.waiting, r.places} {
 		for _, o := range queue {
 			if o.request.Account == w.request.Account && o.tag > w.tag {
-				o.tag--
+				o.tag -= w.cost
 			}
 		}
 	}
-	r.finish[w.request.Account]--
+	r.finish[w.request.Account] -= w.cost
 }
 
 // refuse keeps a place for a request that does not wait, and returns its refusal.
@@ -364,6 +373,7 @@
 	}
 	w.dueMS = now + wait
 	w.useClass = min(int(wait/useClassMS), useClasses-1)
+	r.charge(w, r.use[w.useClass])
 	r.places = append(r.places, w)
 	return r.refusal(wait)
 }
@@ -392,6 +402,7 @@
 	r.places = slices.Delete(r.places, i, i+1)
 	r.use[w.useClass] += (1 - r.use[w.useClass]) * useWeight
 	w.request = req
+	r.charge(w, 1)
 	return w
 }
 
