--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -64,9 +64,6 @@
 	// OnStarted is called once, after the first attempt that may have run the
 	// request has returned. It may be nil.
 	OnStarted func()
-	// OnRejected is called for each attempt that an upstream rejected as full. It may be
-	// nil.
-	OnRejected func()
 	// Restrict returns the failure domains to which the request may be sent at present. It
 	// is called before each attempt. It may be nil.
 	Restrict func() Restriction
@@ -215,8 +212,6 @@
 	// connectionBroken is true if the connection broke, other than by
 	// cancellation, while the upstream may have run the request.
 	connectionBroken bool
-	// rejected is true if the upstream said that it is full.
-	rejected bool
 	// upstreamEnded is true if the upstream accepted no connections right after the
 	// connection broke.
 	upstreamEnded bool
@@ -422,9 +417,6 @@
 	}
 	c.balancer.recordOutcome(a.upstream, a.incarnation, a.countsAsFailure())
 	c.updateBrokenConnections(a)
-	if a.rejected && c.req.OnRejected != nil {
-		c.req.OnRejected()
-	}
 	if a.mayHaveRun() {
 		c.possibleRuns++
 		if c.req.OnStarted != nil {
@@ -497,7 +489,6 @@
 		if head.Misdirected {
 			a.err.Kind = rollout.KindNoUpstream
 		}
-		a.rejected = !head.Misdirected
 		return a
 	}
 	if head.Streaming && head.Status < 300 {
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -26,7 +26,6 @@
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/origin"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/poison"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/registry"
-	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/room"
 )
 
 const (
@@ -124,11 +123,6 @@
 	refusalsToPropose []string
 	// origins holds where streams of callers began. Each control host holds its own part.
 	origins *origin.Log
-	// shares adds up what client accounts had and wanted. large holds the accounts that had
-	// more than their share, and largeRevision increases when they change.
-	accountShares room.Shares
-	large         []string
-	largeRevision uint64
 	// usageCooldown decides when this host may send usage reports to the
 	// platform.
 	usageCooldown authority.Cooldown
@@ -258,7 +252,6 @@
 	d.poisonDetector = poison.NewDetector()
 	d.refusalsToPropose = nil
 	d.divider = limit.NewSuccessor(d.leadStartMS)
-	d.accountShares, d.large = room.Shares{}, nil
 	d.markColdAfterEvacuations()
 	d.notifyWatches()
 	d.mu.Unlock()
--- a/internal/director/leader.go
+++ b/internal/director/leader.go
@@ -56,7 +56,6 @@
 		d.updatePoisons()
 		d.forgetLimits()
 		d.shares.Forget(d.clock.Now())
-		d.updateLarge()
 		d.mu.Unlock()
 		d.proposeRefusals(ctx)
 		d.foundStore(ctx)
--- a/internal/director/watch.go
+++ b/internal/director/watch.go
@@ -114,8 +114,7 @@
 		f := d.facts()
 		reply.Facts = &f
 	}
-	reply.Large = d.largeForReply()
-	hasChanges := newEpoch || d.lacksLarge(req) || len(reply.Upstreams) > 0 || reply.Document != nil || reply.PackedDocument != nil || reply.Facts != nil
+	hasChanges := newEpoch || len(reply.Upstreams) > 0 || reply.Document != nil || reply.PackedDocument != nil || reply.Facts != nil
 	return reply, hasChanges, changed
 }
 
@@ -203,7 +202,6 @@
 	}
 	d.daemons[key] = daemon
 	if u := req.Usage; u != nil {
-		d.accountShares.Record(now, u.Incarnation, u.Windows, u.Refused)
 		for window, counts := range u.Windows {
 			if window <= d.state.ClosedTo {
 				continue
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -76,7 +76,6 @@
 	balancer *balance.Balancer
 	origins  *origins.Client
 	regions  residency.Map
-	rooms    *rooms
 	meter    *meter
 	metrics  *metrics
 	draining atomic.Bool
@@ -105,7 +104,6 @@
 func New(opts Options) *Gateway {
 	g := &Gateway{opts: opts, dialer: link.NewDialer(opts.Secret), metrics: newMetrics(opts.Registry), regions: residency.NewMap(opts.Regions)}
 	g.client = fabric.NewClient(g.dialer)
-	g.rooms = newRooms(clock.Boottime{}, opts.Log, opts.Registry, func() []string { return g.watcher.LargeAccounts() })
 	g.balancer = balance.New(opts.Upstreams, clock.Boottime{}, opts.FailureDomain, opts.Log)
 	g.balancer.RegisterMetrics(opts.Registry)
 	id := make([]byte, incarnationIDBytes)
@@ -249,7 +247,7 @@
 	err := g.resume(ctx, in, route, &req)
 	var response Response
 	if err == nil {
-		response.Response, err = g.do(ctx, req, route)
+		response.Response, err = g.balancer.Do(ctx, req)
 	}
 	if err == nil && req.Software != "" && response.Software != req.Software {
 		response.Close()
--- a/internal/gateway/refusal_test.go
+++ b/internal/gateway/refusal_test.go
@@ -24,10 +24,9 @@
 type controlHost struct {
 	address  string
 	document atomic.Pointer[document.Document]
-	// facts, upstreams and large may be nil.
+	// facts and upstreams may be nil.
 	facts     atomic.Pointer[view.Facts]
 	upstreams atomic.Pointer[[]discovery.Upstream]
-	large     atomic.Pointer[view.LargeAccounts]
 	withheld  atomic.Bool
 }
 
@@ -55,7 +54,7 @@
 	}
 	wait := time.Duration(min(req.WaitMS, 20)) * time.Millisecond
 	time.Sleep(wait)
-	reply := view.Reply{Epoch: 1, HeldMS: rollout.Millis(wait.Milliseconds()), Document: c.document.Load(), Facts: c.facts.Load(), Large: c.large.Load()}
+	reply := view.Reply{Epoch: 1, HeldMS: rollout.Millis(wait.Milliseconds()), Document: c.document.Load(), Facts: c.facts.Load()}
 	if us := c.upstreams.Load(); us != nil {
 		reply.Upstreams = *us
 	}
--- a/internal/view/protocol.go
+++ b/internal/view/protocol.go
@@ -60,9 +60,6 @@
 	BrokenConnections *BrokenConnections `json:"Crashes,omitempty"`
 	// Leaving is nil if the leader has received the current ones.
 	Leaving *LeavingUpstreams `json:",omitempty"`
-	// Large identifies the large accounts that the caller has, as Reply.Large does. It is
-	// nil if the caller does not follow them.
-	Large *uint64 `json:",omitempty"`
 }
 
 // LeavingUpstreams holds the upstreams whose responses to a host said that they leave.
@@ -92,9 +89,6 @@
 	Incarnation string
 	// Windows holds the number of requests by window and client account.
 	Windows map[uint64]map[string]uint64
-	// Refused holds the number of requests that were refused for lack of room at a pool, by
-	// window and client account.
-	Refused map[uint64]map[string]uint64 `json:",omitempty"`
 }
 
 // StoreStatus is the state of a host's member of the job store quorum.
@@ -175,16 +169,6 @@
 	ColdShare *limit.Share `json:",omitempty"`
 	// Senders describes the entries to control hosts.
 	Senders []limit.Sender `json:",omitempty"`
-	// Large holds the accounts that have had more than their share while others wanted
-	// more. It is in each reply unless there are none.
-	Large *LargeAccounts `json:",omitempty"`
-}
-
-// LargeAccounts holds the accounts whose requests wait behind those of others.
-type LargeAccounts struct {
-	// Revision changes with the accounts. It is not 0.
-	Revision uint64
-	Accounts []string
 }
 
 // PackDocument encodes a document for Reply.PackedDocument.
--- a/internal/view/watcher.go
+++ b/internal/view/watcher.go
@@ -45,8 +45,6 @@
 	TableRevision uint64
 	Facts         Facts
 	FactsRevision uint64
-	// Large holds the accounts whose requests wait behind those of others.
-	Large LargeAccounts
 	// ConfirmedMS is the time for which a leader last confirmed that the copy is
 	// current, or 0 if none has yet.
 	ConfirmedMS rollout.Millis
@@ -126,20 +124,6 @@
 	return w
 }
 
-// largeExpiryMS is the time without a confirmation by a leader after which large accounts
-// are forgotten.
-const largeExpiryMS rollout.Millis = 3_000
-
-// LargeAccounts returns the accounts whose requests wait behind those of others. A host that
-// has heard nothing from a leader for some time knows none.
-func (w *Watcher) LargeAccounts() []string {
-	s := w.state.Load()
-	if len(s.Large.Accounts) == 0 || w.opts.Clock.Now()-s.ConfirmedMS > largeExpiryMS {
-		return nil
-	}
-	return s.Large.Accounts
-}
-
 // State returns the current state.
 func (w *Watcher) State() State { return *w.state.Load() }
 
@@ -259,7 +243,6 @@
 	}
 	if w.opts.Usage != nil {
 		req.Usage = w.opts.Usage()
-		req.Large = &base.Large.Revision
 	}
 	if w.opts.Store != nil {
 		req.Store = w.opts.Store()
@@ -370,10 +353,6 @@
 		next.Facts = r.Facts.withKnownDomains(s.Facts)
 	}
 	next.FactsRevision = r.FactsRevision
-	next.Large = LargeAccounts{}
-	if r.Large != nil {
-		next.Large = *r.Large
-	}
 	if !r.Whole && len(r.Upstreams) == 0 {
 		return next
 	}
