--- a/internal/jobstore/item.go
+++ b/internal/jobstore/item.go
@@ -102,7 +102,7 @@
 // its text.
 func (r *runner) generate(ctx context.Context, w *workItem, a dispatch.Assignment) dispatch.Outcome {
 	started := time.Now()
-	if err := r.acquire(ctx, a.Engine, limit.Request{Priority: w.route.Priority, Background: true, Patience: itemLimitPatience}); err != nil {
+	if err := r.acquire(ctx, a.Engine, limit.Request{Priority: w.route.Priority, Background: true, OwnColdBound: true, Patience: itemLimitPatience}); err != nil {
 		r.logRun(w, a, started, 0, err)
 		if ctx.Err() != nil {
 			return dispatch.OutcomeCancelled
@@ -375,7 +375,8 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	w.done = true
+	w.done, w.result = true, result.State
+	r.groupEnded(w)
 	r.store.metrics.items.WithLabelValues(string(result.State)).Inc()
 }
 
