--- a/internal/director/evacuation.go
+++ b/internal/director/evacuation.go
@@ -93,7 +93,7 @@
 			pools[p.Name] = discovery.ColdPool{StartMS: p.ColdStartMS, Limit: d.opts.ColdBound.Rate(p.ColdPerSecond)}
 		}
 	}
-	if d.table.SetColdPools(pools) {
+	if d.table.SetColdPools(d.clock.Now(), pools) {
 		d.notifyWatches()
 	}
 }
--- a/pkg/rollout/discovery/cold.go
+++ b/pkg/rollout/discovery/cold.go
@@ -15,15 +15,20 @@
 }
 
 // SetColdPools replaces the pools whose upstreams can be cold, and reports whether the
-// table changed. Upstreams that are cold get the limit of their pool.
-func (t *Table) SetColdPools(pools map[string]ColdPool) bool {
+// table changed. Upstreams that are cold get the limit of their pool, also if they announced
+// so before the pool was known.
+func (t *Table) SetColdPools(now rollout.Millis, pools map[string]ColdPool) bool {
 	if maps.Equal(t.coldPools, pools) {
 		return false
 	}
 	t.coldPools = pools
 	changed := false
 	for _, r := range t.byID {
-		if limit := pools[r.Pool].Limit; r.ColdLimit > 0 && r.ColdLimit != limit {
+		limit := 0.0
+		if r.State != StateGone && now < r.coldUntilMS {
+			limit = pools[r.Pool].Limit
+		}
+		if r.ColdLimit != limit {
 			r.ColdLimit = limit
 			t.bumpRevision(r)
 			changed = true
@@ -53,10 +58,9 @@
 // extendCold marks an upstream as cold for a time from now. It never shortens the time, as
 // an announcement may be late.
 func (t *Table) extendCold(now rollout.Millis, r *record, forMS rollout.Millis) {
-	pool, canBeCold := t.coldPools[r.Pool]
-	if !canBeCold || forMS <= 0 {
+	if forMS <= 0 {
 		return
 	}
 	r.coldUntilMS = max(r.coldUntilMS, now+forMS)
-	r.ColdLimit = pool.Limit
+	r.ColdLimit = t.coldPools[r.Pool].Limit
 }
--- a/pkg/rollout/discovery/cold_test.go
+++ b/pkg/rollout/discovery/cold_test.go
@@ -14,7 +14,7 @@
 
 func newColdTable() *discovery.Table {
 	table := discovery.New(announceIntervalMS)
-	table.SetColdPools(map[string]discovery.ColdPool{"p": {StartMS: coldStartMS, Limit: coldLimit}})
+	table.SetColdPools(0, map[string]discovery.ColdPool{"p": {StartMS: coldStartMS, Limit: coldLimit}})
 	return table
 }
 
@@ -75,6 +75,18 @@
 	assertColdLimit(t, table, "after the time of a start", 0)
 }
 
+// Guards against full load on upstreams that started before the first configuration, which
+// names the rate of their pool.
+func TestUpstreamsThatAnnouncedBeforeTheirPoolIsKnownAreCold(t *testing.T) {
+	table := discovery.New(announceIntervalMS)
+	announceCold(table, 0, 1, 2_000)
+	assertColdLimit(t, table, "unknown pool", 0)
+	table.SetColdPools(500, map[string]discovery.ColdPool{"p": {StartMS: coldStartMS, Limit: coldLimit}})
+	assertColdLimit(t, table, "known pool", coldLimit)
+	table.Tick(2_000)
+	assertColdLimit(t, table, "after the time that it announced", 0)
+}
+
 // Guards against a limit of pools whose upstreams are never cold.
 func TestUpstreamsOfOtherPoolsAreNeverCold(t *testing.T) {
 	table := discovery.New(announceIntervalMS)
