--- a/internal/jobstore/item.go
+++ b/internal/jobstore/item.go
@@ -374,8 +374,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	w.done, w.result = true, result.State
-	r.groupEnded(w)
+	w.done = true
 	r.store.metrics.items.WithLabelValues(string(result.State)).Inc()
 }
 
--- a/internal/jobstore/metrics.go
+++ b/internal/jobstore/metrics.go
@@ -11,8 +11,6 @@
 	continuations *prometheus.CounterVec
 	weightOrders  *prometheus.CounterVec
 	waitingItems  prometheus.Gauge
-	// unattainableSteps counts the steps that can't meet their due time.
-	unattainableSteps *prometheus.CounterVec
 	// regionRefusals counts jobs refused because of the regions of the members.
 	regionRefusals prometheus.Counter
 }
@@ -38,13 +36,10 @@
 		waitingItems: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "coltsfootspoke_job_waiting_items", Help: "Items that wait for an engine, at the leader.",
 		}),
-		unattainableSteps: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "coltsfootspoke_job_unattainable_steps_total", Help: "Steps that can't meet their due time, by whether they could without the other steps.",
-		}, []string{"yields"}),
 		regionRefusals: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "coltsfootspoke_job_region_refusals_total", Help: "Jobs that the leader refused because a member of the job store is in a region that may not keep them.",
 		}),
 	}
-	registry.MustRegister(m.regionRefusals, m.items, m.runs, m.runSeconds, m.continuations, m.weightOrders, m.waitingItems, m.unattainableSteps)
+	registry.MustRegister(m.regionRefusals, m.items, m.runs, m.runSeconds, m.continuations, m.weightOrders, m.waitingItems)
 	return m
 }
--- a/internal/jobstore/runner.go
+++ b/internal/jobstore/runner.go
@@ -18,7 +18,6 @@
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/document"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/job"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/limit"
-	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/triage"
 )
 
 const (
@@ -81,8 +80,6 @@
 	anew bool
 	// done is true once the item has a result or its job has ended.
 	done bool
-	// result is the state of the result that this leader committed, or empty.
-	result job.ItemState
 }
 
 // runner runs the items of all open jobs during one term of this host as leader.
@@ -101,7 +98,6 @@
 	// The fields below are guarded by mu.
 	sched *dispatch.Scheduler
 	jobs  map[string][]*workItem
-	steps *stepRanks
 	index *document.Index
 	// models holds the models of each pool, and upstreams what control knows of them.
 	models    map[string][]string
@@ -121,7 +117,7 @@
 	return &runner{
 		store: s, term: term, writer: rand.Text(), wake: make(chan struct{}, 1),
 		sched: dispatch.New(cfg),
-		jobs:  make(map[string][]*workItem), steps: newStepRanks(), scorerLanes: newScorerLanes(),
+		jobs:  make(map[string][]*workItem), scorerLanes: newScorerLanes(),
 	}
 }
 
@@ -187,7 +183,6 @@
 		}
 	}
 	delete(r.jobs, jobID)
-	r.steps.close(jobID)
 }
 
 // saveAllTexts stores the unsaved text of all items and waits for the commits.
@@ -212,7 +207,6 @@
 	r.store.mu.Lock()
 	j := r.store.state.Jobs[jobID]
 	var items []*workItem
-	var finished []triage.Item
 	var spec job.Spec
 	if j != nil && !j.Ended {
 		spec = j.Spec
@@ -223,7 +217,6 @@
 				items = append(items, &workItem{spec: &spec, item: it, text: newTextBuffer(t)})
 			}
 		}
-		finished = finishedItems(j)
 	}
 	r.store.mu.Unlock()
 	r.mu.Lock()
@@ -232,7 +225,6 @@
 		return
 	}
 	r.jobs[jobID] = items
-	r.steps.open(jobID, finished)
 	r.sched.RaiseMinVersion(spec.Model, spec.MinVersion)
 	route, now := r.routeOf(&spec), r.store.clock.Now()
 	regions := regionsAtSubmission(&spec).with(r.index, &spec)
@@ -433,7 +425,6 @@
 		r.restartStranded(now)
 		r.abandonExpired(now)
 	}
-	r.rankSteps(now)
 	defer func() { r.store.metrics.waitingItems.Set(float64(r.sched.Waiting())) }()
 	for _, a := range r.sched.AssignTasks(now) {
 		if w := r.findItem(a.Task); w != nil {
--- a/pkg/rollout/dispatch/dispatch.go
+++ b/pkg/rollout/dispatch/dispatch.go
@@ -9,7 +9,6 @@
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/discovery"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/residency"
-	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/triage"
 )
 
 // Task is an item of a job that is queued for an engine. It is immutable.
@@ -39,10 +38,7 @@
 	Begun bool
 	// ExpectedTokens is the caller's estimate of the output length, or 0.
 	ExpectedTokens int
-	// rank is the first sort key of the queue. It is 0 unless the tasks of the model
-	// exceed the free slots of its engines.
-	rank int
-	// DueMS is the sort key of the queue after rank and before Begun and
+	// DueMS is the primary sort key of the queue, before Begun and
 	// ExpectedTokens. Order breaks ties.
 	DueMS rollout.Millis
 	Order uint64
@@ -199,10 +195,6 @@
 	// another model.
 	nextReassignmentAt rollout.Millis
 	waiting            []Task
-	// ranks holds the ranks of the groups of the open jobs. They apply to the tasks of
-	// contended models.
-	ranks     map[triage.GroupKey]int
-	contended map[modelKey]bool
 	// backlogs holds the models whose tasks found no engine in the last pass, by the policy
 	// of the tasks.
 	backlogs map[backlogKey]backlog
@@ -234,7 +226,6 @@
 // Add queues a task.
 func (s *Scheduler) Add(t Task) {
 	s.updateMeanTokens(t)
-	t.rank = s.rankOf(t)
 	i, _ := slices.BinarySearchFunc(s.waiting, t, compareTasks)
 	s.waiting = slices.Insert(s.waiting, i, t)
 }
@@ -488,11 +479,11 @@
 	return t.allows(e) && s.startsLeft(now, e) > 0
 }
 
-// compareTasks orders tasks by rank and due time. Within a rank and job, tasks that have run
+// compareTasks orders tasks by due time. Within a job, tasks that have run
 // before come first, because their groups wait for them, then the longest ones,
 // because a long item that starts last ends long after all others.
 func compareTasks(a, b Task) int {
-	if c := cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.DueMS, b.DueMS)); c != 0 {
+	if c := cmp.Compare(a.DueMS, b.DueMS); c != 0 {
 		return c
 	}
 	if a.Begun != b.Begun {
--- a/pkg/rollout/dispatch/dispatch_bench_test.go
+++ b/pkg/rollout/dispatch/dispatch_bench_test.go
@@ -5,7 +5,6 @@
 	"testing"
 
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/dispatch"
-	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/triage"
 )
 
 // BenchmarkAssignTasksWithBacklog measures a scheduling pass that frees one slot
@@ -82,23 +81,3 @@
 		running = append(running[1:], f.AssignTasks(f.now)...)
 	}
 }
-
-// BenchmarkSetRanks measures a new ranking of 1,280 queued tasks of eight jobs at 44 engines.
-func BenchmarkSetRanks(b *testing.B) {
-	const engines, slots, groups, items = 44, 6, 20, 8
-	models := []string{"m0", "m1", "m2", "m3"}
-	f := newFixture(engines, slots, models...)
-	plans := [2]map[triage.GroupKey]int{{}, {}}
-	for i := range 8 {
-		job := fmt.Sprintf("job%d", i)
-		for g := range groups {
-			group := fmt.Sprintf("g%d", g)
-			f.addGroups(job, models[i%len(models)], items, group)
-			key := triage.GroupKey{Step: job, Group: group}
-			plans[0][key], plans[1][key] = i*groups+g, (8-i)*groups-g
-		}
-	}
-	for i := 0; b.Loop(); i++ {
-		f.SetRanks(f.Rooms(f.now), plans[i%2])
-	}
-}
