Move runs by the time that they save, to a slot that is kept

A step waits for its longest text, and a text that started on a slower engine stayed there, as only engines 1.6 times slower than the median count as slow: steps took 8.3 to 8.8 s in place of 6.6.

Change: a run moves where it is expected to end at least 150 ms earlier, a move costing 100 ms. A text that exceeds its estimate is expected to double. The slot of the destination is reserved until the run is queued again.

Ruled out: the moving average as the pace.

--- a/internal/jobstore/runner.go
+++ b/internal/jobstore/runner.go
@@ -446,7 +446,7 @@
 		if w == nil || w.interrupt == nil {
 			continue
 		}
-		r.store.opts.Log.Info("RunMoved", zap.String("Request", m.ItemID), zap.String("Upstream", m.Engine), zap.Bool("Stalled", m.Stalled), zap.Bool("Anew", m.Anew))
+		r.store.opts.Log.Info("RunMoved", zap.String("Request", m.ItemID), zap.String("Upstream", m.Engine), zap.String("Target", m.Target), zap.Bool("Stalled", m.Stalled), zap.Bool("Anew", m.Anew))
 		w.stalled, w.anew = m.Stalled, m.Anew
 		w.interrupt()
 	}
--- a/pkg/rollout/dispatch/dispatch.go
+++ b/pkg/rollout/dispatch/dispatch.go
@@ -164,6 +164,7 @@
 	// groups holds the groups of the tasks that have run on the engine.
 	groups        map[string]bool
 	eventInterval eventInterval
+	pace          paceMeter
 	// starts holds the times at which runs started within startWindowMS, if the engine can
 	// be cold.
 	starts []rollout.Millis
@@ -201,6 +202,8 @@
 	// runMS is the moving average of the time of complete runs, or 0.
 	runMS   float64
 	running map[runKey]*run
+	// reservations holds the slots that are kept for moving runs.
+	reservations map[runKey]reservation
 	// meanTokens is the moving average of ExpectedTokens over the tasks.
 	meanTokens float64
 	// medianIntervals holds the median event interval of each pool, computed at
@@ -220,6 +223,7 @@
 		cfg: cfg, engines: make(map[string]*engine), models: make(map[string][]string),
 		targets: make(map[string]uint64), assignedModels: make(map[string]string), running: make(map[runKey]*run),
 		minVersions: make(map[string]uint64), recentEvents: make(map[string]float64), backlogs: make(map[backlogKey]backlog),
+		reservations: make(map[runKey]reservation),
 	}
 }
 
@@ -415,11 +419,14 @@
 	// fill up during a pass.
 	exhausted := make(map[requirements]bool)
 	for _, t := range s.waiting {
-		if exhausted[t.requirements()] {
+		e := s.takeReservation(now, t)
+		if e == nil && exhausted[t.requirements()] {
 			kept = append(kept, t)
 			continue
 		}
-		e := s.choose(now, t)
+		if e == nil {
+			e = s.choose(now, t)
+		}
 		if e == nil {
 			exhausted[t.requirements()] = true
 			kept = append(kept, t)
--- a/pkg/rollout/dispatch/moves.go
+++ b/pkg/rollout/dispatch/moves.go
@@ -5,45 +5,33 @@
 	"slices"
 
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
-	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/discovery"
 )
 
 const (
-	// newestIntervalWeight is the weight of the newest event in the moving
-	// average of the event interval.
-	newestIntervalWeight = 0.25
-	// eventIntervalMaxAgeMS is how long a measured interval is valid. After that,
-	// a slow engine is tried again.
-	eventIntervalMaxAgeMS rollout.Millis = 4_000
-	// slowThreshold is the ratio to the pool's median interval from which an
-	// engine counts as slow. It leaves a margin over a full batch, which is about
-	// a third slower than a single request.
-	slowThreshold = 1.6
-	// maxSlowness is the upper bound of the slowness of an engine.
-	maxSlowness = 6.0
-	// newestLengthWeight is the weight of the newest task in the moving average
-	// of the length. maxRelativeLength bounds the length of a task as a multiple
-	// of that average, because estimates are often far off.
-	newestLengthWeight = 0.02
-	maxRelativeLength  = 4.0
 	// stallTimeoutMS is the time without an event, weight loads excluded, after
 	// which a run counts as stalled.
 	stallTimeoutMS rollout.Millis = 1_500
-	// minRunBeforeMoveMS is how long a run stays on a slow engine before it may be
-	// moved.
+	// minRunBeforeMoveMS is how long a run stays on an engine before it may be moved to
+	// a faster one.
 	minRunBeforeMoveMS rollout.Millis = 250
+	// moveMS is what a move costs a run: a connection, the prompt and the text read again,
+	// and the event that was being generated.
+	moveMS = 100.0
+	// minMoveGainMS is how much earlier a run must be expected to end elsewhere.
+	minMoveGainMS = 150.0
+	// minPaceRatio is the ratio between the event intervals of two engines from which the
+	// difference is not only that of the runs that they have.
+	minPaceRatio = 1.12
+	// fullEngineSlowdown is how much longer the interval of a full engine is assumed to be
+	// than that of an idle one.
+	fullEngineSlowdown = 0.1
 	// moveTargetFill is the fraction of its slots up to which an engine has
 	// capacity for moved runs.
 	moveTargetFill = 0.8
+	// reservationMS is how long a slot is kept for a run that is interrupted to move.
+	reservationMS rollout.Millis = 500
 )
 
-// eventInterval is the moving average of the time between two stream events of a
-// run, in ms, and the time of its last update.
-type eventInterval struct {
-	ms float64
-	at rollout.Millis
-}
-
 // run is a task running on an engine.
 type run struct {
 	task      Task
@@ -59,190 +47,180 @@
 type Move struct {
 	JobID, ItemID string
 	Engine        string
+	// Target is the engine with a slot reserved for the run, or empty if it is stalled.
+	Target string
 	// Stalled is true if the run has had no events for stallTimeoutMS.
 	Stalled bool
-	// Anew is true if the text must be discarded, because no engine of its software version
-	// has capacity.
+	// Anew is true if the text must be discarded, because it ends earlier where it cannot be
+	// continued.
 	Anew bool
 }
 
-// EventReceived records a stream event of a run and updates the event interval of its
-// engine.
-func (s *Scheduler) EventReceived(now rollout.Millis, t Task) {
-	r := s.running[t.runKey()]
-	if r == nil {
-		return
-	}
-	s.countEvent(now, r.task.Model)
-	gap := now - r.lastEventMS
-	r.lastEventMS = now
-	r.events++
-	e := s.engines[r.engine]
-	if e == nil || r.events == 1 || now-gap < e.loadEndsAt {
-		return
-	}
-	if e.eventInterval.ms == 0 || now-e.eventInterval.at > eventIntervalMaxAgeMS {
-		e.eventInterval.ms = float64(gap)
-	} else {
-		e.eventInterval.ms += newestIntervalWeight * (float64(gap) - e.eventInterval.ms)
-	}
-	e.eventInterval.at = now
-}
-
-// PlanMoves returns the runs to move to other engines and marks them as moving:
-// stalled runs, and runs on slow engines while other engines have capacity.
+// PlanMoves returns the runs to move to other engines, marks them as moving and reserves
+// their slots: stalled runs, and runs that are expected to end earlier elsewhere. Of a job,
+// those with the most left come first.
 func (s *Scheduler) PlanMoves(now rollout.Millis) []Move {
+	s.releaseReservations(now)
 	var moves []Move
-	capacity := moveCapacity{s, now, make(map[requirements]int)}
+	var candidates []*run
+	targets := moveTargets{s, now, make(map[requirements][]*engine), make(map[string]bool)}
 	for _, k := range s.sortedRunKeys() {
 		r := s.running[k]
 		e := s.engines[r.engine]
-		if r.movePending || e == nil {
+		if e == nil {
 			continue
 		}
 		stalled := now-max(r.lastEventMS, e.loadEndsAt) > stallTimeoutMS
-		slow := s.slowness(now, e) > slowThreshold && now-r.startedMS > minRunBeforeMoveMS
-		if !stalled && !slow {
-			continue
+		targets.stalled[e.ID] = targets.stalled[e.ID] || stalled
+		switch {
+		case r.movePending:
+		case stalled:
+			r.movePending = true
+			moves = append(moves, Move{JobID: r.task.JobID, ItemID: r.task.ItemID, Engine: r.engine, Stalled: true})
+		case now-r.startedMS > minRunBeforeMoveMS && r.eventsLeft()*s.pace(now, e) > minMoveGainMS:
+			candidates = append(candidates, r)
 		}
-		m := Move{JobID: r.task.JobID, ItemID: r.task.ItemID, Engine: r.engine, Stalled: stalled}
-		if !stalled {
-			t := r.remainder(e)
-			switch {
-			case capacity.take(t):
-			case s.freeCapacity(now, t) <= 0 && s.isFasterAnew(now, e, r) && capacity.take(t.withoutText()):
-				m.Anew = true
-			default:
-				continue
-			}
+	}
+	slices.SortStableFunc(candidates, func(a, b *run) int {
+		return cmp.Or(cmp.Compare(a.task.DueMS, b.task.DueMS), cmp.Compare(b.eventsLeft(), a.eventsLeft()))
+	})
+	for _, r := range candidates {
+		target, anew := targets.choose(r)
+		if target == nil {
+			continue
 		}
+		targets.reserve(r, target)
 		r.movePending = true
-		moves = append(moves, m)
+		moves = append(moves, Move{JobID: r.task.JobID, ItemID: r.task.ItemID, Engine: r.engine, Target: target.ID, Anew: anew})
 	}
 	return moves
 }
 
-// moveCapacity counts how many moved runs engines can still take, by the requirements of
-// their tasks.
-type moveCapacity struct {
+// moveTargets holds the engines with capacity for moved runs by the requirements of their
+// tasks, in the order of the pace that a moved run is expected to have.
+type moveTargets struct {
 	scheduler *Scheduler
 	now       rollout.Millis
-	left      map[requirements]int
-}
-
-// take reports whether an engine can take one more moved run, and counts it, also for tasks
-// without a text, which may go to the same engines.
-func (c moveCapacity) take(t Task) bool {
-	if c.leftFor(t) <= 0 {
-		return false
+	engines   map[requirements][]*engine
+	// stalled holds the engines with a stalled run.
+	stalled map[string]bool
+}
+
+// choose returns the engine on which a run is expected to end earliest, and whether its text
+// must be generated anew there. It returns nil unless that is early enough to be worth a move.
+func (m moveTargets) choose(r *run) (target *engine, anew bool) {
+	from := m.scheduler.engines[r.engine]
+	here := m.scheduler.pace(m.now, from)
+	left := r.eventsLeft()
+	best := moveMS + minMoveGainMS
+	consider := func(t Task, events float64, discards bool) {
+		e := m.fastest(t)
+		if e == nil || e == from {
+			return
+		}
+		there := m.scheduler.pace(m.now, e)
+		if gain := left*here - events*there; here >= minPaceRatio*there && gain >= best {
+			target, anew, best = e, discards, gain
+		}
 	}
-	c.left[t.requirements()]--
-	if fresh := t.withoutText(); fresh.requirements() != t.requirements() {
-		c.left[fresh.requirements()] = c.leftFor(fresh) - 1
+	if r.textEvents() == 0 || from.Software != "" {
+		consider(r.remainder(from), left, false)
 	}
-	return true
+	consider(r.task.withoutText(), left+r.textEvents(), true)
+	return target, anew && r.textEvents() > 0
 }
 
-func (c moveCapacity) leftFor(t Task) int {
+// fastest returns the engine with capacity on which a task would run fastest, or nil if there
+// is none.
+func (m moveTargets) fastest(t Task) *engine {
 	k := t.requirements()
-	if _, known := c.left[k]; !known {
-		c.left[k] = c.scheduler.freeCapacity(c.now, t)
+	engines, known := m.engines[k]
+	if !known {
+		for _, e := range m.scheduler.pools[t.Pool] {
+			if m.scheduler.eligible(m.now, e, t) && !m.stalled[e.ID] {
+				engines = append(engines, e)
+			}
+		}
 	}
-	return c.left[k]
+	engines = slices.DeleteFunc(engines, func(e *engine) bool { return !m.hasCapacity(e) })
+	m.engines[k] = engines
+	if len(engines) == 0 {
+		return nil
+	}
+	return slices.MinFunc(engines, func(a, b *engine) int {
+		return cmp.Or(cmp.Compare(m.expectedPace(a), m.expectedPace(b)), cmp.Compare(a.ID, b.ID))
+	})
 }
 
-// isFasterAnew reports whether a run on a slow engine would end earlier if an engine of
-// median speed generated its text from the start. The length of a text without an estimate,
-// or that exceeds its estimate, is taken as twice what there is.
-func (s *Scheduler) isFasterAnew(now rollout.Millis, e *engine, r *run) bool {
-	there := float64(r.task.TextEvents) + float64(r.events)
-	length := float64(r.task.ExpectedTokens)
-	if length <= there {
-		length = 2 * there
-	}
-	return length < (length-there)*s.slowness(now, e)
+func (m moveTargets) hasCapacity(e *engine) bool {
+	return e.running < int(moveTargetFill*float64(e.Slots)) && m.scheduler.startsLeft(m.now, e) > 0
 }
 
-// remainder returns the task that continues the text of a run on an engine.
-func (r *run) remainder(e *engine) Task {
-	t := r.task
-	if r.events > 0 {
-		t.Software = e.Software
-	}
-	return t
+// expectedPace returns the event interval of an engine with one more run.
+func (m moveTargets) expectedPace(e *engine) float64 {
+	return m.scheduler.pace(m.now, e) * (1 + fullEngineSlowdown*float64(e.running+1)/float64(e.Slots))
 }
 
-// freeCapacity returns how many moved runs the eligible engines that are not slow
-// can take.
-func (s *Scheduler) freeCapacity(now rollout.Millis, t Task) int {
-	total := 0
-	for _, e := range s.pools[t.Pool] {
-		if s.eligible(now, e, t) && s.slowness(now, e) <= slowThreshold {
-			total += max(0, min(int(moveTargetFill*float64(e.Slots))-e.running, s.startsLeft(now, e)))
-		}
-	}
-	return total
+// reserve keeps a slot of an engine for a run until it is assigned again.
+func (m moveTargets) reserve(r *run, e *engine) {
+	e.running++
+	m.scheduler.reservations[r.task.runKey()] = reservation{e, m.now + reservationMS}
 }
 
-// slowness returns the event interval of an engine divided by the median of its
-// pool, at most maxSlowness. It is 1 below slowThreshold and for an engine
-// without a recent interval.
-func (s *Scheduler) slowness(now rollout.Millis, e *engine) float64 {
-	if e.eventInterval.ms == 0 || now-e.eventInterval.at > eventIntervalMaxAgeMS {
-		return 1
-	}
-	ratio := e.eventInterval.ms / max(s.medianInterval(now, e.Pool), 1)
-	if ratio < slowThreshold {
-		return 1
-	}
-	return min(ratio, maxSlowness)
+// reservation is a slot that is kept for a moving run.
+type reservation struct {
+	engine *engine
+	until  rollout.Millis
 }
 
-// updateMeanTokens adds the expected length of a task to the moving average.
-func (s *Scheduler) updateMeanTokens(t Task) {
-	if t.ExpectedTokens <= 0 {
-		return
+// takeReservation releases the slot that is kept for a task and returns its engine if it may
+// still run the task, or else nil.
+func (s *Scheduler) takeReservation(now rollout.Millis, t Task) *engine {
+	kept, ok := s.reservations[t.runKey()]
+	if !ok {
+		return nil
 	}
-	if s.meanTokens == 0 {
-		s.meanTokens = float64(t.ExpectedTokens)
+	s.release(t.runKey(), kept)
+	if s.engines[kept.engine.ID] != kept.engine || !s.eligible(now, kept.engine, t) {
+		return nil
 	}
-	s.meanTokens += newestLengthWeight * (float64(t.ExpectedTokens) - s.meanTokens)
+	return kept.engine
 }
 
-// slowEngineCost returns the cost of the additional time that a task takes on an
-// engine compared with the median one. Engines of a pool may run on different
-// hardware, and a step waits for its longest items, so these should run on the
-// fast engines.
-func (s *Scheduler) slowEngineCost(now rollout.Millis, e *engine, t Task) float64 {
-	median := s.medianInterval(now, e.Pool)
-	if e.eventInterval.ms == 0 || median == 0 || s.meanTokens == 0 {
-		return 0
-	}
-	length := min(float64(t.ExpectedTokens)/s.meanTokens, maxRelativeLength)
-	ratio := min(e.eventInterval.ms/median, slowThreshold)
-	return costSlowEngine * length * (ratio - 1)
+func (s *Scheduler) release(k runKey, kept reservation) {
+	delete(s.reservations, k)
+	kept.engine.running = max(0, kept.engine.running-1)
 }
 
-// medianInterval returns the median event interval of the engines of a pool.
-func (s *Scheduler) medianInterval(now rollout.Millis, pool string) float64 {
-	if s.medianIntervalsAt != now {
-		s.medianIntervalsAt, s.medianIntervals = now, make(map[string]float64)
-	}
-	if m, known := s.medianIntervals[pool]; known {
-		return m
-	}
-	var intervals []float64
-	for _, e := range s.pools[pool] {
-		if e.State != discovery.StateGone && e.eventInterval.ms > 0 {
-			intervals = append(intervals, e.eventInterval.ms)
+// releaseReservations releases the slots of runs that have not been queued again in time.
+func (s *Scheduler) releaseReservations(now rollout.Millis) {
+	for k, kept := range s.reservations {
+		if now > kept.until {
+			s.release(k, kept)
 		}
 	}
-	slices.Sort(intervals)
-	s.medianIntervals[pool] = 0
-	if len(intervals) > 0 {
-		s.medianIntervals[pool] = intervals[len(intervals)/2]
+}
+
+// textEvents returns the number of events in the text so far.
+func (r *run) textEvents() float64 { return float64(r.task.TextEvents) + float64(r.events) }
+
+// eventsLeft returns how many more events a run is expected to generate. A text without an
+// estimate, or that exceeds its estimate, is expected to double, as lengths have long tails.
+func (r *run) eventsLeft() float64 {
+	there := r.textEvents()
+	if expected := float64(r.task.ExpectedTokens); expected > there {
+		return expected - there
 	}
-	return s.medianIntervals[pool]
+	return there
+}
+
+// remainder returns the task that continues the text of a run on an engine.
+func (r *run) remainder(e *engine) Task {
+	t := r.task
+	if r.events > 0 {
+		t.Software = e.Software
+	}
+	return t
 }
 
 func (s *Scheduler) sortedRunKeys() []runKey {
