Compare estimates of lengths in events

Cause: a caller's estimate is in tokens, and was compared with the events of a text.

Change: a running median of estimate over events, by model, converts estimates. Until a text of a model is complete, an event is taken for a token.

Also: a test for several evacuated failure domains, which fails if only the first counts.

--- a/pkg/rollout/discovery/evacuation_test.go
+++ b/pkg/rollout/discovery/evacuation_test.go
@@ -25,3 +25,20 @@
 		t.Errorf("the copy was changed: upstream a is %s", us["a"].State)
 	}
 }
+
+// Guards against a second evacuation that leaves its failure domain in use, and against an
+// order of the domains that matters.
+func TestAllEvacuatedDomainsDrain(t *testing.T) {
+	us := make(map[string]discovery.Upstream)
+	for _, domain := range []string{"d1", "d2", "d3"} {
+		us[domain] = discovery.Upstream{ID: domain, FailureDomain: domain, State: discovery.StateReady}
+	}
+	for _, domains := range [][]string{{"d1", "d2"}, {"d2", "d1"}} {
+		next := discovery.WithEvacuated(us, domains)
+		for id, want := range map[string]discovery.State{"d1": discovery.StateDraining, "d2": discovery.StateDraining, "d3": discovery.StateReady} {
+			if got := next[id].State; got != want {
+				t.Errorf("evacuated %v: upstream of %s is %v, want %v", domains, id, got, want)
+			}
+		}
+	}
+}
--- a/pkg/rollout/dispatch/dispatch.go
+++ b/pkg/rollout/dispatch/dispatch.go
@@ -204,8 +204,7 @@
 	running map[runKey]*run
 	// reservations holds the slots that are kept for moving runs.
 	reservations map[runKey]reservation
-	// meanTokens is the moving average of ExpectedTokens over the tasks.
-	meanTokens float64
+	lengths      lengths
 	// medianIntervals holds the median event interval of each pool, computed at
 	// medianIntervalsAt.
 	medianIntervals   map[string]float64
@@ -223,13 +222,13 @@
 		cfg: cfg, engines: make(map[string]*engine), models: make(map[string][]string),
 		targets: make(map[string]uint64), assignedModels: make(map[string]string), running: make(map[runKey]*run),
 		minVersions: make(map[string]uint64), recentEvents: make(map[string]float64), backlogs: make(map[backlogKey]backlog),
-		reservations: make(map[runKey]reservation),
+		reservations: make(map[runKey]reservation), lengths: lengths{tokensPerEvent: make(map[string]float64)},
 	}
 }
 
 // Add queues a task.
 func (s *Scheduler) Add(t Task) {
-	s.updateMeanTokens(t)
+	s.lengths.queued(t)
 	i, _ := slices.BinarySearchFunc(s.waiting, t, compareTasks)
 	s.waiting = slices.Insert(s.waiting, i, t)
 }
@@ -316,6 +315,7 @@
 func (s *Scheduler) RunEnded(now rollout.Millis, a Assignment, o Outcome) {
 	if r := s.running[a.Task.runKey()]; r != nil && o == OutcomeDone {
 		s.updateRunMS(now - r.startedMS)
+		s.lengths.completed(r.task, r.textEvents())
 	}
 	delete(s.running, a.Task.runKey())
 	e := s.engines[a.Engine]
--- /dev/null
+++ b/pkg/rollout/dispatch/lengths.go
@@ -0,0 +1,64 @@
+package dispatch
+
+import "cmp"
+
+const (
+	// newestLengthWeight is the weight of the newest task in the moving average
+	// of the length. maxRelativeLength bounds the length of a task as a multiple
+	// of that average, because estimates are often far off.
+	newestLengthWeight = 0.02
+	maxRelativeLength  = 4.0
+	// tokensPerEventStep is the relative change of the tokens per event with each text.
+	tokensPerEventStep = 0.05
+)
+
+// lengths relates the estimates of lengths, in tokens, to each other and to events.
+type lengths struct {
+	// meanTokens is the moving average of ExpectedTokens over the tasks.
+	meanTokens float64
+	// tokensPerEvent is the running median of the estimate of a text divided by its events,
+	// by model. Estimates are right at the median.
+	tokensPerEvent map[string]float64
+}
+
+// queued adds the estimate of a task to the moving average.
+func (l *lengths) queued(t Task) {
+	if t.ExpectedTokens <= 0 {
+		return
+	}
+	if l.meanTokens == 0 {
+		l.meanTokens = float64(t.ExpectedTokens)
+	}
+	l.meanTokens += newestLengthWeight * (float64(t.ExpectedTokens) - l.meanTokens)
+}
+
+// completed records the number of events of a complete text.
+func (l *lengths) completed(t Task, events float64) {
+	if t.ExpectedTokens <= 0 || events <= 0 {
+		return
+	}
+	ratio := float64(t.ExpectedTokens) / events
+	switch known := l.tokensPerEvent[t.Model]; {
+	case known == 0:
+		l.tokensPerEvent[t.Model] = ratio
+	case ratio > known:
+		l.tokensPerEvent[t.Model] = min(known*(1+tokensPerEventStep), ratio)
+	default:
+		l.tokensPerEvent[t.Model] = max(known/(1+tokensPerEventStep), ratio)
+	}
+}
+
+// events returns the estimate of a task in events. Until a text of its model is complete, an
+// event is taken for a token.
+func (l *lengths) events(t Task) float64 {
+	return float64(t.ExpectedTokens) / cmp.Or(l.tokensPerEvent[t.Model], 1)
+}
+
+// relative returns the estimate of a task divided by the mean estimate, or 0 if either is not
+// known.
+func (l *lengths) relative(t Task) float64 {
+	if l.meanTokens == 0 {
+		return 0
+	}
+	return min(float64(t.ExpectedTokens)/l.meanTokens, maxRelativeLength)
+}
--- a/pkg/rollout/dispatch/moves.go
+++ b/pkg/rollout/dispatch/moves.go
@@ -77,12 +77,12 @@
 		case stalled:
 			r.movePending = true
 			moves = append(moves, Move{JobID: r.task.JobID, ItemID: r.task.ItemID, Engine: r.engine, Stalled: true})
-		case now-r.startedMS > minRunBeforeMoveMS && r.eventsLeft()*s.pace(now, e) > minMoveGainMS:
+		case now-r.startedMS > minRunBeforeMoveMS && s.eventsLeft(r)*s.pace(now, e) > minMoveGainMS:
 			candidates = append(candidates, r)
 		}
 	}
 	slices.SortStableFunc(candidates, func(a, b *run) int {
-		return cmp.Or(cmp.Compare(a.task.DueMS, b.task.DueMS), cmp.Compare(b.eventsLeft(), a.eventsLeft()))
+		return cmp.Or(cmp.Compare(a.task.DueMS, b.task.DueMS), cmp.Compare(s.eventsLeft(b), s.eventsLeft(a)))
 	})
 	for _, r := range candidates {
 		target, anew := targets.choose(r)
@@ -111,7 +111,7 @@
 func (m moveTargets) choose(r *run) (target *engine, anew bool) {
 	from := m.scheduler.engines[r.engine]
 	here := m.scheduler.pace(m.now, from)
-	left := r.eventsLeft()
+	left := m.scheduler.eventsLeft(r)
 	best := moveMS + minMoveGainMS
 	consider := func(t Task, events float64, discards bool) {
 		e := m.fastest(t)
@@ -206,12 +206,9 @@
 
 // eventsLeft returns how many more events a run is expected to generate. A text without an
 // estimate, or that exceeds its estimate, is expected to double, as lengths have long tails.
-func (r *run) eventsLeft() float64 {
+func (s *Scheduler) eventsLeft(r *run) float64 {
 	there := r.textEvents()
-	if expected := float64(r.task.ExpectedTokens); expected > there {
-		return expected - there
-	}
-	return there
+	return cmp.Or(max(s.lengths.events(r.task)-there, 0), there)
 }
 
 // remainder returns the task that continues the text of a run on an engine.
--- a/pkg/rollout/dispatch/moves_test.go
+++ b/pkg/rollout/dispatch/moves_test.go
@@ -39,6 +39,15 @@
 	}
 }
 
+// endRuns ends the runs of an engine.
+func (f *fixture) endRuns(as []dispatch.Assignment, engine string, o dispatch.Outcome) {
+	for _, a := range as {
+		if a.Engine == engine {
+			f.RunEnded(f.now, a, o)
+		}
+	}
+}
+
 func runsOn(as []dispatch.Assignment, engine string) int {
 	n := 0
 	for _, a := range as {
@@ -111,11 +120,7 @@
 	f.add(2*slots, dispatch.Task{Model: "m", ExpectedTokens: 100})
 	as := f.AssignTasks(f.now)
 	f.generateFor(600, as, fastBut("e0", hardwareEventMS))
-	for _, a := range as {
-		if a.Engine == "e1" {
-			f.RunEnded(f.now, a, dispatch.OutcomeDone)
-		}
-	}
+	f.endRuns(as, "e1", dispatch.OutcomeCancelled)
 	moves := f.PlanMoves(f.now)
 	if len(moves) == 0 {
 		t.Fatal("no run moves to the engine that became free")
@@ -151,19 +156,11 @@
 	f.add(2*slots, dispatch.Task{Model: "m", ExpectedTokens: 100})
 	as := f.AssignTasks(f.now)
 	f.generateFor(600, as, fastBut("e0", hardwareEventMS))
-	for _, a := range as {
-		if a.Engine == "e1" {
-			f.RunEnded(f.now, a, dispatch.OutcomeDone)
-		}
-	}
+	f.endRuns(as, "e1", dispatch.OutcomeCancelled)
 	if len(f.PlanMoves(f.now)) == 0 {
 		t.Fatal("no run moves to the engine that became free")
 	}
-	for _, a := range as {
-		if a.Engine == "e0" {
-			f.RunEnded(f.now, a, dispatch.OutcomeDone)
-		}
-	}
+	f.endRuns(as, "e0", dispatch.OutcomeCancelled)
 	f.now += reservationMS + 1
 	f.PlanMoves(f.now)
 	f.add(2*slots, dispatch.Task{Model: "m", ExpectedTokens: 100})
@@ -171,3 +168,36 @@
 		t.Errorf("%d tasks start on the target, want all %d slots", got, slots)
 	}
 }
+
+// Guards against estimates in tokens that are taken for events: nearly complete texts would
+// leave slower hardware, each with a connection and a prompt that is read again.
+func TestEstimatesAreComparedInEvents(t *testing.T) {
+	const tokensPerEvent, events, longEvents = 60, 10, 60
+	for name, tc := range map[string]struct {
+		expectedEvents int
+		moves          bool
+	}{
+		"nearly done":        {events + 2, false},
+		"most is to be done": {longEvents, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(3, 8, "m")
+			f.setSoftware("v1", "v1", "v1")
+			f.add(6, dispatch.Task{Model: "m", ExpectedTokens: events * tokensPerEvent})
+			as := f.AssignTasks(f.now)
+			f.generateFor(events*hardwareEventMS, as, fastBut("e0", hardwareEventMS))
+			for _, a := range as {
+				f.RunEnded(f.now, a, dispatch.OutcomeDone)
+			}
+			f.add(12, dispatch.Task{Model: "m", ExpectedTokens: tc.expectedEvents * tokensPerEvent})
+			as = f.AssignTasks(f.now)
+			if runsOn(as, "e0") == 0 {
+				t.Fatal("no run starts on the slower engine")
+			}
+			f.generateFor(events*hardwareEventMS, as, fastBut("e0", hardwareEventMS))
+			if moves := f.PlanMoves(f.now); (len(moves) > 0) != tc.moves {
+				t.Errorf("%d runs move, want moves: %v", len(moves), tc.moves)
+			}
+		})
+	}
+}
--- a/pkg/rollout/dispatch/pace.go
+++ b/pkg/rollout/dispatch/pace.go
@@ -20,11 +20,6 @@
 	slowThreshold = 1.6
 	// maxSlowness is the upper bound of the slowness of an engine.
 	maxSlowness = 6.0
-	// newestLengthWeight is the weight of the newest task in the moving average
-	// of the length. maxRelativeLength bounds the length of a task as a multiple
-	// of that average, because estimates are often far off.
-	newestLengthWeight = 0.02
-	maxRelativeLength  = 4.0
 	// paceSamples is the number of intervals from which the pace of an engine is taken, and
 	// minPaceSamples the number from which it is known. Two samples are at least
 	// paceSampleMS apart, as the runs of an engine wait for the same prompts to be read.
@@ -118,29 +113,17 @@
 	return min(ratio, maxSlowness)
 }
 
-// updateMeanTokens adds the expected length of a task to the moving average.
-func (s *Scheduler) updateMeanTokens(t Task) {
-	if t.ExpectedTokens <= 0 {
-		return
-	}
-	if s.meanTokens == 0 {
-		s.meanTokens = float64(t.ExpectedTokens)
-	}
-	s.meanTokens += newestLengthWeight * (float64(t.ExpectedTokens) - s.meanTokens)
-}
-
 // slowEngineCost returns the cost of the additional time that a task takes on an
 // engine compared with the median one. Engines of a pool may run on different
 // hardware, and a step waits for its longest items, so these should run on the
 // fast engines.
 func (s *Scheduler) slowEngineCost(now rollout.Millis, e *engine, t Task) float64 {
 	median := s.medianInterval(now, e.Pool)
-	if e.eventInterval.ms == 0 || median == 0 || s.meanTokens == 0 {
+	if e.eventInterval.ms == 0 || median == 0 {
 		return 0
 	}
-	length := min(float64(t.ExpectedTokens)/s.meanTokens, maxRelativeLength)
 	ratio := min(e.eventInterval.ms/median, slowThreshold)
-	return costSlowEngine * length * (ratio - 1)
+	return costSlowEngine * s.lengths.relative(t) * (ratio - 1)
 }
 
 // medianInterval returns the median event interval of the engines of a pool.
