Tell the pace of hardware from that of load, and bound what yields

Change: an engine counts as slower than another for a lasting reason only if a low quantile of its intervals over some seconds says so too, once that is known. A run leaves an engine that is not slow only if it still takes a fifth of the time until it is due. Tasks yield to pressing runs for half a second; pressing runs move to any free slot. A moved text of a route with one weight version looks for engines of that version.

--- a/internal/jobstore/runner.go
+++ b/internal/jobstore/runner.go
@@ -248,7 +248,7 @@
 	t := dispatch.Task{
 		JobID: w.spec.ID, ItemID: w.item.ID, Pool: w.route.PickPool(0), Model: w.spec.Model, Group: w.item.Group,
 		MinVersion: w.spec.MinVersion, Begun: w.begun, ExpectedTokens: w.item.ExpectedTokens, DueMS: w.dueMS, Order: w.queuePosition,
-		Policy: w.regions.policy(),
+		SingleVersion: w.route.SingleVersion, Policy: w.regions.policy(),
 	}
 	w.text.discardUnlessAllowed(w.spec.MinVersion, w.route.SingleVersion)
 	w.text.discardIfSoftwareUnknown()
--- a/pkg/rollout/dispatch/dispatch.go
+++ b/pkg/rollout/dispatch/dispatch.go
@@ -23,6 +23,8 @@
 	// OnlyVersion is the only weight version that may run the task, or 0 for any
 	// from MinVersion on.
 	OnlyVersion uint64
+	// SingleVersion is true if one weight version must generate the whole text.
+	SingleVersion bool
 	// Software is the only version of the engines' software that may run the task, because
 	// it generated the text so far, or empty for any.
 	Software string
@@ -167,7 +169,8 @@
 	// groups holds the groups of the tasks that have run on the engine.
 	groups        map[string]bool
 	eventInterval eventInterval
-	pace          paceMeter
+	// newestPace is the pace of the last moments, and lastingPace that of the hardware.
+	newestPace, lastingPace paceMeter
 	// hasPressingRun is true if a run takes most of the time that is left until it is due.
 	hasPressingRun bool
 	// starts holds the times at which runs started within startWindowMS, if the engine can
@@ -212,7 +215,8 @@
 	running map[runKey]*run
 	// reservations holds the slots that are kept for moving runs.
 	reservations map[runKey]reservation
-	lengths      lengths
+	// lengths is what is known of the lengths of texts.
+	lengths lengths
 	// medianIntervals holds the median event interval of each pool, computed at
 	// medianIntervalsAt.
 	medianIntervals   map[string]float64
@@ -436,28 +440,28 @@
 	var assignments []Assignment
 	kept := s.waiting[:0]
 	// exhausted holds the requirements that no engine meets any more, by whether the tasks
-	// are pressing. Engines only fill up during a pass.
+	// yield. Engines only fill up during a pass.
 	exhausted := make(map[bool]map[requirements]bool)
 	exhausted[false], exhausted[true] = make(map[requirements]bool), make(map[requirements]bool)
 	s.findPressingRuns(now)
 	for _, t := range s.waiting {
-		e, pressing := s.takeReservation(now, t), s.isPressingTask(now, t)
-		if e == nil && exhausted[pressing][t.requirements()] {
+		e, yields := s.takeReservation(now, t), s.yields(now, t)
+		if e == nil && exhausted[yields][t.requirements()] {
 			kept = append(kept, t)
 			continue
 		}
 		if e == nil {
-			e = s.choose(now, t, pressing)
+			e = s.choose(now, t, yields)
 		}
 		if e == nil {
-			exhausted[pressing][t.requirements()] = true
+			exhausted[yields][t.requirements()] = true
 			kept = append(kept, t)
 			continue
 		}
 		e.running++
-		e.hasPressingRun = e.hasPressingRun || pressing
+		e.hasPressingRun = e.hasPressingRun || s.isPressingTask(now, t)
 		s.recordStart(now, e)
-		s.running[t.runKey()] = &run{task: t, engine: e.ID, startedMS: now, lastEventMS: now}
+		s.running[t.runKey()] = &run{task: t, engine: e.ID, startedMS: now, version: e.knownVersions[t.Model], lastEventMS: now}
 		e.groups[t.Group] = true
 		assignments = append(assignments, Assignment{Task: t, Engine: e.ID, Address: e.Address, Version: e.knownVersions[t.Model], Born: e.Born, Software: e.Software})
 	}
@@ -470,11 +474,11 @@
 func (s *Scheduler) Waiting() int { return len(s.waiting) }
 
 // choose returns the eligible engine of lowest cost, or nil if there is none.
-func (s *Scheduler) choose(now rollout.Millis, t Task, pressing bool) *engine {
+func (s *Scheduler) choose(now rollout.Millis, t Task, yields bool) *engine {
 	var best *engine
 	bestCost := 0.0
 	for _, e := range s.pools[t.Pool] {
-		if !s.eligible(now, e, t) || !leavesRoom(e, pressing) {
+		if !s.eligible(now, e, t) || !hasRoom(e, yields) {
 			continue
 		}
 		slowness := s.slowness(now, e)
--- a/pkg/rollout/dispatch/lengths.go
+++ b/pkg/rollout/dispatch/lengths.go
@@ -63,6 +63,12 @@
 	return float64(t.ExpectedTokens) / cmp.Or(l.tokensPerEvent[t.Model], 1)
 }
 
+// left returns how many more events a text with some events is expected to get. One without an
+// estimate, or that exceeds its estimate, is expected to double, as lengths have long tails.
+func (l *lengths) left(t Task, there float64) float64 {
+	return cmp.Or(max(l.events(t)-there, 0), there)
+}
+
 // relative returns the estimate of a task divided by the mean estimate, or 0 if either is not
 // known.
 func (l *lengths) relative(t Task) float64 {
--- a/pkg/rollout/dispatch/moves.go
+++ b/pkg/rollout/dispatch/moves.go
@@ -14,22 +14,9 @@
 	// minRunBeforeMoveMS is how long a run stays on an engine before it may be moved to
 	// a faster one.
 	minRunBeforeMoveMS rollout.Millis = 250
-	// moveMS is what a move costs a run: a connection, the prompt and the text read again,
-	// and the event that was being generated.
-	moveMS = 100.0
-	// minMoveGainMS is how much earlier a run must be expected to end elsewhere.
-	minMoveGainMS = 150.0
-	// minPaceRatio is the ratio between the event intervals of two engines from which the
-	// difference is not only that of the runs that they have.
-	minPaceRatio = 1.12
-	// fullEngineSlowdown is how much longer the interval of a full engine is assumed to be
-	// than that of an idle one.
-	fullEngineSlowdown = 0.1
-	// moveTargetFill is the fraction of its slots up to which an engine has
-	// capacity for moved runs.
-	moveTargetFill = 0.8
-	// reservationMS is how long a slot is kept for a run that is interrupted to move.
-	reservationMS rollout.Millis = 500
+	// moveShare is the share of the time until it is due that a run must still take to leave an
+	// engine that is not slow. A step does not wait for shorter ones.
+	moveShare = 0.2
 )
 
 // run is a task running on an engine.
@@ -37,6 +24,8 @@
 	task      Task
 	engine    string
 	startedMS rollout.Millis
+	// version is the weight version with which the run started.
+	version uint64
 	// lastEventMS is the time of the last stream event, or of the start.
 	lastEventMS rollout.Millis
 	events      int
@@ -61,9 +50,9 @@
 // those with the most left come first.
 func (s *Scheduler) PlanMoves(now rollout.Millis) []Move {
 	s.releaseReservations(now)
+	s.findPressingRuns(now)
 	var moves []Move
 	var candidates []*run
-	s.findPressingRuns(now)
 	targets := moveTargets{s, now, make(map[moveRequirements][]*engine), make(map[string]bool)}
 	for _, k := range s.sortedRunKeys() {
 		r := s.running[k]
@@ -78,7 +67,7 @@
 		case stalled:
 			r.movePending = true
 			moves = append(moves, Move{JobID: r.task.JobID, ItemID: r.task.ItemID, Engine: r.engine, Stalled: true})
-		case now-r.startedMS > minRunBeforeMoveMS && s.eventsLeft(r)*s.pace(now, e) > minMoveGainMS:
+		case now-r.startedMS > minRunBeforeMoveMS && (s.slowness(now, e) > 1 || s.mayDelayStep(now, r, e)):
 			candidates = append(candidates, r)
 		}
 	}
@@ -97,128 +86,17 @@
 	return moves
 }
 
-// moveTargets holds the engines with capacity for moved runs by the requirements of their
-// tasks, in the order of the pace that a moved run is expected to have.
-type moveTargets struct {
-	scheduler *Scheduler
-	now       rollout.Millis
-	engines   map[moveRequirements][]*engine
-	// stalled holds the engines with a stalled run.
-	stalled map[string]bool
-}
-
-// moveRequirements are the requirements of a run that may move, and whether it is pressing.
-type moveRequirements struct {
-	requirements
-	pressing bool
-}
-
-// choose returns the engine on which a run is expected to end earliest, and whether its text
-// must be generated anew there. It returns nil unless that is early enough to be worth a move.
-func (m moveTargets) choose(r *run) (target *engine, anew bool) {
-	from := m.scheduler.engines[r.engine]
-	here := m.scheduler.pace(m.now, from)
-	left := m.scheduler.eventsLeft(r)
-	best := moveMS + minMoveGainMS
-	pressing := isPressing(m.now, r.task, left, here)
-	consider := func(t Task, events float64, discards bool) {
-		e := m.fastest(t, pressing)
-		if e == nil || e == from {
-			return
-		}
-		there := m.scheduler.pace(m.now, e)
-		if gain := left*here - events*there; here >= minPaceRatio*there && gain >= best {
-			target, anew, best = e, discards, gain
-		}
-	}
-	if r.textEvents() == 0 || from.Software != "" {
-		consider(r.remainder(from), left, false)
-	}
-	consider(r.task.withoutText(), left+r.textEvents(), true)
-	return target, anew && r.textEvents() > 0
-}
-
-// fastest returns the engine with capacity on which a task would run fastest, or nil if there
-// is none.
-func (m moveTargets) fastest(t Task, pressing bool) *engine {
-	k := moveRequirements{t.requirements(), pressing}
-	engines, known := m.engines[k]
-	if !known {
-		for _, e := range m.scheduler.pools[t.Pool] {
-			if m.scheduler.eligible(m.now, e, t) && !m.stalled[e.ID] {
-				engines = append(engines, e)
-			}
-		}
-	}
-	engines = slices.DeleteFunc(engines, func(e *engine) bool { return !m.hasCapacity(e) || !leavesRoom(e, pressing) })
-	m.engines[k] = engines
-	if len(engines) == 0 {
-		return nil
-	}
-	return slices.MinFunc(engines, func(a, b *engine) int {
-		return cmp.Or(cmp.Compare(m.expectedPace(a), m.expectedPace(b)), cmp.Compare(a.ID, b.ID))
-	})
-}
-
-func (m moveTargets) hasCapacity(e *engine) bool {
-	return e.running < int(moveTargetFill*float64(e.Slots)) && m.scheduler.startsLeft(m.now, e) > 0
-}
-
-// expectedPace returns the event interval of an engine with one more run.
-func (m moveTargets) expectedPace(e *engine) float64 {
-	return m.scheduler.pace(m.now, e) * (1 + fullEngineSlowdown*float64(e.running+1)/float64(e.Slots))
-}
-
-// reserve keeps a slot of an engine for a run until it is assigned again.
-func (m moveTargets) reserve(r *run, e *engine) {
-	e.running++
-	e.hasPressingRun = e.hasPressingRun || isPressing(m.now, r.task, m.scheduler.eventsLeft(r), m.scheduler.pace(m.now, e))
-	m.scheduler.reservations[r.task.runKey()] = reservation{e, m.now + reservationMS}
-}
-
-// reservation is a slot that is kept for a moving run.
-type reservation struct {
-	engine *engine
-	until  rollout.Millis
-}
-
-// takeReservation releases the slot that is kept for a task and returns its engine if it may
-// still run the task, or else nil.
-func (s *Scheduler) takeReservation(now rollout.Millis, t Task) *engine {
-	kept, ok := s.reservations[t.runKey()]
-	if !ok {
-		return nil
-	}
-	s.release(t.runKey(), kept)
-	if s.engines[kept.engine.ID] != kept.engine || !s.eligible(now, kept.engine, t) {
-		return nil
-	}
-	return kept.engine
-}
-
-func (s *Scheduler) release(k runKey, kept reservation) {
-	delete(s.reservations, k)
-	kept.engine.running = max(0, kept.engine.running-1)
-}
-
-// releaseReservations releases the slots of runs that have not been queued again in time.
-func (s *Scheduler) releaseReservations(now rollout.Millis) {
-	for k, kept := range s.reservations {
-		if now > kept.until {
-			s.release(k, kept)
-		}
-	}
+// mayDelayStep reports whether the step of a run may wait for it, so that it is worth a move
+// from an engine that is not slow.
+func (s *Scheduler) mayDelayStep(now rollout.Millis, r *run, e *engine) bool {
+	return takesShare(moveShare, now, r.task, s.eventsLeft(r), s.pace(now, e))
 }
 
 // textEvents returns the number of events in the text so far.
 func (r *run) textEvents() float64 { return float64(r.task.TextEvents) + float64(r.events) }
 
-// eventsLeft returns how many more events a run is expected to generate. A text without an
-// estimate, or that exceeds its estimate, is expected to double, as lengths have long tails.
-func (s *Scheduler) eventsLeft(r *run) float64 {
-	there := r.textEvents()
-	return cmp.Or(max(s.lengths.events(r.task)-there, 0), there)
-}
+// eventsLeft returns how many more events a run is expected to generate.
+func (s *Scheduler) eventsLeft(r *run) float64 { return s.lengths.left(r.task, r.textEvents()) }
 
 // remainder returns the task that continues the text of a run on an engine.
 func (r *run) remainder(e *engine) Task {
@@ -226,6 +104,9 @@
 	if r.events > 0 {
 		t.Software = e.Software
 	}
+	if r.events > 0 && t.SingleVersion {
+		t.OnlyVersion = cmp.Or(t.OnlyVersion, r.version)
+	}
 	return t
 }
 
--- a/pkg/rollout/dispatch/pace.go
+++ b/pkg/rollout/dispatch/pace.go
@@ -20,12 +20,23 @@
 	slowThreshold = 1.6
 	// maxSlowness is the upper bound of the slowness of an engine.
 	maxSlowness = 6.0
-	// paceSamples is the number of intervals from which the pace of an engine is taken, and
-	// minPaceSamples the number from which it is known. Two samples are at least
-	// paceSampleMS apart, as the runs of an engine wait for the same prompts to be read.
-	paceSamples                   = 16
-	minPaceSamples                = 4
-	paceSampleMS   rollout.Millis = 15
+	// paceSamples is the number of intervals from which a pace is taken.
+	paceSamples = 64
+	// newestPaceSamples, newestPaceMS and newestPaceQuantile are for the pace of the last
+	// moments. Samples are some time apart, as all runs of an engine wait for a prompt that it
+	// reads.
+	newestPaceSamples                 = 16
+	newestPaceMS       rollout.Millis = 15
+	newestPaceQuantile                = 0.25
+	// lastingPaceMS and lastingPaceQuantile are for the pace of the hardware. The samples span
+	// some seconds, in which an engine has many runs and few.
+	lastingPaceMS       rollout.Millis = 100
+	lastingPaceQuantile                = 0.1
+	// minPaceRatio is the ratio between the event intervals of two engines from which the
+	// difference is not only that of the runs that they have.
+	minPaceRatio = 1.12
+	// minPaceSamples is the number of samples from which a pace is known.
+	minPaceSamples = 4
 )
 
 // eventInterval is the moving average of the time between two stream events of a
@@ -35,8 +46,8 @@
 	at rollout.Millis
 }
 
-// paceMeter measures the event interval that an engine has while it reads no prompts: the
-// lower quartile of the last samples.
+// paceMeter measures a low quantile of the event intervals of an engine, which leaves out the
+// reading of prompts.
 type paceMeter struct {
 	samples [paceSamples]float64
 	// count is the number of samples so far, and at the time of the last one.
@@ -46,20 +57,22 @@
 	ms float64
 }
 
-func (m *paceMeter) add(now rollout.Millis, ms float64) {
-	if m.count > 0 && now-m.at < paceSampleMS {
+// add adds an interval unless the last sample is more recent than everyMS. The pace is taken
+// from the newest samples.
+func (m *paceMeter) add(now rollout.Millis, ms float64, everyMS rollout.Millis, newest int, quantile float64) {
+	if m.count > 0 && now-m.at < everyMS {
 		return
 	}
-	m.samples[m.count%paceSamples] = ms
+	m.samples[m.count%newest] = ms
 	m.count++
 	m.at = now
-	known := min(m.count, paceSamples)
+	known := min(m.count, newest)
 	if known < minPaceSamples {
 		return
 	}
 	sorted := m.samples
 	slices.Sort(sorted[:known])
-	m.ms = sorted[known/4]
+	m.ms = sorted[int(quantile*float64(known))]
 }
 
 // EventReceived records a stream event of a run and updates the event interval of its
@@ -77,7 +90,8 @@
 	if e == nil || r.events == 1 || now-gap < e.loadEndsAt {
 		return
 	}
-	e.pace.add(now, float64(gap))
+	e.newestPace.add(now, float64(gap), newestPaceMS, newestPaceSamples, newestPaceQuantile)
+	e.lastingPace.add(now, float64(gap), lastingPaceMS, paceSamples, lastingPaceQuantile)
 	if e.eventInterval.ms == 0 || now-e.eventInterval.at > eventIntervalMaxAgeMS {
 		e.eventInterval.ms = float64(gap)
 	} else {
@@ -93,12 +107,24 @@
 	switch {
 	case s.slowness(now, e) > 1:
 		return e.eventInterval.ms
-	case e.pace.ms > 0:
-		return e.pace.ms
+	case e.newestPace.ms > 0:
+		return e.newestPace.ms
 	}
 	return s.medianInterval(now, e.Pool)
 }
 
+// isSlowerThan reports whether one engine is slower than another for reasons that last longer
+// than its load: it is slow now, or its hardware is, as far as that is known.
+func (s *Scheduler) isSlowerThan(now rollout.Millis, e, other *engine) bool {
+	if s.slowness(now, e) > 1 {
+		return true
+	}
+	if e.lastingPace.ms > 0 && other.lastingPace.ms > 0 && e.lastingPace.ms < minPaceRatio*other.lastingPace.ms {
+		return false
+	}
+	return s.pace(now, e) >= minPaceRatio*s.pace(now, other)
+}
+
 // slowness returns the event interval of an engine divided by the median of its
 // pool, at most maxSlowness. It is 1 below slowThreshold and for an engine
 // without a recent interval.
--- a/pkg/rollout/dispatch/pressing.go
+++ b/pkg/rollout/dispatch/pressing.go
@@ -7,20 +7,32 @@
 	// time makes it pressing.
 	pressingShare = 0.5
 	// pressingFill is the fraction of its slots up to which an engine with a pressing run
-	// gets tasks that are not pressing. A full engine is slower.
+	// gets tasks that yield. A full engine is slower.
 	pressingFill = 0.5
+	// maxYieldMS is how long a task yields to pressing runs. In that time they gain no more
+	// than the step of the task may lose.
+	maxYieldMS rollout.Millis = 500
 )
 
 // isPressing reports whether a task that is to generate some more events at a pace takes most of
 // the time that is left until it is due.
 func isPressing(now rollout.Millis, t Task, events, pace float64) bool {
-	return events*pace >= pressingShare*float64(t.DueMS-now)
+	return t.DueMS > 0 && takesShare(pressingShare, now, t, events, pace)
+}
+
+// takesShare reports whether some events at a pace take a share of the time until a task is due.
+func takesShare(share float64, now rollout.Millis, t Task, events, pace float64) bool {
+	return events*pace >= share*float64(t.DueMS-now)
+}
+
+// yields reports whether a queued task leaves room beside pressing runs.
+func (s *Scheduler) yields(now rollout.Millis, t Task) bool {
+	return now-t.QueuedMS <= maxYieldMS && !s.isPressingTask(now, t)
 }
 
 // isPressingTask reports whether a queued task is pressing at the median pace of its pool.
 func (s *Scheduler) isPressingTask(now rollout.Millis, t Task) bool {
-	left := max(s.lengths.events(t)-float64(t.TextEvents), float64(t.TextEvents))
-	return isPressing(now, t, left, s.medianInterval(now, t.Pool))
+	return isPressing(now, t, s.lengths.left(t, float64(t.TextEvents)), s.medianInterval(now, t.Pool))
 }
 
 // findPressingRuns records which engines have a pressing run.
@@ -35,8 +47,7 @@
 	}
 }
 
-// leavesRoom reports whether an engine has a slot for a task that leaves its pressing runs
-// enough room.
-func leavesRoom(e *engine, pressing bool) bool {
-	return pressing || !e.hasPressingRun || float64(e.running) < pressingFill*float64(e.Slots)
+// hasRoom reports whether an engine has a slot for a task beside its pressing runs.
+func hasRoom(e *engine, yields bool) bool {
+	return !yields || !e.hasPressingRun || float64(e.running) < pressingFill*float64(e.Slots)
 }
