--- a/pkg/rollout/dispatch/pace.go
+++ b/pkg/rollout/dispatch/pace.go
@@ -20,23 +20,26 @@
 	slowThreshold = 1.6
 	// maxSlowness is the upper bound of the slowness of an engine.
 	maxSlowness = 6.0
-	// paceSamples is the number of intervals from which a pace is taken.
-	paceSamples = 64
-	// newestPaceSamples, newestPaceMS and newestPaceQuantile are for the pace of the last
-	// moments. Samples are some time apart, as all runs of an engine wait for a prompt that it
-	// reads.
-	newestPaceSamples                 = 16
-	newestPaceMS       rollout.Millis = 15
-	newestPaceQuantile                = 0.25
-	// lastingPaceMS and lastingPaceQuantile are for the pace of the hardware. The samples span
-	// some seconds, in which an engine has many runs and few.
-	lastingPaceMS       rollout.Millis = 100
-	lastingPaceQuantile                = 0.1
 	// minPaceRatio is the ratio between the event intervals of two engines from which the
 	// difference is not only that of the runs that they have.
 	minPaceRatio = 1.12
-	// minPaceSamples is the number of samples from which a pace is known.
+)
+
+// The parameters of a paceMeter. Samples are some time apart, as all runs of an engine wait for
+// a prompt that it reads.
+const (
+	// paceSamples is the maximum number of samples, and minPaceSamples the number from which a
+	// pace is known.
+	paceSamples    = 64
 	minPaceSamples = 4
+	// The newest pace is that of the last moments.
+	newestPaceSamples  = 16
+	newestPaceQuantile = 0.25
+	newestPaceMS       = rollout.Millis(15)
+	// The lasting pace is that of the hardware. Its samples span some seconds, in which an
+	// engine has many runs and few.
+	lastingPaceQuantile = 0.1
+	lastingPaceMS       = rollout.Millis(100)
 )
 
 // eventInterval is the moving average of the time between two stream events of a
