Test that a text of one weight version moves within it

Fails if the remainder of a run does not name its version: runs then move to an engine of another one, where their text would wait or be discarded. No change of the program.

--- a/pkg/rollout/dispatch/moves_test.go
+++ b/pkg/rollout/dispatch/moves_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/discovery"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/dispatch"
 )
 
@@ -215,3 +216,27 @@
 		})
 	}
 }
+
+// Guards against a text of one weight version that moves to an engine of another, where it
+// could not be continued.
+func TestTextOfOneVersionMovesWithinIt(t *testing.T) {
+	f := newFixture(3, 8, "m")
+	f.setSoftware("v1", "v1", "v1")
+	for id, version := range map[string]uint64{"e0": 2, "e1": 3, "e2": 2} {
+		u := f.upstreams[id]
+		u.Models = []discovery.Model{{Name: "m", Version: version}}
+		f.upstreams[id] = u
+	}
+	f.sync()
+	f.add(9, dispatch.Task{Model: "m", MinVersion: 1, SingleVersion: true, ExpectedTokens: 100})
+	f.generateFor(1_000, f.AssignTasks(f.now), fastBut("e0", hardwareEventMS))
+	moves := f.PlanMoves(f.now)
+	if len(moves) == 0 {
+		t.Fatal("no run leaves the slower engine")
+	}
+	for _, m := range moves {
+		if m.Target != "e2" || m.Anew {
+			t.Errorf("move %+v, want moves with the text to e2, which serves the same version", m)
+		}
+	}
+}
