Test how little of a long text is lost with a leader

The rule stands beside the text that it is about, so that a test needs no store. Fails with pieces of 20 events: "10 of 30 events would be lost". The program does the same as before.

--- a/internal/jobstore/item.go
+++ b/internal/jobstore/item.go
@@ -28,11 +28,6 @@
 	// maxLimitPauseMS bounds the pause of an engine whose limit lets nothing through. The
 	// predicted wait may be too long, as other hosts may want less by then.
 	maxLimitPauseMS rollout.Millis = 1_000
-	// saveThreshold is the number of unsaved events of an item at which they are
-	// stored. An engine generates that many in about a second. Texts that have become longer
-	// are stored in pieces of longTextSaveThreshold, as their job waits for them.
-	saveThreshold         = 20
-	longTextSaveThreshold = 8
 	// savePollInterval is the interval at which commitResult checks whether a
 	// piece is still being stored.
 	savePollInterval = 10 * time.Millisecond
@@ -390,11 +385,7 @@
 // saveIfLong starts to store the unsaved text of an item once there is enough of
 // it, so that another leader can resume from it. The caller holds r.mu.
 func (r *runner) saveIfLong(w *workItem) {
-	threshold := saveThreshold
-	if w.text.lastID > saveThreshold {
-		threshold = longTextSaveThreshold
-	}
-	if w.text.saving || len(w.text.unsaved) < threshold {
+	if !w.text.isSaveDue() {
 		return
 	}
 	w.text.saving = true
--- a/internal/jobstore/text.go
+++ b/internal/jobstore/text.go
@@ -9,8 +9,15 @@
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/job"
 )
 
-// eventSeparator separates the events of an output.
-const eventSeparator = "\n"
+const (
+	// eventSeparator separates the events of an output.
+	eventSeparator = "\n"
+	// saveThreshold is the number of unsaved events of an item at which they are
+	// stored. An engine generates that many in about a second. Texts that have become longer
+	// are stored in pieces of longTextSaveThreshold, as their job waits for them.
+	saveThreshold         = 20
+	longTextSaveThreshold = 8
+)
 
 // textBuffer holds the text of an item that is being generated: the chunks that
 // are in the replicated state, and the events after them.
@@ -90,6 +97,15 @@
 	*t = textBuffer{rewrite: len(t.chunks) > 0 || t.rewrite || t.saving, saving: t.saving, discards: t.discards + 1}
 }
 
+// isSaveDue reports whether there is enough unsaved text to store.
+func (t *textBuffer) isSaveDue() bool {
+	threshold := saveThreshold
+	if t.lastID > saveThreshold {
+		threshold = longTextSaveThreshold
+	}
+	return !t.saving && len(t.unsaved) >= threshold
+}
+
 // markSaved records that a piece has been stored.
 func (t *textBuffer) markSaved(p unsavedPiece) {
 	if p.discards != t.discards {
--- a/internal/jobstore/text_test.go
+++ b/internal/jobstore/text_test.go
@@ -145,3 +145,27 @@
 		t.Fatal("rewrite is false although the outcome of the save is unknown")
 	}
 }
+
+// The leader of the job store is lost while a step waits for its longest text: what is not
+// stored by then is generated again.
+func TestLongTextLosesFewEventsWithItsLeader(t *testing.T) {
+	const short, long = 20, 100
+	tx := newTextBuffer(job.GeneratedText{})
+	var stored job.GeneratedText
+	for id := uint64(1); id <= long; id++ {
+		addEvents(tx, id, id, 1)
+		if tx.isSaveDue() {
+			var err error
+			if stored, err = saveTo(t, tx, stored); err != nil {
+				t.Fatal(err)
+			}
+		}
+		lost, limit := len(tx.unsaved), short
+		if id > short {
+			limit = long / 10
+		}
+		if lost >= limit {
+			t.Fatalf("%d of %d events would be lost, want less than %d", lost, id, limit)
+		}
+	}
+}
