--- a/internal/jobstore/runner.go
+++ b/internal/jobstore/runner.go
@@ -11,7 +11,6 @@
 
 	"go.uber.org/zap"
 
-	"github.com/coltsfootspoke/coltsfootspoke/internal/view"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/discovery"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/dispatch"
@@ -129,7 +128,7 @@
 	if !r.claimWriter(ctx) {
 		return
 	}
-	r.syncView(r.store.watcher.State())
+	r.syncView()
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
 	expiry := time.NewTicker(expiryInterval)
@@ -320,10 +319,10 @@
 	return document.Route{MaxAttempts: 1, Split: []document.Share{{Weight: 1}}}
 }
 
-// syncView applies the view that control distributes. The first one with a
-// configuration opens all jobs that have not ended.
-func (r *runner) syncView(v view.State) {
-	if v.Index == nil || !r.setView(v) {
+// syncView applies the newest view of the store. The first one with a configuration opens
+// all jobs that have not ended.
+func (r *runner) syncView() {
+	if !r.setView() {
 		return
 	}
 	ids, agesMS := r.store.openJobs()
@@ -332,12 +331,14 @@
 	}
 }
 
-// setView passes a view to the scheduler. It reports whether the view is the
-// first one since this runner became the writer.
-func (r *runner) setView(v view.State) bool {
+// setView passes the newest view of the store to the scheduler. It reports whether that is the
+// first one with a configuration since this runner became the writer. It reads the view under
+// the lock, so that of two concurrent calls the later one does not apply the older view.
+func (r *runner) setView() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.isWriter {
+	v := r.store.view.Load()
+	if !r.isWriter || v == nil || v.Index == nil {
 		return false
 	}
 	first := r.index == nil
--- a/internal/jobstore/store.go
+++ b/internal/jobstore/store.go
@@ -82,6 +82,8 @@
 	regions  residency.Map
 	metrics  *metrics
 
+	// view is the view that was applied last, or nil. A new runner starts with it.
+	view atomic.Pointer[view.State]
 	// leadingSinceMS is when this host became the leader of the job store, or 0.
 	leadingSinceMS atomic.Int64
 
@@ -180,11 +182,12 @@
 		s.balancer.Limits().SetShareRates(s.opts.ColdBound.ShareRates(v.Index.Document.Pools))
 	}
 	s.balancer.Sync(discovery.WithEvacuated(v.Upstreams, v.Facts.Evacuated))
+	s.view.Store(&v)
 	s.mu.Lock()
 	r := s.runner
 	s.mu.Unlock()
 	if r != nil {
-		r.syncView(v)
+		r.syncView()
 	}
 }
 
