Let a former leader be elected at once after a loss of all power

Each member stores the leader of its term before it first answers it. Voters that do not know the leader wait as before, and so do all while a single leader restarts, so that one that crashes again and again does not keep the lead.

Ruled out: a shorter wait for all, as the lease would have to be shorter too; a round of questions to all voters, as it needs all of them; letting the former leader of a running quorum back in, as others replace it about as soon.

--- a/internal/disk/record.go
+++ b/internal/disk/record.go
@@ -53,7 +53,7 @@
 func encodeRecord(r record) ([]byte, error) {
 	w := &wire.LogRecord{Entries: wire.FromEntries(r.Entries)}
 	if h := r.HardState; h != nil {
-		w.HasHardState, w.Term, w.Vote = true, h.Term, string(h.Vote)
+		w.HasHardState, w.Term, w.Vote, w.Leader = true, h.Term, string(h.Vote), string(h.Leader)
 	}
 	payload, err := proto.Marshal(w)
 	if err != nil {
@@ -119,7 +119,7 @@
 		return r, err
 	}
 	if w.HasHardState {
-		r.HardState = &quorum.HardState{Term: w.Term, Vote: quorum.MemberID(w.Vote)}
+		r.HardState = &quorum.HardState{Term: w.Term, Vote: quorum.MemberID(w.Vote), Leader: quorum.MemberID(w.Leader)}
 	}
 	r.Entries = wire.ToEntries(w.Entries)
 	return r, nil
--- a/internal/disk/store_test.go
+++ b/internal/disk/store_test.go
@@ -56,6 +56,27 @@
 	}
 }
 
+// Guards against a member that starts without what it knew of its term: it could vote twice
+// in it, or would wait for a leader that has ended.
+func TestHardStateIsKept(t *testing.T) {
+	dir := t.TempDir()
+	s, _ := open(t, dir)
+	want := quorum.HardState{Term: 7, Vote: "a", Leader: "b"}
+	if err := s.Append(&want, entries(1, 3)); err != nil {
+		t.Fatal(err)
+	}
+	for _, compact := range []bool{false, true} {
+		if compact {
+			if err := s.CompactLog(s.HardState(), entries(1, 3)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if _, saved := open(t, dir); saved.HardState != want {
+			t.Errorf("after compaction %v: hard state %+v, want %+v", compact, saved.HardState, want)
+		}
+	}
+}
+
 func TestSnapshotReplacesTheLog(t *testing.T) {
 	dir := t.TempDir()
 	s, _ := open(t, dir)
--- a/pkg/rollout/quorum/cluster_test.go
+++ b/pkg/rollout/quorum/cluster_test.go
@@ -321,7 +321,7 @@
 	}
 	h := c.hosts[c.rand.IntN(len(c.hosts))]
 	o := c.hosts[c.rand.IntN(len(c.hosts))]
-	switch c.rand.IntN(7) {
+	switch c.rand.IntN(8) {
 	case 0:
 		c.crash(h)
 	case 1:
@@ -340,6 +340,10 @@
 	case 6:
 		c.partitionLeaderFrom(h)
 		c.restartVoters(h)
+	case 7:
+		for _, other := range c.hosts {
+			c.crash(other)
+		}
 	}
 }
 
@@ -465,6 +469,23 @@
 	}
 }
 
+// holdsLease reports whether a host holds a valid lease.
+func (c *cluster) holdsLease() bool {
+	return slices.ContainsFunc(c.hosts, func(h *host) bool { return h.node != nil && c.localTime(h) < h.node.LeaseUntil() })
+}
+
+// stepUntil advances the simulation until a condition holds and returns how long that took.
+func (c *cluster) stepUntil(holds func() bool) rollout.Millis {
+	start := c.now
+	for !holds() {
+		if c.now-start > 10_000 {
+			c.t.Fatalf("the condition does not hold after %d ms", c.now-start)
+		}
+		c.step()
+	}
+	return c.now - start
+}
+
 // checkTerms checks that no term has two leaders, in the whole run.
 func (c *cluster) checkTerms() {
 	for _, h := range c.hosts {
--- a/pkg/rollout/quorum/election.go
+++ b/pkg/rollout/quorum/election.go
@@ -48,6 +48,7 @@
 func (n *Node) becomeLeader(now rollout.Millis) {
 	n.role = leader
 	n.leader = n.cfg.ID
+	n.recordLeader(n.cfg.ID)
 	n.leaderSince = now
 	n.peers = make(map[MemberID]*progress)
 	n.round = 0
@@ -93,6 +94,14 @@
 	}
 }
 
+// recordLeader makes the leader of the current term part of the persisted state.
+func (n *Node) recordLeader(id MemberID) {
+	if n.hardState.Leader != id {
+		n.hardState.Leader = id
+		n.emitHardState()
+	}
+}
+
 // handleVote answers a vote or pre-vote request. A voter that had contact with
 // a leader within ElectionMS rejects the request and keeps its term, so that
 // the leader's lease remains valid.
@@ -101,7 +110,7 @@
 	if m.Type == MessagePreVote {
 		reply.Type = MessagePreVoteReply
 	}
-	if n.withholdsVote(now) && !m.Force {
+	if n.withholdsVote(now, m) && !m.Force {
 		reply.Reject, reply.Term = true, n.hardState.Term
 		n.send(reply)
 		return
@@ -190,6 +199,15 @@
 	n.requestVotes(now, MessagePreVote, n.hardState.Term+1, false)
 }
 
-func (n *Node) withholdsVote(now rollout.Millis) bool {
-	return n.role == leader || now < n.noVoteUntil
+func (n *Node) withholdsVote(now rollout.Millis, m Message) bool {
+	return n.role == leader || (now < n.noVoteUntil && !n.isFormerLeader(m))
+}
+
+// isFormerLeader reports whether the sender of a vote request led the term for which this
+// member withholds its vote. Its request shows that it no longer does, so that it holds no
+// lease. This is for the loss of all power: a member that has heard from a leader since its
+// start withholds its vote, as another voter replaces a single lost leader sooner than that
+// leader restarts.
+func (n *Node) isFormerLeader(m Message) bool {
+	return !n.heardLeader && m.From == n.hardState.Leader && m.Term > n.hardState.Term
 }
--- a/pkg/rollout/quorum/message.go
+++ b/pkg/rollout/quorum/message.go
@@ -52,6 +52,8 @@
 	Term uint64
 	// Vote is the member voted for in Term, or empty.
 	Vote MemberID
+	// Leader is the leader of Term, or empty while it is unknown.
+	Leader MemberID
 }
 
 // Snapshot replaces the log entries up to and including Index.
--- a/pkg/rollout/quorum/node.go
+++ b/pkg/rollout/quorum/node.go
@@ -64,6 +64,8 @@
 	leader MemberID
 	// noVoteUntil is the time before which no vote is granted.
 	noVoteUntil rollout.Millis
+	// heardLeader is true once this member has heard from a leader since its start.
+	heardLeader bool
 	// electionAt is the time at which a voter that is not the leader starts a
 	// pre-vote.
 	electionAt rollout.Millis
@@ -98,7 +100,8 @@
 
 // New returns a node that starts from its saved state. It grants no vote and
 // starts no election until ElectionMS has passed, because a leader that it had
-// contact with before the restart may still hold its lease.
+// contact with before the restart may still hold its lease. The leader of the saved
+// term does not wait: its own lease ended with its former process.
 func New(cfg Config, saved SavedState, now rollout.Millis, random rollout.Random) *Node {
 	n := &Node{cfg: cfg, rand: random, hardState: saved.HardState}
 	if s := saved.Snapshot; s != nil {
@@ -114,6 +117,10 @@
 	n.persisted = n.log.lastIndex()
 	n.noVoteUntil = now + cfg.ElectionMS
 	n.electionAt = n.noVoteUntil + n.electionJitter(restartJitterDivisor)
+	if saved.HardState.Leader == cfg.ID && cfg.ID != "" {
+		n.noVoteUntil = now
+		n.electionAt = now + cfg.ElectionMS/formerLeaderDivisor
+	}
 	return n
 }
 
@@ -364,6 +371,9 @@
 }
 
 const (
+	// formerLeaderDivisor is the divisor of ElectionMS that gives the election delay of a
+	// restarted leader. Voters that lost power with it have started by then.
+	formerLeaderDivisor = 8
 	// Divisors of ElectionMS that give the range of the random election delay:
 	// after contact with a leader, after a start, and before the next attempt
 	// when a pre-vote has failed. A voter that grants a pre-vote also delays
--- a/pkg/rollout/quorum/replication.go
+++ b/pkg/rollout/quorum/replication.go
@@ -123,6 +123,8 @@
 	if n.role != follower || n.leader != m.From {
 		n.becomeFollower(now, m.Term, m.From)
 	}
+	n.recordLeader(m.From)
+	n.heardLeader = true
 	n.noVoteUntil = now + n.cfg.ElectionMS
 	n.resetElectionTimeout(now)
 }
