Keep the paces of engines and the claim to weight orders in the log of the job store

A text counts with the length that it has reached, not with its estimate alone. After a loss of all power it has no effect, as engines are known one by one.

After a restart a host waited 3 s (leaseMs) before its first weight order, as another could have sent some since its own. Steps that were asked right after a loss of all power waited for weights. A leader now claims orders in the log before its first one when the holder changes. A host whose claim is the last, or that never had one, does not return after another and sends at once; others wait as before.

Ruled out: to drop the wait (hosts could act in turn within leaseMs), and to record when the last order was sent (clocks of hosts differ).

Each fails without the change it guards.

--- a/internal/jobstore/load.go
+++ b/internal/jobstore/load.go
@@ -7,15 +7,45 @@
 
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/dispatch"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/job"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/limit"
 )
 
-// maySendOrders reports whether the cooldown allows this host to send orders.
-// The caller holds r.mu.
-func (r *runner) maySendOrders(now rollout.Millis) bool {
+// orderClaim is what a runner has of the claim of its host to send weight orders.
+type orderClaim struct {
+	// held is true once this host has the last claim.
+	held bool
+	// pending is true while a command with the claim is being committed.
+	pending bool
+}
+
+// maySendOrders reports whether this host may send orders, and claims them if it has to. A host
+// that returns, after another has sent orders, waits for its cooldown first. The claims in the
+// log tell, also after a restart, whether it returns. The caller holds r.mu.
+func (r *runner) maySendOrders(ctx context.Context, now rollout.Millis) bool {
+	if r.orders.held || r.orders.pending {
+		return r.orders.held
+	}
+	host := r.store.opts.Host
 	r.store.mu.Lock()
-	defer r.store.mu.Unlock()
-	return r.store.orderCooldown.Allows(now, r.term)
+	claims := r.store.state.OrderHosts
+	r.orders.held = len(claims) > 0 && claims[len(claims)-1] == host
+	mayClaim := !r.store.state.MayReturn(host) || r.store.orderCooldown.Allows(now, r.term)
+	r.store.mu.Unlock()
+	r.orders.pending = !r.orders.held && mayClaim
+	if r.orders.pending {
+		r.goroutines.Go(func() { r.claimOrders(ctx) })
+	}
+	return r.orders.held
+}
+
+func (r *runner) claimOrders(ctx context.Context) {
+	err := r.store.propose(ctx, job.Command{Orders: &job.ClaimOrders{Writer: r.writer, Host: r.store.opts.Host}})
+	r.store.opts.Log.Info("OrdersClaimed", zap.Uint64("Term", r.term), zap.Error(err))
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.orders = orderClaim{held: err == nil}
+	r.wakeUp()
 }
 
 // orderLoad orders an engine to load a weight version.
--- a/internal/jobstore/runner.go
+++ b/internal/jobstore/runner.go
@@ -106,6 +106,8 @@
 	lastQueuePosition uint64
 	// plannedMS is the time of the last look for weight orders and moves.
 	plannedMS rollout.Millis
+	paces     paceRecord
+	orders    orderClaim
 	// isWriter is true once the SetWriter command of this runner is committed.
 	isWriter bool
 }
@@ -154,6 +156,7 @@
 		err := r.store.propose(ctx, job.Command{Write: &job.SetWriter{Writer: r.writer}})
 		r.store.opts.Log.Info("WriterClaimed", zap.Uint64("Term", r.term), zap.Error(err))
 		if err == nil {
+			r.loadPaces()
 			r.mu.Lock()
 			defer r.mu.Unlock()
 			r.isWriter = true
@@ -425,6 +428,7 @@
 		r.planOrdersAndMoves(ctx, now)
 		r.restartStranded(now)
 		r.abandonExpired(now)
+		r.recordPacesIfDue(ctx, now)
 	}
 	defer func() { r.store.metrics.waitingItems.Set(float64(r.sched.Waiting())) }()
 	for _, a := range r.sched.AssignTasks(now) {
@@ -437,7 +441,7 @@
 // planOrdersAndMoves starts the weight orders and moves that are due. The caller
 // holds r.mu.
 func (r *runner) planOrdersAndMoves(ctx context.Context, now rollout.Millis) {
-	if r.maySendOrders(now) {
+	if r.maySendOrders(ctx, now) {
 		for _, l := range r.sched.PlanWeightLoads(now) {
 			r.goroutines.Go(func() { r.orderLoad(ctx, l) })
 		}
--- a/internal/jobstore/runner_test.go
+++ b/internal/jobstore/runner_test.go
@@ -20,6 +20,7 @@
 	"github.com/coltsfootspoke/coltsfootspoke/internal/view"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/discovery"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/dispatch"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/document"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/job"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/quorum"
@@ -296,28 +297,59 @@
 	}
 }
 
-// Guards against items that are never placed: the lease of a leader lapses, and the same host
-// leads again without a change of its view.
-func TestNextRunnerOfHostRunsItems(t *testing.T) {
-	s, _ := newLeader(t, nil)
+// startNextRunner starts another runner of a store, as after its lease has lapsed.
+func startNextRunner(t *testing.T, s *Store) (next *runner) {
+	t.Helper()
 	first, err := s.leadingRunner()
 	if err != nil {
 		t.Fatal(err)
 	}
-	ctx, cancel := context.WithCancel(t.Context())
+	ctx, cancel := context.WithCancel(context.Background())
 	var wait sync.WaitGroup
 	wait.Go(func() { s.runAsLeader(ctx, first.term) })
-	defer wait.Wait()
-	defer cancel()
+	t.Cleanup(func() {
+		cancel()
+		wait.Wait()
+	})
 	eventually(t, "the next runner is the writer", func() bool {
-		r, err := s.leadingRunner()
-		if err != nil || r == first {
+		if next, err = s.leadingRunner(); err != nil || next == first {
 			return false
 		}
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		return r.isWriter
+		next.mu.Lock()
+		defer next.mu.Unlock()
+		return next.isWriter
+	})
+	return next
+}
+
+// Guards against a step that ends late because the next leader puts its longest texts on slower
+// hardware: it must know the paces that the former one has measured.
+func TestNextRunnerKnowsPacesOfEngines(t *testing.T) {
+	s, _ := newLeader(t, nil)
+	first, err := s.leadingRunner()
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := dispatch.Paces{{ID: "a", Born: 1}: 48, {ID: "b", Born: 1}: 64}
+	first.recordPaces(t.Context(), want)
+	next := startNextRunner(t, s)
+	eventually(t, "the next runner has the engines", func() bool {
+		next.mu.Lock()
+		defer next.mu.Unlock()
+		return len(next.upstreams) > 0
 	})
+	next.mu.Lock()
+	defer next.mu.Unlock()
+	if got := next.sched.Paces(); got.DiffersFrom(want) {
+		t.Fatalf("paces %v, want %v", got, want)
+	}
+}
+
+// Guards against items that are never placed: the lease of a leader lapses, and the same host
+// leads again without a change of its view.
+func TestNextRunnerOfHostRunsItems(t *testing.T) {
+	s, _ := newLeader(t, nil)
+	startNextRunner(t, s)
 	for _, r := range runJob(t, s, newSpec("j", 1, "i1", "i2")) {
 		assertCompleted(t, r)
 	}
--- a/internal/jobstore/store.go
+++ b/internal/jobstore/store.go
@@ -59,7 +59,7 @@
 	// RetentionMS is how long an ended job is kept, counted from its submission.
 	RetentionMS rollout.Millis
 	// OrderCooldownMS is the minimum time between two orders of this host under
-	// different terms. Another host may have led and sent orders in between.
+	// different terms if another host has sent orders in between.
 	OrderCooldownMS rollout.Millis
 	// ColdBound bounds the requests that a cold upstream gets.
 	ColdBound limit.ColdBound
--- a/pkg/rollout/dispatch/dispatch.go
+++ b/pkg/rollout/dispatch/dispatch.go
@@ -221,6 +221,8 @@
 	// medianIntervalsAt.
 	medianIntervals   map[string]float64
 	medianIntervalsAt rollout.Millis
+	// knownPaces holds the paces that a former scheduler measured.
+	knownPaces Paces
 	// coldBounds holds, for each pool whose engines can be cold, the requests that a cold one
 	// may get in a second.
 	coldBounds map[string]float64
@@ -422,8 +424,9 @@
 		}
 		e := s.engines[id]
 		if e == nil {
-			e = &engine{knownVersions: make(map[string]uint64), groups: make(map[string]bool)}
+			e = &engine{Upstream: u, knownVersions: make(map[string]uint64), groups: make(map[string]bool)}
 			s.engines[id] = e
+			s.adoptKnownPace(e)
 		}
 		e.Upstream, e.region = u, s.cfg.Regions.Region(u.FailureDomain)
 		for _, m := range u.Models {
--- a/pkg/rollout/dispatch/lengths.go
+++ b/pkg/rollout/dispatch/lengths.go
@@ -69,11 +69,13 @@
 	return cmp.Or(max(l.events(t)-there, 0), there)
 }
 
-// relative returns the estimate of a task divided by the mean estimate, or 0 if either is not
-// known.
+// relative returns the expected length of a text, which may have exceeded its estimate, divided
+// by the mean estimate, or 0 if that is not known.
 func (l *lengths) relative(t Task) float64 {
 	if l.meanTokens == 0 {
 		return 0
 	}
-	return min(float64(t.ExpectedTokens)/l.meanTokens, maxRelativeLength)
+	there := float64(t.TextEvents)
+	tokens := (there + l.left(t, there)) * cmp.Or(l.tokensPerEvent[t.Model], 1)
+	return min(tokens/l.meanTokens, maxRelativeLength)
 }
--- a/pkg/rollout/job/job.go
+++ b/pkg/rollout/job/job.go
@@ -112,7 +112,10 @@
 	Finish *FinishItem `json:",omitempty"`
 	End    *End        `json:",omitempty"`
 	// Forget deletes old jobs and texts.
-	Forget *Forget `json:",omitempty"`
+	Forget *Forget   `json:",omitempty"`
+	Paces  *SetPaces `json:",omitempty"`
+	// Orders records which host sends weight orders from now on.
+	Orders *ClaimOrders `json:",omitempty"`
 }
 
 // SetWriter makes a leader the only writer of texts and results. Commands of
@@ -180,6 +183,28 @@
 	return slices.Clone(j.Results[after:])
 }
 
+// ClaimOrders makes a host the one that sends weight orders. A leader sends none before its
+// host has this claim, so the host of the last claim sent the last orders.
+type ClaimOrders struct {
+	Writer string
+	Host   string
+}
+
+// SetPaces records the paces of all engines that a leader knows. The next leader starts with
+// them.
+type SetPaces struct {
+	Writer string
+	Paces  []Pace
+}
+
+// Pace is how fast an incarnation of an engine generates.
+type Pace struct {
+	Engine string
+	Born   int64
+	// IntervalMS is the time between two events of a run.
+	IntervalMS float64
+}
+
 // StateMachine holds all jobs. It is not safe for concurrent use.
 type StateMachine struct {
 	Jobs map[string]*Job
@@ -188,6 +213,11 @@
 	Texts map[TextKey]GeneratedText
 	// Writer is the only leader whose texts and results are accepted.
 	Writer string
+	// Paces holds the last known paces of engines. It is replaced and never changed.
+	Paces []Pace
+	// OrderHosts holds the hosts that have claimed weight orders, the current one last. It is
+	// replaced and never changed.
+	OrderHosts []string
 }
 
 // NewStateMachine returns a state machine without jobs.
@@ -210,6 +240,10 @@
 		return m.end(*c.End)
 	case c.Forget != nil:
 		m.forget(*c.Forget)
+	case c.Paces != nil:
+		return m.setPaces(*c.Paces)
+	case c.Orders != nil:
+		return m.claimOrders(*c.Orders)
 	}
 	return nil
 }
@@ -221,10 +255,11 @@
 	for _, j := range m.Jobs {
 		jobs = append(jobs, Job{Spec: j.Spec, Total: j.Total, Results: slices.Clip(j.Results), Ended: j.Ended})
 	}
-	texts, writer := maps.Clone(m.Texts), m.Writer
+	header := snapshotHeader{Jobs: len(jobs), Texts: len(m.Texts), Writer: m.Writer, Paces: m.Paces, OrderHosts: m.OrderHosts}
+	texts := maps.Clone(m.Texts)
 	return func(w io.Writer) error {
 		e := cbor.NewEncoder(w)
-		err := e.Encode(snapshotHeader{Jobs: len(jobs), Texts: len(texts), Writer: writer})
+		err := e.Encode(header)
 		for _, j := range jobs {
 			err = errors.Join(err, e.Encode(j))
 		}
@@ -246,10 +281,12 @@
 }
 
 // snapshotHeader is the start of a snapshot: the numbers of jobs and texts that
-// follow, and the writer.
+// follow, and the parts of the state that are no maps.
 type snapshotHeader struct {
 	Jobs, Texts int
 	Writer      string
+	Paces       []Pace
+	OrderHosts  []string
 }
 
 type snapshotText struct {
@@ -263,7 +300,7 @@
 	if err := d.Decode(&h); err != nil {
 		return nil, err
 	}
-	m.Writer = h.Writer
+	m.Writer, m.Paces, m.OrderHosts = h.Writer, h.Paces, h.OrderHosts
 	for range h.Jobs {
 		j := &Job{}
 		if err := d.Decode(j); err != nil {
@@ -282,6 +319,21 @@
 	return m, nil
 }
 
+func (m *StateMachine) claimOrders(c ClaimOrders) error {
+	if err := m.checkWriter(c.Writer); err != nil {
+		return err
+	}
+	others := slices.DeleteFunc(slices.Clone(m.OrderHosts), func(host string) bool { return host == c.Host })
+	m.OrderHosts = append(others, c.Host)
+	return nil
+}
+
+// MayReturn reports whether another host may have sent weight orders between two of a host.
+func (m *StateMachine) MayReturn(host string) bool {
+	i := slices.Index(m.OrderHosts, host)
+	return len(m.OrderHosts) == 0 || (i >= 0 && i < len(m.OrderHosts)-1)
+}
+
 func (m *StateMachine) end(e End) error {
 	j := m.Jobs[e.JobID]
 	if j == nil || j.Spec.Account != e.Account {
@@ -375,6 +427,14 @@
 	return nil
 }
 
+func (m *StateMachine) setPaces(p SetPaces) error {
+	if err := m.checkWriter(p.Writer); err != nil {
+		return err
+	}
+	m.Paces = p.Paces
+	return nil
+}
+
 func (m *StateMachine) submit(s Spec) error {
 	if old := m.Jobs[s.ID]; old != nil {
 		if old.Spec.Account != s.Account {
--- a/pkg/rollout/job/job_test.go
+++ b/pkg/rollout/job/job_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"slices"
 	"strings"
 	"testing"
 
@@ -119,6 +120,26 @@
 	assertOutputs(t, restored, "j", "x", "1\n2")
 }
 
+// Guards against a next leader that does not know the paces of engines, or knows those of a
+// leader that was replaced.
+func TestPacesAreKeptForTheNextLeader(t *testing.T) {
+	m := newStateMachine(t)
+	paces := []job.Pace{{Engine: "e", Born: 3, IntervalMS: 48}}
+	mustApply(t, m, job.Command{Paces: &job.SetPaces{Writer: m.Writer, Paces: paces}})
+	assertKind(t, m.Apply(job.Command{Paces: &job.SetPaces{Writer: "former"}}), rollout.KindNoAuthority)
+	var data bytes.Buffer
+	if err := m.Freeze()(&data); err != nil {
+		t.Fatal(err)
+	}
+	restored := job.NewStateMachine()
+	if err := restored.Restore(&data); err != nil {
+		t.Fatal(err)
+	}
+	if !slices.Equal(m.Paces, paces) || !slices.Equal(restored.Paces, paces) {
+		t.Fatalf("paces %v, restored %v, want %v", m.Paces, restored.Paces, paces)
+	}
+}
+
 func TestOtherAccountCannotEndAJob(t *testing.T) {
 	m := newStateMachine(t)
 	assertKind(t, m.Apply(job.Command{End: &job.End{JobID: "j", Account: "other"}}), rollout.KindNotFound)
