--- a/internal/jobstore/load_test.go
+++ b/internal/jobstore/load_test.go
@@ -35,7 +35,9 @@
 			s.mu.Unlock()
 			for at, want := range map[rollout.Millis]bool{started + 1: !tc.waits, started + cooldownMS + 1: true} {
 				next.orders = orderClaim{}
-				next.maySendOrders(t.Context(), at)
+				if next.maySendOrders(t.Context(), at) && next.orders.pending {
+					t.Error("may send orders before the claim is committed")
+				}
 				if got := next.orders.held || next.orders.pending; got != want {
 					t.Errorf("holds or claims the orders %d ms after the start: %v, want %v", at-started, got, want)
 				}
@@ -44,8 +46,9 @@
 	}
 }
 
-// Guards against orders of a leader that the next one does not know of.
-func TestOrdersAreSentAfterTheClaimIsCommitted(t *testing.T) {
+// Guards against orders of a leader that the next one does not know of, and against claims of a
+// leader that was replaced.
+func TestOrdersAreClaimed(t *testing.T) {
 	s, f := newLeader(t, nil)
 	s.applyView(testView(map[string]uint64{"m": 2}))
 	eventually(t, "orders to both engines", func() bool {
--- a/pkg/rollout/job/job_test.go
+++ b/pkg/rollout/job/job_test.go
@@ -120,13 +120,17 @@
 	assertOutputs(t, restored, "j", "x", "1\n2")
 }
 
-// Guards against a next leader that does not know the paces of engines, or knows those of a
-// leader that was replaced.
-func TestPacesAreKeptForTheNextLeader(t *testing.T) {
+// Guards against a next leader that does not know the paces of engines or the last claim to
+// weight orders, or knows those of a leader that was replaced.
+func TestPacesAndClaimsAreKeptForTheNextLeader(t *testing.T) {
 	m := newStateMachine(t)
 	paces := []job.Pace{{Engine: "e", Born: 3, IntervalMS: 48}}
 	mustApply(t, m, job.Command{Paces: &job.SetPaces{Writer: m.Writer, Paces: paces}})
+	for _, host := range []string{"h1", "h2", "h1"} {
+		mustApply(t, m, job.Command{Orders: &job.ClaimOrders{Writer: m.Writer, Host: host}})
+	}
 	assertKind(t, m.Apply(job.Command{Paces: &job.SetPaces{Writer: "former"}}), rollout.KindNoAuthority)
+	assertKind(t, m.Apply(job.Command{Orders: &job.ClaimOrders{Writer: "former", Host: "h3"}}), rollout.KindNoAuthority)
 	var data bytes.Buffer
 	if err := m.Freeze()(&data); err != nil {
 		t.Fatal(err)
@@ -136,7 +140,15 @@
 		t.Fatal(err)
 	}
 	if !slices.Equal(m.Paces, paces) || !slices.Equal(restored.Paces, paces) {
-		t.Fatalf("paces %v, restored %v, want %v", m.Paces, restored.Paces, paces)
+		t.Errorf("paces %v, restored %v, want %v", m.Paces, restored.Paces, paces)
+	}
+	if want := []string{"h2", "h1"}; !slices.Equal(restored.OrderHosts, want) {
+		t.Errorf("restored claims %v, want %v", restored.OrderHosts, want)
+	}
+	for host, want := range map[string]bool{"h1": false, "h2": true, "new": false} {
+		if got := restored.MayReturn(host); got != want {
+			t.Errorf("host %s may return: %v, want %v", host, got, want)
+		}
 	}
 }
 
