--- a/pkg/rollout/job/job.go
+++ b/pkg/rollout/job/job.go
@@ -324,7 +324,7 @@
 		return err
 	}
 	others := slices.DeleteFunc(slices.Clone(m.OrderHosts), func(host string) bool { return host == c.Host })
-	m.OrderHosts = append(others, c.Host)
+	m.OrderHosts = slices.Concat(others, []string{c.Host})
 	return nil
 }
 
