Name what the claims to weight orders tell of a host

MayReturn read as a permission. It tells whether another host may have sent orders since. No change of behaviour; the tests of the claims pass.

--- a/internal/jobstore/load.go
+++ b/internal/jobstore/load.go
@@ -19,9 +19,9 @@
 	pending bool
 }
 
-// maySendOrders reports whether this host may send orders, and claims them if it has to. A host
-// that returns, after another has sent orders, waits for its cooldown first. The claims in the
-// log tell, also after a restart, whether it returns. The caller holds r.mu.
+// maySendOrders reports whether this host may send orders. If its claim is not the last one, it
+// makes another first, and if it had an earlier one, it waits for its cooldown before that. The
+// claims are in the log, so a restart changes nothing. The caller holds r.mu.
 func (r *runner) maySendOrders(ctx context.Context, now rollout.Millis) bool {
 	if r.orders.held || r.orders.pending {
 		return r.orders.held
@@ -30,7 +30,7 @@
 	r.store.mu.Lock()
 	claims := r.store.state.OrderHosts
 	r.orders.held = len(claims) > 0 && claims[len(claims)-1] == host
-	mayClaim := !r.store.state.MayReturn(host) || r.store.orderCooldown.Allows(now, r.term)
+	mayClaim := !r.store.state.MayHaveBeenReplaced(host) || r.store.orderCooldown.Allows(now, r.term)
 	r.store.mu.Unlock()
 	r.orders.pending = !r.orders.held && mayClaim
 	if r.orders.pending {
--- a/pkg/rollout/job/job.go
+++ b/pkg/rollout/job/job.go
@@ -328,8 +328,9 @@
 	return nil
 }
 
-// MayReturn reports whether another host may have sent weight orders between two of a host.
-func (m *StateMachine) MayReturn(host string) bool {
+// MayHaveBeenReplaced reports whether another host may have sent weight orders since those of a
+// host. Before the first claim that is not known of any host.
+func (m *StateMachine) MayHaveBeenReplaced(host string) bool {
 	i := slices.Index(m.OrderHosts, host)
 	return len(m.OrderHosts) == 0 || (i >= 0 && i < len(m.OrderHosts)-1)
 }
--- a/pkg/rollout/job/job_test.go
+++ b/pkg/rollout/job/job_test.go
@@ -146,8 +146,8 @@
 		t.Errorf("restored claims %v, want %v", restored.OrderHosts, want)
 	}
 	for host, want := range map[string]bool{"h1": false, "h2": true, "new": false} {
-		if got := restored.MayReturn(host); got != want {
-			t.Errorf("host %s may return: %v, want %v", host, got, want)
+		if got := restored.MayHaveBeenReplaced(host); got != want {
+			t.Errorf("host %s may have been replaced: %v, want %v", host, got, want)
 		}
 	}
 }
