Let a former leader wait again when a running voter refuses its vote

There the killed leader of the store was back after 0.5 s, asked again and again for votes from 81 ms on, and led 0.42 s later, right as the other voters would have stood; it lost its lease once more 7 s later.

The first voter that refuses its vote now makes it wait as long as any restarted voter. After a loss of all power nobody who knows it refuses. Ruled out: to ask only once, as voters may start later than the former leader.

Test: a former leader that is refused asks again only after the full wait; it fails without the change.

--- a/pkg/rollout/quorum/election.go
+++ b/pkg/rollout/quorum/election.go
@@ -83,6 +83,8 @@
 		if m.Term > n.hardState.Term {
 			n.becomeFollower(now, m.Term, "")
 		}
+		// A member that is not just starting may soon replace the former leader.
+		n.electionAt = max(n.electionAt, n.fullWaitUntil)
 		return
 	}
 	if n.role != preCandidate || m.Term != n.hardState.Term+1 {
--- a/pkg/rollout/quorum/formerleader_test.go
+++ b/pkg/rollout/quorum/formerleader_test.go
@@ -75,6 +75,26 @@
 	}
 }
 
+// Guards against a leader that crashes again and again and gets the lead back each time, ahead of
+// the voters that were about to replace it.
+func TestFormerLeaderWaitsIfVotersAreRunning(t *testing.T) {
+	for name, rejects := range map[string]bool{"voters start with it": false, "a voter was running": true} {
+		t.Run(name, func(t *testing.T) {
+			n, wait := restartedVoter("a")
+			first := preVoteTimes(n, 0, wait)[0]
+			n, _ = restartedVoter("a")
+			n.Tick(first)
+			n.TakeOutput()
+			if rejects {
+				n.Step(first+1, Message{Type: MessagePreVoteReply, From: "b", To: "a", Term: 5, Reject: true})
+			}
+			if early := len(preVoteTimes(n, first+1, wait)) > 0; early == rejects {
+				t.Errorf("asks again within the wait of a start: %v, want %v", early, !rejects)
+			}
+		})
+	}
+}
+
 // Guards against a leader that is unknown to a restarted voter: it must be on disk before the
 // voter answers the leader.
 func TestLeaderIsPersistedWithFirstReply(t *testing.T) {
--- a/pkg/rollout/quorum/node.go
+++ b/pkg/rollout/quorum/node.go
@@ -64,6 +64,9 @@
 	leader MemberID
 	// noVoteUntil is the time before which no vote is granted.
 	noVoteUntil rollout.Millis
+	// fullWaitUntil is when a restarted former leader would have started its first election as
+	// another voter, or 0.
+	fullWaitUntil rollout.Millis
 	// heardLeader is true once this member has heard from a leader since its start.
 	heardLeader bool
 	// electionAt is the time at which a voter that is not the leader starts a
@@ -118,7 +121,7 @@
 	n.noVoteUntil = now + cfg.ElectionMS
 	n.electionAt = n.noVoteUntil + n.electionJitter(restartJitterDivisor)
 	if saved.HardState.Leader == cfg.ID && cfg.ID != "" {
-		n.noVoteUntil = now
+		n.noVoteUntil, n.fullWaitUntil = now, n.electionAt
 		n.electionAt = now + cfg.ElectionMS/formerLeaderDivisor
 	}
 	return n
