Review, case 2: show texts of batch jobs with events twice

Two frontend machines are frozen when a trainer sends the end of a step to them, so the end is accepted two seconds later, at a third machine. Meanwhile the trainer submits its next step, with the groups that were not complete. Both batch jobs are open for 1.5 s and write to one stored text for each item, in which pieces are checked by their number only. Results are listed as completed with up to 90 events twice, or with events missing.

How: review/2/run.sh, eight frontend machines of which two freeze for 4 s, four times; each text that is read is compared with the whole output.

A trainer that waits for the answer to its DELETE before it submits its next step does not meet this.

--- a/review/.standins/main.go
+++ b/review/.standins/main.go
@@ -18,6 +18,7 @@
 
 var cases = map[string]func(*cluster, bool) (bool, error){
 	"route": caseRoute,
+	"texts": caseTexts,
 }
 
 func main() { os.Exit(run()) }
