Review, case 3: show requests that are cut off by a planned stop

A machine gets SIGTERM while clients send requests of 4.5 s on connections that they keep. Requests sent 3.0 to 3.2 s after the SIGTERM are read and passed on to an engine, and at 7.0 s their connections are closed without an answer.

How: review/3/run.sh, 400 clients with one request in 8 s each, non_idempotent route with a time-out of 10 s.

--- a/review/.standins/main.go
+++ b/review/.standins/main.go
@@ -17,6 +17,7 @@
 )
 
 var cases = map[string]func(*cluster, bool) (bool, error){
+	"stop":  caseStop,
 	"route": caseRoute,
 	"texts": caseTexts,
 }
