--- a/review/.standins/main.go
+++ b/review/.standins/main.go
@@ -17,9 +17,11 @@
 )
 
 var cases = map[string]func(*cluster, bool) (bool, error){
-	"stop":  caseStop,
-	"route": caseRoute,
-	"texts": caseTexts,
+	"leaver": caseLeaver,
+	"stop":   caseStop,
+	"route":  caseRoute,
+	"texts":  caseTexts,
+	"late":   caseLate,
 }
 
 func main() { os.Exit(run()) }
