--- a/review/.standins/main.go
+++ b/review/.standins/main.go
@@ -22,6 +22,7 @@
 	"route":  caseRoute,
 	"texts":  caseTexts,
 	"late":   caseLate,
+	"polls":  casePolls,
 }
 
 func main() { os.Exit(run()) }
