Review: take a loopback network whose ports are free

One run of case 2 could not run: the project's soak, which ran beside it, had the same loopback network, and its metrics held ports 9464 to 9466 there, so processes of the case ended at their start (connection refused at a control process). The networks are other ones now, and their ports are tried first.

--- a/review/.standins/cluster.go
+++ b/review/.standins/cluster.go
@@ -24,7 +24,11 @@
 	cloudPort    = 8408
 	enginePort   = 8080
 	internalPort = 7660
+	metricsPort  = 9464
 	lockPort     = 7699
+	// firstSubnet and subnets give the loopback networks that a case may use.
+	firstSubnet = 220
+	subnets     = 30
 )
 
 // The bounds of the smallest deployment that the cases use.
@@ -107,6 +111,20 @@
 	_ = r.f.Close()
 }
 
+// portsFree reports whether the ports of all machines of a loopback network are free.
+func portsFree(subnet int) bool {
+	for number := 1; number <= 13; number++ {
+		for _, port := range []int{frontPort, readyPort, controlPort, internalPort, metricsPort, metricsPort + 1, metricsPort + 2} {
+			l, err := net.Listen("tcp", fmt.Sprintf("127.%d.0.%d:%d", subnet, number, port))
+			if err != nil {
+				return false
+			}
+			_ = l.Close()
+		}
+	}
+	return true
+}
+
 // newCluster reserves a loopback subnet whose ports are free.
 func newCluster(rec *record) (*cluster, error) {
 	root, err := os.Getwd()
@@ -121,13 +139,18 @@
 	if c.log, err = os.Create(filepath.Join(dir, "processes.log")); err != nil {
 		return nil, err
 	}
-	for i := range 100 {
-		subnet := 120 + (os.Getpid()+i)%100
+	for i := range subnets {
+		// The project's own tests use lower numbers.
+		subnet := firstSubnet + (os.Getpid()+i)%subnets
 		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.0.250:%d", subnet, lockPort))
-		if err == nil {
+		if err != nil {
+			continue
+		}
+		if portsFree(subnet) {
 			c.subnet, c.lock = subnet, l
 			break
 		}
+		_ = l.Close()
 	}
 	if c.lock == nil {
 		return nil, fmt.Errorf("no loopback subnet is free")
@@ -310,14 +333,14 @@
 }
 
 // controlLeader returns the index of the machine whose control process leads, or -1.
-func (c *cluster) controlLeader() int { return c.leader(c.fronts, 9465) }
+func (c *cluster) controlLeader() int { return c.leader(c.fronts, metricsPort+1) }
 
 // leader returns the index of the machine whose process leads its quorum, from its metrics, or
 // -1 if there is none.
-func (c *cluster) leader(hosts []*host, metricsPort int) int {
+func (c *cluster) leader(hosts []*host, port int) int {
 	client := http.Client{Timeout: time.Second}
 	for i, h := range hosts {
-		resp, err := client.Get(fmt.Sprintf("http://%s:%d/metrics", h.ip, metricsPort))
+		resp, err := client.Get(fmt.Sprintf("http://%s:%d/metrics", h.ip, port))
 		if err != nil {
 			continue
 		}
--- a/review/.standins/route.go
+++ b/review/.standins/route.go
@@ -59,7 +59,7 @@
 	time.Sleep(2 * time.Second)
 	calm := time.Now()
 	if trouble {
-		leader := c.leader(c.stores, 9466)
+		leader := c.leader(c.stores, metricsPort+2)
 		if leader < 0 {
 			return false, errNoLeader
 		}
