Keep the texts of each job apart from those of other jobs

Cause: the stored text of an item had the key (client account, item ID), so both runs stored their pieces in one text, and a piece was accepted if as many chunks were stored as its writer expected. That the leader changes, or that the writer is a former leader, was ruled out: one leader wrote both.

A text now belongs to a job. At its submission a job gets copies of the longest stored texts for the same requests; after that it shares nothing. The request is compared by a digest, because the ID of an item may be used again for another one. Jobs accepted by a former release go on sharing texts, so that its log is replayed with the same results.

--- a/internal/jobstore/calls.go
+++ b/internal/jobstore/calls.go
@@ -100,6 +100,7 @@
 			return Empty{}, err
 		}
 	}
+	spec.OwnTexts = true
 	err = s.propose(ctx, job.Command{Submit: &spec})
 	s.opts.Log.Info("JobSubmitted", zap.String("Job", spec.ID), zap.String("Account", spec.Account), zap.String("Model", spec.Model),
 		zap.Int("Step", spec.Step), zap.Uint64("MinVersion", spec.MinVersion), zap.Int("Items", len(spec.Items)), zap.Error(err))
--- a/internal/jobstore/item.go
+++ b/internal/jobstore/item.go
@@ -417,7 +417,9 @@
 	r.mu.Lock()
 	t := *w.text
 	r.mu.Unlock()
-	return t.unsavedPiece(r.store.packer)
+	p, err := t.unsavedPiece(r.store.packer)
+	p.Request = w.request
+	return p, err
 }
 
 func (r *runner) logRun(w *workItem, a dispatch.Assignment, started time.Time, status int, err error) {
--- a/internal/jobstore/runner.go
+++ b/internal/jobstore/runner.go
@@ -46,7 +46,9 @@
 type workItem struct {
 	spec  *job.Spec
 	item  *job.Item
-	route document.Route
+	// request is the digest of the request of the item.
+	request []byte
+	route   document.Route
 	// regions are those in which the item may run.
 	regions jobRegions
 	// queuedMS is when this leader first queued the item, by its own clock. Unlike
@@ -215,8 +217,7 @@
 		for i := range spec.Items {
 			it := &spec.Items[i]
 			if !j.HasResult(it.ID) {
-				t := r.store.state.Texts[job.TextKey{Account: j.Spec.Account, ItemID: it.ID}]
-				items = append(items, &workItem{spec: &spec, item: it, text: newTextBuffer(t)})
+				items = append(items, &workItem{spec: &spec, item: it, request: job.RequestDigest(&spec, it), text: newTextBuffer(r.store.state.Text(j, it.ID))})
 			}
 		}
 	}
@@ -511,9 +512,7 @@
 	for _, j := range r.store.state.Jobs {
 		expired = expired || (j.Ended && j.Spec.SubmittedMS < before)
 	}
-	for _, t := range r.store.state.Texts {
-		expired = expired || t.UsedMS < textsBefore
-	}
+	expired = expired || r.store.state.Texts.HasUnusedSince(textsBefore)
 	r.store.mu.Unlock()
 	if !expired {
 		return
--- a/pkg/rollout/job/job.go
+++ b/pkg/rollout/job/job.go
@@ -5,7 +5,6 @@
 import (
 	"errors"
 	"io"
-	"maps"
 	"slices"
 
 	"github.com/fxamacker/cbor/v2"
@@ -57,6 +56,9 @@
 	Items   []Item
 	// SubmittedMS is the wall-clock time of the submission.
 	SubmittedMS rollout.Millis
+	// OwnTexts is true if the texts of the job belong to it alone. Jobs of records of releases
+	// that did not set it share the text of an item.
+	OwnTexts bool `json:",omitempty"`
 	// Residency is nil if neither the route nor the client account named regions when the
 	// job was accepted.
 	Residency *Residency `json:",omitempty"`
@@ -208,9 +210,8 @@
 // StateMachine holds all jobs. It is not safe for concurrent use.
 type StateMachine struct {
 	Jobs map[string]*Job
-	// Texts holds the stored text of items. A later job with the same item
-	// reuses it.
-	Texts map[TextKey]GeneratedText
+	// Texts holds the stored texts of items. A later job with the same item starts with a copy.
+	Texts TextSet
 	// Writer is the only leader whose texts and results are accepted.
 	Writer string
 	// Paces holds the last known paces of engines. It is replaced and never changed.
@@ -222,7 +223,7 @@
 
 // NewStateMachine returns a state machine without jobs.
 func NewStateMachine() *StateMachine {
-	return &StateMachine{Jobs: make(map[string]*Job), Texts: make(map[TextKey]GeneratedText)}
+	return &StateMachine{Jobs: make(map[string]*Job), Texts: make(TextSet)}
 }
 
 // Apply executes a command. It returns an error if the command is refused.
@@ -255,16 +256,16 @@
 	for _, j := range m.Jobs {
 		jobs = append(jobs, Job{Spec: j.Spec, Total: j.Total, Results: slices.Clip(j.Results), Ended: j.Ended})
 	}
-	header := snapshotHeader{Jobs: len(jobs), Texts: len(m.Texts), Writer: m.Writer, Paces: m.Paces, OrderHosts: m.OrderHosts}
-	texts := maps.Clone(m.Texts)
+	texts := m.Texts.entries()
+	header := snapshotHeader{Jobs: len(jobs), Texts: len(texts), Writer: m.Writer, Paces: m.Paces, OrderHosts: m.OrderHosts}
 	return func(w io.Writer) error {
 		e := cbor.NewEncoder(w)
 		err := e.Encode(header)
 		for _, j := range jobs {
 			err = errors.Join(err, e.Encode(j))
 		}
-		for k, t := range texts {
-			err = errors.Join(err, e.Encode(snapshotText{k, t}))
+		for _, t := range texts {
+			err = errors.Join(err, e.Encode(t))
 		}
 		return err
 	}
@@ -289,11 +290,6 @@
 	OrderHosts  []string
 }
 
-type snapshotText struct {
-	Key  TextKey
-	Text GeneratedText
-}
-
 func readSnapshot(d *cbor.Decoder) (*StateMachine, error) {
 	m := NewStateMachine()
 	var h snapshotHeader
@@ -314,7 +310,7 @@
 		if err := d.Decode(&t); err != nil {
 			return nil, err
 		}
-		m.Texts[t.Key] = t.Text
+		m.Texts.set(t.Key, t.Text)
 	}
 	return m, nil
 }
@@ -360,8 +356,7 @@
 	if j.hasResult[e.ItemID] {
 		return nil
 	}
-	k := TextKey{j.Spec.Account, e.ItemID}
-	stored := m.Texts[k]
+	k, stored := j.textKey(e.ItemID), m.Text(j, e.ItemID)
 	if j.Ended && stored.JobID != "" && stored.JobID != e.JobID {
 		return rollout.NewError(rollout.KindConflict, "job %s has taken over the text of item %s", stored.JobID, e.ItemID)
 	}
@@ -369,8 +364,8 @@
 	if err != nil {
 		return err
 	}
-	t.JobID, t.UsedMS = e.JobID, max(stored.UsedMS, j.Spec.SubmittedMS)
-	m.Texts[k] = t
+	t.Owner, t.JobID, t.UsedMS = j.textOwner(), e.JobID, max(stored.UsedMS, j.Spec.SubmittedMS)
+	m.Texts.set(k, t)
 	return nil
 }
 
@@ -384,15 +379,14 @@
 	}
 	result := f.Result
 	if result.State == StateCompleted {
-		k := TextKey{j.Spec.Account, result.ItemID}
-		stored := m.Texts[k]
+		k, stored := j.textKey(result.ItemID), m.Text(j, result.ItemID)
 		t, err := stored.With(f.Piece)
 		if err != nil {
 			return err
 		}
-		t.Complete, t.JobID, t.UsedMS = true, f.JobID, max(stored.UsedMS, j.Spec.SubmittedMS)
+		t.Complete, t.Owner, t.JobID, t.UsedMS = true, j.textOwner(), f.JobID, max(stored.UsedMS, j.Spec.SubmittedMS)
 		result.Chunks, result.Versions = t.Chunks, t.Versions
-		m.Texts[k] = t
+		m.Texts.set(k, t)
 	}
 	j.hasResult[result.ItemID] = true
 	j.Results = append(j.Results, result)
@@ -405,11 +399,7 @@
 			delete(m.Jobs, id)
 		}
 	}
-	for k, t := range m.Texts {
-		if t.UsedMS < f.TextsBeforeMS {
-			delete(m.Texts, k)
-		}
-	}
+	m.Texts.deleteUnusedSince(f.TextsBeforeMS)
 }
 
 // openJob returns the job of an item, unless the job has ended.
@@ -446,6 +436,9 @@
 	j := &Job{Spec: s, Total: len(s.Items)}
 	j.index()
 	m.Jobs[s.ID] = j
+	if s.OwnTexts {
+		m.copyTexts(j)
+	}
 	return nil
 }
 
--- a/pkg/rollout/job/job_test.go
+++ b/pkg/rollout/job/job_test.go
@@ -18,15 +18,35 @@
 }
 
 func submit(id, account string, items ...string) job.Command {
-	s := job.Spec{ID: id, Account: account, SubmittedMS: 1_000}
+	s := job.Spec{ID: id, Account: account, SubmittedMS: 1_000, OwnTexts: true}
 	for _, it := range items {
 		s.Items = append(s.Items, job.Item{ID: it})
 	}
 	return job.Command{Submit: &s}
 }
 
+// sharing changes a submission to one of a release whose jobs shared the texts of items.
+func sharing(c job.Command) job.Command {
+	c.Submit.OwnTexts = false
+	return c
+}
+
+// ofJob changes a piece of text to one of another job.
+func ofJob(id string, c job.Command) job.Command {
+	if c.Extend != nil {
+		c.Extend.JobID = id
+	}
+	if c.Finish != nil {
+		c.Finish.JobID = id
+	}
+	return c
+}
+
 func extendText(item string, from int, events ...string) job.Command {
-	p := job.TextPiece{From: from, Chunk: []byte(strings.Join(events, "\n")), LastID: uint64(from + len(events)), Versions: []uint64{3}}
+	p := job.TextPiece{
+		From: from, Chunk: []byte(strings.Join(events, "\n")), LastID: uint64(from + len(events)), Versions: []uint64{3},
+		Request: job.RequestDigest(&job.Spec{}, &job.Item{ID: item}),
+	}
 	return job.Command{Extend: &job.ExtendText{JobID: "j", ItemID: item, Piece: p}}
 }
 
@@ -95,10 +115,10 @@
 func TestTextIsKeptAfterItsJobEnds(t *testing.T) {
 	m := newStateMachine(t)
 	mustApply(t, m, extendText("i1", 0, "1", "2"), finishItem("i2", 0, "x", "y"), job.Command{End: &job.End{JobID: "j", Account: "a"}}, submit("k", "a", "i1", "i2"))
-	if got := m.Texts[job.TextKey{Account: "a", ItemID: "i1"}]; got.Complete || len(got.Chunks) != 1 {
+	if got := m.Text(m.Jobs["k"], "i1"); got.Complete || len(got.Chunks) != 1 {
 		t.Fatalf("text %+v, want one chunk", got)
 	}
-	if got := m.Texts[job.TextKey{Account: "a", ItemID: "i2"}]; !got.Complete {
+	if got := m.Text(m.Jobs["k"], "i2"); !got.Complete {
 		t.Fatalf("text %+v, want a complete one", got)
 	}
 }
@@ -236,7 +256,7 @@
 	fresh.Extend.JobID = "k"
 	mustApply(t, m, fresh)
 	assertKind(t, m.Apply(extendText("i1", 1, "late")), rollout.KindConflict)
-	if got := m.Texts[job.TextKey{Account: "a", ItemID: "i1"}]; len(got.Chunks) != 1 || string(got.Chunks[0]) != "new" {
+	if got := m.Text(m.Jobs["k"], "i1"); len(got.Chunks) != 1 || string(got.Chunks[0]) != "new" {
 		t.Fatalf("text %q", got.Chunks)
 	}
 }
@@ -252,13 +272,14 @@
 // An item may come again in a later job while its earlier job still saves text.
 // The text would be forgotten too early if its time of use went back.
 func TestTimeOfUseOfTextNeverGoesBack(t *testing.T) {
-	m := newStateMachine(t)
-	later := submit("k", "a", "i1")
+	m := job.NewStateMachine()
+	mustApply(t, m, sharing(submit("j", "a", "i1")))
+	later := sharing(submit("k", "a", "i1"))
 	later.Submit.SubmittedMS = 5_000
 	piece := extendText("i1", 0, "e1")
 	piece.Extend.JobID = "k"
 	mustApply(t, m, later, piece, extendText("i1", 1, "e2"))
-	if got := m.Texts[job.TextKey{Account: "a", ItemID: "i1"}].UsedMS; got != 5_000 {
+	if got := m.Text(m.Jobs["k"], "i1").UsedMS; got != 5_000 {
 		t.Fatalf("text was last used at %d, want 5000", got)
 	}
 }
--- a/pkg/rollout/job/software_test.go
+++ b/pkg/rollout/job/software_test.go
@@ -24,7 +24,7 @@
 		t.Fatal(err)
 	}
 	for name, state := range map[string]*job.StateMachine{"applied": m, "restored": restored} {
-		if got := state.Texts[job.TextKey{Account: "a", ItemID: "i1"}].Software; got != "v1" {
+		if got := state.Text(state.Jobs["j"], "i1").Software; got != "v1" {
 			t.Errorf("%s: software version %q, want v1", name, got)
 		}
 	}
@@ -45,7 +45,7 @@
 	}
 	m := newStateMachine(t)
 	mustApply(t, m, c)
-	if text := m.Texts[job.TextKey{Account: "a", ItemID: "i1"}]; text.LastID != 1 || text.Software != "" {
+	if text := m.Text(m.Jobs["j"], "i1"); text.LastID != 1 || text.Software != "" {
 		t.Fatalf("text %+v, want one event of an unknown software version", text)
 	}
 }
--- a/pkg/rollout/job/text.go
+++ b/pkg/rollout/job/text.go
@@ -6,7 +6,7 @@
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 )
 
-// TextKey identifies the text of an item.
+// TextKey identifies the texts of an item.
 type TextKey struct {
 	Account, ItemID string
 }
@@ -24,6 +24,11 @@
 	Software string
 	// Complete is true if the text includes its last event.
 	Complete bool
+	// Owner is the job to which the text belongs, or empty if all jobs with the item share
+	// it, as in records of releases that had no owner.
+	Owner string `json:",omitempty"`
+	// Request is the digest of the request that the text answers, or empty if it is unknown.
+	Request []byte `json:",omitempty"`
 	// JobID is the job that wrote the text last.
 	JobID string
 	// UsedMS is the submission time of the last job that wrote the text.
@@ -43,6 +48,8 @@
 	Versions []uint64
 	// Software is the version of the engines' software that generated the whole text.
 	Software string `json:",omitempty"`
+	// Request is the digest of the request that the text answers.
+	Request []byte `json:",omitempty"`
 }
 
 // VersionsAllowed reports whether a job may use text that these weight versions
@@ -64,6 +71,6 @@
 	if len(p.Chunk) > 0 {
 		t.Chunks = append(slices.Clip(t.Chunks), p.Chunk)
 	}
-	t.LastID, t.Versions, t.Software, t.Complete = p.LastID, p.Versions, p.Software, false
+	t.LastID, t.Versions, t.Software, t.Request, t.Complete = p.LastID, p.Versions, p.Software, p.Request, false
 	return t, nil
 }
