Commit the ends and drains of upstreams before they are acknowledged

The leader had the end in its memory only; the next one sent its older table to all entries. That entries had missed the change was ruled out: those that knew it were told the older state.

Ends and drains are commands of the control log now. New leaders apply them to their table, and announcements of ended incarnations are refused from the log.

--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -253,6 +253,7 @@
 	d.refusalsToPropose = nil
 	d.divider = limit.NewSuccessor(d.leadStartMS)
 	d.markColdAfterEvacuations()
+	d.inheritDepartures()
 	d.notifyWatches()
 	d.mu.Unlock()
 	d.runLeaderTasks(ctx, term)
--- a/internal/director/operator.go
+++ b/internal/director/operator.go
@@ -196,21 +196,31 @@
 }
 
 func (d *Director) announceBatch(ctx context.Context, batch announcementBatch) (empty, error) {
-	for _, u := range batch.Upstreams {
-		if _, err := d.announce(ctx, u); err != nil {
-			return empty{}, err
-		}
-	}
-	return empty{}, d.confirmLeader()
+	return empty{}, d.recordAnnouncements(ctx, batch.Upstreams)
 }
 
-func (d *Director) announce(_ context.Context, u discovery.Upstream) (empty, error) {
-	accepted, changed := d.recordAnnouncement(u)
-	if changed || !accepted {
-		d.opts.Log.Info("UpstreamAnnounced", zap.String("Upstream", u.ID), zap.Int64("Born", u.Born), zap.Uint64("Seq", u.Seq),
-			zap.String("State", string(u.State)), zap.String("Software", u.Software), zap.Bool("Taken", accepted))
+func (d *Director) announce(ctx context.Context, u discovery.Upstream) (empty, error) {
+	return empty{}, d.recordAnnouncements(ctx, []discovery.Upstream{u})
+}
+
+// recordAnnouncements updates the table. It returns without an error once the next leader
+// would know which of the upstreams drain.
+func (d *Director) recordAnnouncements(ctx context.Context, us []discovery.Upstream) error {
+	var departures []registry.Departure
+	for _, u := range us {
+		accepted, changed := d.recordAnnouncement(u)
+		if changed || !accepted {
+			d.opts.Log.Info("UpstreamAnnounced", zap.String("Upstream", u.ID), zap.Int64("Born", u.Born), zap.Uint64("Seq", u.Seq),
+				zap.String("State", string(u.State)), zap.String("Software", u.Software), zap.Bool("Taken", accepted))
+		}
+		if u.State == discovery.StateDraining {
+			departures = append(departures, registry.Departure{ID: u.ID, Born: u.Born})
+		}
 	}
-	return empty{}, d.confirmLeader()
+	if err := d.commitDepartures(ctx, departures); err != nil {
+		return err
+	}
+	return d.confirmLeader()
 }
 
 // recordAnnouncement updates the table and wakes the watches that follow the
@@ -219,7 +229,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	routingRevision := d.table.RoutingRevision()
-	accepted, changed = d.table.Announce(d.clock.Now(), u)
+	accepted, changed = d.announceToTable(u)
 	switch {
 	case d.table.RoutingRevision() != routingRevision:
 		d.notifyWatches()
@@ -229,14 +239,19 @@
 	return accepted, changed
 }
 
-func (d *Director) leave(_ context.Context, dep Departure) (empty, error) {
+func (d *Director) leave(ctx context.Context, dep Departure) (empty, error) {
 	d.mu.Lock()
-	changed := d.table.Leave(d.clock.Now(), dep.ID, dep.Born)
+	departure := d.departureOf(dep)
+	changed := !departure.Presumed && d.table.Leave(d.clock.Now(), departure.ID, departure.Born)
 	if changed {
 		d.notifyWatches()
 	}
 	d.mu.Unlock()
-	d.opts.Log.Info("UpstreamLeft", zap.String("Upstream", dep.ID), zap.Int64("Born", dep.Born), zap.Bool("Taken", changed))
+	err := d.commitDepartures(ctx, []registry.Departure{departure})
+	d.opts.Log.Info("UpstreamLeft", zap.String("Upstream", dep.ID), zap.Int64("Born", departure.Born), zap.Bool("Taken", changed), zap.Error(err))
+	if err != nil {
+		return empty{}, err
+	}
 	return empty{}, d.confirmLeader()
 }
 
--- a/internal/view/watcher.go
+++ b/internal/view/watcher.go
@@ -372,7 +372,9 @@
 	}
 	for _, u := range r.Upstreams {
 		if u.State == discovery.StateGone {
-			delete(next.Upstreams, u.ID)
+			if next.Upstreams[u.ID].Born <= u.Born {
+				delete(next.Upstreams, u.ID)
+			}
 			next.Ended = next.withEnded(u)
 			continue
 		}
--- a/pkg/rollout/discovery/discovery.go
+++ b/pkg/rollout/discovery/discovery.go
@@ -143,14 +143,19 @@
 	return true, true
 }
 
-// Leave marks an incarnation as gone and reports whether the table changed. A
-// born of 0 matches any incarnation.
+// Leave marks an incarnation as gone, with all earlier ones, and reports whether the table
+// changed. A born of 0 matches any known incarnation. The record of an unknown one refuses its
+// late announcements.
 func (t *Table) Leave(now rollout.Millis, id string, born int64) bool {
 	r := t.byID[id]
-	if r == nil || r.State == StateGone || (born != 0 && born != r.Born) {
+	if r == nil && born != 0 {
+		r = &record{Upstream: Upstream{ID: id, Born: born}}
+		t.put(r)
+	}
+	if r == nil || (born != 0 && born < r.Born) || (r.State == StateGone && born <= r.Born) {
 		return false
 	}
-	r.State, r.lastSeenMS = StateGone, now
+	r.State, r.Born, r.lastSeenMS = StateGone, max(r.Born, born), now
 	t.bumpRevision(r)
 	return true
 }
@@ -225,6 +230,15 @@
 // models of an upstream.
 func (t *Table) RoutingRevision() uint64 { return t.routingRevision }
 
+// BornOf returns the start time of the last known incarnation of an upstream, or 0 if none is
+// known.
+func (t *Table) BornOf(id string) int64 {
+	if r := t.byID[id]; r != nil {
+		return r.Born
+	}
+	return 0
+}
+
 // Knows reports whether an incarnation of an upstream is in the table, also if it has
 // ended.
 func (t *Table) Knows(id string) bool { return t.byID[id] != nil }
--- a/pkg/rollout/registry/registry.go
+++ b/pkg/rollout/registry/registry.go
@@ -31,8 +31,9 @@
 	Retire *RetireHost     `json:",omitempty"`
 	Refuse *RefuseRequests `json:",omitempty"`
 	// Evacuate begins the evacuation of a failure domain, and EndEvacuation ends it.
-	Evacuate      *Evacuation `json:",omitempty"`
-	EndEvacuation *Evacuation `json:",omitempty"`
+	Evacuate      *Evacuation       `json:",omitempty"`
+	EndEvacuation *Evacuation       `json:",omitempty"`
+	Depart        *RecordDepartures `json:",omitempty"`
 }
 
 // PutDocument activates a configuration.
@@ -119,7 +120,12 @@
 	// EvacuationEndedMS maps each failure domain whose evacuation ended a short time ago
 	// to the wall clock time at which it did.
 	EvacuationEndedMS map[string]rollout.Millis `json:",omitempty"`
-	// Revision increases with every change except those of windows.
+	// Departures holds the last departure of upstreams by their ID. It is replaced and never
+	// changed.
+	Departures map[string]Departure `json:",omitempty"`
+	// LastDeparture is the number of the last departure.
+	LastDeparture uint64 `json:",omitempty"`
+	// Revision increases with every change except those of windows and departures.
 	Revision uint64
 }
 
@@ -164,6 +170,8 @@
 		s.evacuate(*c.Evacuate)
 	case c.EndEvacuation != nil:
 		s.endEvacuation(*c.EndEvacuation)
+	case c.Depart != nil:
+		s.recordDepartures(c.Depart.Departures)
 	}
 }
 
