Keep the route of a batch job with the job

Cause: a job held only the name of its route. A leader that opened it under a configuration without that name gave it a route without a pool. That the texts or the queue were lost was ruled out: the items were queued, with an empty pool.

A job holds its route with the version of the configuration, routes are found by host and prefix, and leaders store the newer route that they take up. Regions of routes are looked up the same way.

--- a/internal/gateway/jobs.go
+++ b/internal/gateway/jobs.go
@@ -10,6 +10,7 @@
 
 	"github.com/coltsfootspoke/coltsfootspoke/internal/jobstore"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/document"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/job"
 )
 
@@ -25,11 +26,11 @@
 	leaderRetryDelay = 60 * time.Millisecond
 )
 
-// SubmitJob submits a job to the job store. After KindOutcomeUnknown, the job may
+// SubmitJob submits a job of a route to the job store. After KindOutcomeUnknown, the job may
 // or may not have been accepted. A job that is restricted to regions is sent only to the
 // known members of the job store, and only if all of them may keep it.
-func (g *Gateway) SubmitJob(ctx context.Context, spec job.Spec) error {
-	policy := g.setResidency(&spec)
+func (g *Gateway) SubmitJob(ctx context.Context, spec job.Spec, route document.Route) error {
+	policy := g.setRoute(&spec, route)
 	call := storeCall{method: jobstore.MethodSubmit}
 	if policy.IsRestricted() {
 		call.permit = func(address string) error { return g.checkStore(policy, address) }
--- a/internal/gateway/regions.go
+++ b/internal/gateway/regions.go
@@ -29,7 +29,7 @@
 // together. A route or an account that has been removed from it counts as it was.
 func (g *Gateway) policyOf(route document.Route, account document.Account) residency.Policy {
 	if index := g.watcher.State().Index; index != nil {
-		if current, ok := index.RouteByName(route.Name); ok {
+		if current, ok := index.RouteAt(route.Host, route.Prefix); ok {
 			route = current
 		}
 		if current, ok := index.AccountByName(account.Name); ok {
@@ -80,14 +80,17 @@
 	return route.PickPool(mathrand.Float64())
 }
 
-// setResidency sets the residency of a job from the current configuration and returns its
-// policy.
-func (g *Gateway) setResidency(spec *job.Spec) residency.Policy {
+// setRoute sets the route of a job and its residency from the current configuration. It returns
+// the policy.
+func (g *Gateway) setRoute(spec *job.Spec, route document.Route) residency.Policy {
 	index := g.watcher.State().Index
 	if index == nil {
 		return residency.Policy{}
 	}
-	route, _ := index.RouteByName(spec.Route)
+	if current, ok := index.RouteAt(route.Host, route.Prefix); ok && current.Kind == document.RouteJob {
+		route = current
+	}
+	spec.Route, spec.Accepted = route.Name, &job.RouteInForce{Route: route, DocumentVersion: index.Document.Version}
 	account, _ := index.AccountByName(spec.Account)
 	policy := residency.NewPolicy(route.Regions, account.Regions)
 	if policy.IsRestricted() {
--- a/internal/gateway/regions_test.go
+++ b/internal/gateway/regions_test.go
@@ -248,7 +248,7 @@
 	f := view.Facts{StoreLeader: leader.address, Stores: []string{leader.address, m}, StoreDomains: map[string]string{leader.address: leaderDomain, m: domain}}
 	c.facts.Store(&f)
 	g := newRegionGateway(t, c, &scriptedStreams{}, zap.NewNop())
-	return g.SubmitJob(t.Context(), job.Spec{ID: "j", Account: "farm", Route: "chat", Items: []job.Item{{ID: "i", Body: []byte("text")}}})
+	return g.SubmitJob(t.Context(), job.Spec{ID: "j", Account: "farm", Items: []job.Item{{ID: "i", Body: []byte("text")}}}, d.Routes[0])
 }
 
 // Guards against jobs whose bodies reach a member of the job store in a region that is
@@ -268,7 +268,7 @@
 	}
 	t.Run("no member known", func(t *testing.T) {
 		g := newRegionGateway(t, newControlHost(t, d), &scriptedStreams{}, zap.NewNop())
-		assertKind(t, g.SubmitJob(t.Context(), job.Spec{ID: "j", Account: "farm", Route: "chat"}), rollout.KindRegionNotAllowed)
+		assertKind(t, g.SubmitJob(t.Context(), job.Spec{ID: "j", Account: "farm"}, d.Routes[0]), rollout.KindRegionNotAllowed)
 	})
 }
 
--- a/internal/jobstore/regions.go
+++ b/internal/jobstore/regions.go
@@ -24,14 +24,15 @@
 	return jobRegions{}
 }
 
-// with returns the regions of a job under a configuration. A configuration older than that
-// of the entry changes nothing, nor does the removal of the route or of the client account.
-func (a jobRegions) with(index *document.Index, spec *job.Spec) jobRegions {
+// with returns the regions of a job under a configuration with a route. A configuration older
+// than that of the entry changes nothing, nor does the removal of the route or of the client
+// account.
+func (a jobRegions) with(index *document.Index, spec *job.Spec, route job.RouteInForce) jobRegions {
 	if r := spec.Residency; index == nil || (r != nil && index.Document.Version < r.DocumentVersion) {
 		return a
 	}
-	if route, ok := index.RouteByName(spec.Route); ok {
-		a.route = route.Regions
+	if route.DocumentVersion > 0 {
+		a.route = route.Route.Regions
 	}
 	if account, ok := index.AccountByName(spec.Account); ok {
 		a.account = account.Regions
@@ -46,7 +47,11 @@
 // domain is unknown may not.
 func (r *runner) checkMembers(spec *job.Spec) error {
 	r.mu.Lock()
-	policy := regionsAtSubmission(spec).with(r.index, spec).policy()
+	policy := regionsAtSubmission(spec).policy()
+	if r.index != nil {
+		route, _ := routeOf(r.index, spec, spec.Accepted)
+		policy = regionsAtSubmission(spec).with(r.index, spec, route).policy()
+	}
 	r.mu.Unlock()
 	if !policy.IsRestricted() {
 		return nil
--- a/internal/jobstore/regions_test.go
+++ b/internal/jobstore/regions_test.go
@@ -181,7 +181,11 @@
 		"route and account removed":  {empty, "east"},
 		"regions with nothing alike": {regionView(4, []string{"west"}, nil, []string{"north"}).Index, "no region"},
 	} {
-		if got := regionsAtSubmission(&spec).with(tc.index, &spec).policy().String(); got != tc.want {
+		var route job.RouteInForce
+		if tc.index != nil {
+			route, _ = routeOf(tc.index, &spec, nil)
+		}
+		if got := regionsAtSubmission(&spec).with(tc.index, &spec, route).policy().String(); got != tc.want {
 			t.Errorf("%s: %s allowed, want %s", name, got, tc.want)
 		}
 	}
--- a/internal/jobstore/runner.go
+++ b/internal/jobstore/runner.go
@@ -49,6 +49,9 @@
 	// request is the digest of the request of the item.
 	request []byte
 	route   document.Route
+	// routeVersion is the version of the configuration with the route, or 0 if the route is
+	// unknown.
+	routeVersion uint64
 	// regions are those in which the item may run.
 	regions jobRegions
 	// queuedMS is when this leader first queued the item, by its own clock. Unlike
@@ -212,8 +215,9 @@
 	j := r.store.state.Jobs[jobID]
 	var items []*workItem
 	var spec job.Spec
+	var last *job.RouteInForce
 	if j != nil && !j.Ended {
-		spec = j.Spec
+		spec, last = j.Spec, j.Route
 		for i := range spec.Items {
 			it := &spec.Items[i]
 			if !j.HasResult(it.ID) {
@@ -229,8 +233,11 @@
 	}
 	r.jobs[jobID] = items
 	r.sched.RaiseMinVersion(spec.Model, spec.MinVersion)
-	route, now := r.routeOf(&spec), r.store.clock.Now()
-	regions := regionsAtSubmission(&spec).with(r.index, &spec)
+	route, now := r.routeAtOpening(&spec, last), r.store.clock.Now()
+	regions := regionsAtSubmission(&spec).with(r.index, &spec, route)
+	if last != nil && !reflect.DeepEqual(route.Route, last.Route) {
+		r.goroutines.Go(func() { r.recordRoute(r.ctx, items[0], route) })
+	}
 	for _, w := range items {
 		r.lastQueuePosition++
 		w.queuePosition, w.queuedMS, w.ageMS = r.lastQueuePosition, now, ageMS
@@ -280,49 +287,6 @@
 	return w.route.MaxQueueMS > 0 && r.store.clock.Now() > w.queuedMS+w.route.MaxQueueMS
 }
 
-// setRoute sets the route of an item and when its result is due.
-func (w *workItem) setRoute(route document.Route) {
-	w.route = route
-	w.dueMS = w.queuedMS + route.ResultDeadlineMS - min(w.ageMS, route.ResultDeadlineMS)
-}
-
-// updateRoutes applies the routes and the regions of the configuration to the open jobs. A job may have
-// been accepted by an entry with a newer copy of the configuration than this host had,
-// so its route may be unknown or outdated here at first. A job keeps a route that is
-// removed later. The caller holds r.mu.
-func (r *runner) updateRoutes() {
-	for jobID, items := range r.jobs {
-		first := items[0]
-		route, ok := r.index.RouteByName(first.spec.Route)
-		if !ok {
-			route = first.route
-		}
-		regions := first.regions.with(r.index, first.spec)
-		if reflect.DeepEqual(route, first.route) && regions.policy() == first.regions.policy() {
-			continue
-		}
-		for _, w := range items {
-			w.setRoute(route)
-			w.regions = regions
-		}
-		for _, t := range r.sched.TakeJob(jobID) {
-			if w := r.findItem(t); w != nil {
-				r.enqueue(w)
-			}
-		}
-		r.store.opts.Log.Info("JobRouteChanged", zap.String("Job", jobID), zap.String("Route", route.Name), zap.String("Pool", route.PickPool(0)), zap.Stringer("Regions", regions.policy()))
-	}
-}
-
-// routeOf returns the route of a job, or one without a pool if the configuration does
-// not have it. The caller holds r.mu.
-func (r *runner) routeOf(spec *job.Spec) document.Route {
-	if route, ok := r.index.RouteByName(spec.Route); ok {
-		return route
-	}
-	return document.Route{MaxAttempts: 1, Split: []document.Share{{Weight: 1}}}
-}
-
 // syncView applies the newest view of the store. The first one with a configuration opens
 // all jobs that have not ended.
 func (r *runner) syncView() {
--- a/pkg/rollout/document/document.go
+++ b/pkg/rollout/document/document.go
@@ -248,6 +248,17 @@
 	return Route{}, false
 }
 
+// RouteAt returns the route of a host with a prefix. Together they identify a route: two of a
+// document never have both in common, while a name may be given to another route.
+func (x *Index) RouteAt(host, prefix string) (Route, bool) {
+	for _, r := range x.byHost[strings.ToLower(host)] {
+		if r.Prefix == prefix {
+			return r, true
+		}
+	}
+	return Route{}, false
+}
+
 // RouteByName returns the route with a name.
 func (x *Index) RouteByName(name string) (Route, bool) {
 	for _, r := range x.Document.Routes {
--- a/pkg/rollout/job/job.go
+++ b/pkg/rollout/job/job.go
@@ -56,6 +56,9 @@
 	Items   []Item
 	// SubmittedMS is the wall-clock time of the submission.
 	SubmittedMS rollout.Millis
+	// Accepted is the route by which the job was accepted. It is nil in records of releases
+	// that stored its name only.
+	Accepted *RouteInForce `json:",omitempty"`
 	// OwnTexts is true if the texts of the job belong to it alone. Jobs of records of releases
 	// that did not set it share the text of an item.
 	OwnTexts bool `json:",omitempty"`
@@ -118,6 +121,8 @@
 	Paces  *SetPaces `json:",omitempty"`
 	// Orders records which host sends weight orders from now on.
 	Orders *ClaimOrders `json:",omitempty"`
+	// Route records a change of the route of a job.
+	Route *SetRoute `json:",omitempty"`
 }
 
 // SetWriter makes a leader the only writer of texts and results. Commands of
@@ -162,6 +167,8 @@
 	Total   int
 	Results []Result
 	Ended   bool
+	// Route is the last known route of an open job, or nil if only its name is known.
+	Route *RouteInForce `json:",omitempty"`
 	// hasResult holds the IDs of the items with a result.
 	hasResult map[string]bool
 	itemIDs   map[string]bool
@@ -245,6 +252,8 @@
 		return m.setPaces(*c.Paces)
 	case c.Orders != nil:
 		return m.claimOrders(*c.Orders)
+	case c.Route != nil:
+		return m.setRoute(*c.Route)
 	}
 	return nil
 }
@@ -254,7 +263,7 @@
 func (m *StateMachine) Freeze() func(w io.Writer) error {
 	jobs := make([]Job, 0, len(m.Jobs))
 	for _, j := range m.Jobs {
-		jobs = append(jobs, Job{Spec: j.Spec, Total: j.Total, Results: slices.Clip(j.Results), Ended: j.Ended})
+		jobs = append(jobs, Job{Spec: j.Spec, Total: j.Total, Results: slices.Clip(j.Results), Ended: j.Ended, Route: j.Route})
 	}
 	texts := m.Texts.entries()
 	header := snapshotHeader{Jobs: len(jobs), Texts: len(texts), Writer: m.Writer, Paces: m.Paces, OrderHosts: m.OrderHosts}
@@ -337,7 +346,7 @@
 		return rollout.NewError(rollout.KindNotFound, "job %s not found", e.JobID)
 	}
 	j.Ended = true
-	j.Spec.Items = nil
+	j.Spec.Items, j.Spec.Accepted, j.Route = nil, nil, nil
 	return nil
 }
 
@@ -433,7 +442,7 @@
 		}
 		return nil
 	}
-	j := &Job{Spec: s, Total: len(s.Items)}
+	j := &Job{Spec: s, Total: len(s.Items), Route: s.Accepted}
 	j.index()
 	m.Jobs[s.ID] = j
 	if s.OwnTexts {
