Go on with a stream only if control confirms the software version

Operators report streams that went on at another software version through an entry that was out of step. Here an engine that starts again under its ID with other software is known by its announcement only, so an entry with an old copy took it for one of the old version, and checked the response against the same copy.

Records of where streams began wait for a confirmation, or are contradicted by it. The job store discards texts that it went on with by an old view.

Tests of gateways without a control host give them what control knows (fakeNews); their checks are unchanged.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -87,6 +87,8 @@
 	// Body is the complete body, or nil if Head.Streaming is true.
 	Body     []byte
 	Upstream string
+	// Born identifies the incarnation of the upstream.
+	Born int64
 	// Software is the version of the upstream's software, or empty if it is unknown.
 	Software string
 	// Runs is the number of attempts that may have run the request.
@@ -449,7 +451,8 @@
 func (c *call) callerResponse(a attempt, cancel context.CancelFunc) Response {
 	a.response.Upstream = a.upstream
 	a.response.Runs = c.possibleRuns + c.running
-	a.response.Software = c.balancer.softwareOf(a.upstream, a.incarnation)
+	a.response.Born = bornOf(a.incarnation)
+	a.response.Software = c.balancer.SoftwareOf(a.upstream, a.response.Born)
 	body := a.response.Head.Body
 	if a.response.Head.Streaming {
 		a.response.Head.Body = &observedStream{ReadCloser: body, onEnd: func(err error) { c.recordStreamEnd(a, err) }}
--- a/internal/balance/select.go
+++ b/internal/balance/select.go
@@ -153,13 +153,13 @@
 	return rollout.NewError(rollout.KindRegionNotAllowed, "pool %s has no upstream in a region that the route and the client account allow", pool).WithNotRun()
 }
 
-// softwareOf returns the software version of an incarnation of an upstream, or an empty
+// SoftwareOf returns the software version of an incarnation of an upstream, or an empty
 // string if it is unknown, as when the upstream has started again since.
-func (b *Balancer) softwareOf(id, incarnation string) string {
+func (b *Balancer) SoftwareOf(id string, born int64) string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	u, known := b.known[id]
-	if !known || u.Born != bornOf(incarnation) {
+	if !known || u.Born != born {
 		return ""
 	}
 	return u.Software
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -73,6 +73,7 @@
 	dialer   *link.Dialer
 	client   *fabric.Client
 	watcher  *view.Watcher
+	news     controlNews
 	balancer *balance.Balancer
 	origins  *origins.Client
 	regions  residency.Map
@@ -121,6 +122,7 @@
 			g.balancer.Sync(discovery.WithEvacuated(v.Upstreams, v.Facts.Evacuated))
 		},
 	})
+	g.news = g.watcher
 	g.balancer.Limits().Follow(func() limit.Contact {
 		v := g.watcher.State()
 		return limit.Contact{ConfirmedMS: v.ConfirmedMS, Share: v.ColdShare}
@@ -251,9 +253,10 @@
 	if err == nil {
 		response.Response, err = g.balancer.Do(ctx, req)
 	}
-	if err == nil && req.Software != "" && response.Software != req.Software {
-		response.Close()
-		err = rollout.NewError(rollout.KindUpstreamFailed, "upstream %s has started again with another software version than %s", response.Upstream, req.Software)
+	if err == nil && req.Software != "" {
+		if err = g.checkSoftware(ctx, response.Response, req.Software); err != nil {
+			response.Close()
+		}
 	}
 	g.metrics.observe(in.Received, err)
 	if err != nil {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -68,6 +68,9 @@
 	lastID uint64
 	// runs counts the attempts that may have run the request.
 	runs int
+	// begun receives whether the software version of the first run is certain. It is nil once
+	// that is known to be so.
+	begun <-chan bool
 	// callerGone is true once the caller has not taken an event.
 	callerGone bool
 }
@@ -153,10 +156,19 @@
 	if req.Deadline.Before(giveUp) {
 		giveUp = req.Deadline
 	}
+	if !s.awaitBegun(giveUp) {
+		return false
+	}
 	for s.mayRunAgain() && s.gateway.balancer.HasUpstream(req.Pool, req.Software, req.Restriction()) && time.Now().Before(giveUp) {
+		if s.gateway.confirmUpstreams(s.ctx) != nil {
+			if !s.pause() {
+				return false
+			}
+			continue
+		}
 		req.MaxAttempts = min(maxRunsPerBreak, s.request.MaxAttempts-s.runs)
 		response, err := s.gateway.balancer.Do(s.ctx, req)
-		if err == nil && response.Head.Streaming && response.Head.Status < statusMultiple && response.Software == req.Software {
+		if err == nil && response.Head.Streaming && response.Head.Status < statusMultiple && s.gateway.checkSoftware(s.ctx, response, req.Software) == nil {
 			s.runs += response.Runs
 			s.current = response
 			s.log("StreamContinued", zap.String("After", req.UpstreamRequest.ResumeAfter), zap.String("Broken", broken), zap.NamedError("Cause", cause))
@@ -172,15 +184,23 @@
 		if err != nil && rollout.AsError(err).Kind == rollout.KindPoisoned {
 			return false
 		}
-		select {
-		case <-s.ctx.Done():
+		if !s.pause() {
 			return false
-		case <-time.After(continueRetryDelay):
 		}
 	}
 	return false
 }
 
+// pause waits before another attempt to go on. It returns false if the caller leaves.
+func (s *stream) pause() bool {
+	select {
+	case <-s.ctx.Done():
+		return false
+	case <-time.After(continueRetryDelay):
+		return true
+	}
+}
+
 // close ends the current run.
 func (s *stream) close() { s.current.Close() }
 
@@ -202,7 +222,7 @@
 	s.log("StreamBegun", zap.String("Pool", req.Pool))
 	g.metrics.streams.WithLabelValues("Begun").Inc()
 	if first.Software != "" {
-		g.recordOrigin(ctx, s.request)
+		s.begun = g.confirmOrigin(ctx, s.request, first)
 	}
 	return s
 }
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -130,7 +130,7 @@
 	for id, v := range software {
 		us[id] = discovery.Upstream{ID: id, Pool: "p", Address: id, State: discovery.StateReady, Slots: 4, Born: 1, Software: v}
 	}
-	g.balancer.Sync(us)
+	syncUpstreams(g, us)
 	route := document.Route{Name: "chat", Streaming: true, Resumable: true, MaxAttempts: maxAttempts, Split: []document.Share{{Pool: "p", Weight: 1}}}
 	resp, err := g.forward(t.Context(), Inbound{AttemptID: "r", Received: time.Now(), BudgetMS: 60_000}, route, "farm")
 	if err != nil {
@@ -372,8 +372,8 @@
 	upstreamOf := func(born int64, software string) map[string]discovery.Upstream {
 		return map[string]discovery.Upstream{"a": {ID: "a", Pool: "p", Address: "a", State: discovery.StateReady, Slots: 4, Born: born, Software: software}}
 	}
-	g.balancer.Sync(upstreamOf(1, "v1"))
-	u.onSend = func() { g.balancer.Sync(upstreamOf(2, "v2")) }
+	syncUpstreams(g, upstreamOf(1, "v1"))
+	u.onSend = func() { syncUpstreams(g, upstreamOf(2, "v2")) }
 	g.origins.Record(t.Context(), origin.Record{Key: origin.Key{Account: "farm", Attempt: "first"}, Origin: origin.Origin{Pool: "p", Software: "v1"}})
 	route := document.Route{Name: "chat", Streaming: true, Resumable: true, MaxAttempts: 1, Split: []document.Share{{Pool: "p", Weight: 1}}}
 	in := Inbound{AttemptID: "r", Received: time.Now(), BudgetMS: 60_000, Resumes: []string{"first"}, LastEventID: []string{"3"}}
@@ -394,7 +394,7 @@
 		for _, id := range []string{"a", "b"} {
 			us[id] = discovery.Upstream{ID: id, Pool: "p", Address: id, State: discovery.StateReady, Slots: 4, Born: 2, Software: "v2"}
 		}
-		resp.stream.gateway.balancer.Sync(us)
+		syncUpstreams(resp.stream.gateway, us)
 	}
 	got, err := copyAll(resp)
 	if err == nil {
--- a/internal/gateway/streams_test.go
+++ b/internal/gateway/streams_test.go
@@ -245,7 +245,7 @@
 	for range entries {
 		g := New(Options{Log: zap.NewNop(), Registry: prometheus.NewRegistry(), WindowMS: 1_000, Controls: func() []string { return nil }, Upstreams: fleet})
 		g.origins = origins.NewClient(origins.Options{Client: fleet, Clock: clock.Boottime{}, Log: zap.NewNop(), Hosts: func() []string { return hosts }})
-		g.balancer.Sync(view)
+		syncUpstreams(g, view)
 		ctx, kill := context.WithCancel(t.Context())
 		all = append(all, simEntry{g, ctx, kill})
 	}
@@ -278,7 +278,7 @@
 		view = fleet.view()
 		for i, e := range all {
 			if i%2 == 0 {
-				e.gateway.balancer.Sync(view)
+				syncUpstreams(e.gateway, view)
 			}
 		}
 	}
--- a/internal/gateway/takeup.go
+++ b/internal/gateway/takeup.go
@@ -62,11 +62,19 @@
 	if t.attempt == "" {
 		return rollout.NewError(rollout.KindNotResumable, "the request names no attempt that began its stream; the stream has to begin anew").WithNotRun()
 	}
+	if err := g.confirmUpstreams(ctx); err != nil {
+		g.metrics.streams.WithLabelValues("NotTakenUp").Inc()
+		return err
+	}
 	found, err := g.origins.Find(ctx, origin.Key{Account: req.UpstreamRequest.Account, Attempt: t.attempt})
 	if err != nil {
 		g.metrics.streams.WithLabelValues("NotTakenUp").Inc()
 		return err
 	}
+	if found.Software == "" {
+		g.metrics.streams.WithLabelValues("NotTakenUp").Inc()
+		return rollout.NewError(rollout.KindNotResumable, "the software version that began the stream of attempt %s is uncertain; the stream has to begin anew", t.attempt).WithNotRun()
+	}
 	if !route.HasPool(found.Pool) {
 		return rollout.NewError(rollout.KindNotResumable, "route %s does not lead to pool %s any more, where the stream of attempt %s began", route.Name, found.Pool, t.attempt).WithNotRun()
 	}
--- a/internal/jobstore/item.go
+++ b/internal/jobstore/item.go
@@ -28,6 +28,9 @@
 	// maxLimitPauseMS bounds the pause of an engine whose limit lets nothing through. The
 	// predicted wait may be too long, as other hosts may want less by then.
 	maxLimitPauseMS rollout.Millis = 1_000
+	// maxUpstreamsAgeMS is the age of the view up to which the leader relies on the software
+	// versions in it. An engine that ends takes seconds to start again.
+	maxUpstreamsAgeMS rollout.Millis = 3_000
 	// savePollInterval is the interval at which commitResult checks whether a
 	// piece is still being stored.
 	savePollInterval = 10 * time.Millisecond
@@ -152,9 +155,11 @@
 		r.mu.Unlock()
 	})
 	r.logRun(w, a, started, resp.Status, err)
+	// A text that one run has generated whole is of one version, whichever that is.
+	isCertain := (err == nil && x.ResumeAfter == "") || r.store.confirmCopy(ctx, maxUpstreamsAgeMS) == nil
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.softwareChanged(a) {
+	if !isCertain || r.softwareChanged(a) {
 		r.discardText(w)
 		return dispatch.OutcomeBroken
 	}
--- a/internal/jobstore/runner_test.go
+++ b/internal/jobstore/runner_test.go
@@ -185,6 +185,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	// No control host confirms the view of the test.
+	s.confirmCopy = func(context.Context, rollout.Millis) error { return nil }
 	var wait sync.WaitGroup
 	wait.Go(func() { _ = s.Serve(ctx, l) })
 	stop := func() {
--- a/internal/jobstore/software_test.go
+++ b/internal/jobstore/software_test.go
@@ -1,8 +1,10 @@
 package jobstore
 
 import (
+	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -199,3 +201,25 @@
 		t.Fatalf("runs %v, want %v", l.runs["i1"], want)
 	}
 }
+
+// Guards against texts of two software versions when the leader is out of step with control: an
+// engine has started again under its ID with other software.
+func TestTextDoesNotGoOnByAnOutdatedView(t *testing.T) {
+	s, f := newLeader(t, func(x rollout.UpstreamRequest, run int) *fault {
+		if run == 1 && !strings.HasPrefix(x.AttemptID, "score-") {
+			return &fault{breakAfter: 2}
+		}
+		return nil
+	})
+	s.confirmCopy = func(context.Context, rollout.Millis) error {
+		return rollout.NewError(rollout.KindNoAuthority, "the view is old").WithNotRun()
+	}
+	for id, r := range runJob(t, s, newSpec("j", 1, "i1", "i2")) {
+		assertCompleted(t, r)
+		f.mu.Lock()
+		if after := f.resumedAfter[id]; after != "" {
+			t.Errorf("item %s went on after event %s, want a run from the start", id, after)
+		}
+		f.mu.Unlock()
+	}
+}
--- a/internal/jobstore/store.go
+++ b/internal/jobstore/store.go
@@ -86,6 +86,8 @@
 	view atomic.Pointer[view.State]
 	// leadingSinceMS is when this host became the leader of the job store, or 0.
 	leadingSinceMS atomic.Int64
+	// confirmCopy returns an error unless control has confirmed the view within a time.
+	confirmCopy func(ctx context.Context, maxAge rollout.Millis) error
 
 	mu sync.Mutex
 	// state and the fields below are guarded by mu.
@@ -125,6 +127,7 @@
 		Host: opts.Host, Role: view.RoleStore, Address: opts.Address, FailureDomain: opts.FailureDomain,
 		Seeds: opts.Controls, Client: s.client, Clock: s.clock, Log: opts.Log, Registry: opts.Registry, Store: s.status, Leaving: s.balancer.Leaving().Report, OnChange: s.applyView,
 	})
+	s.confirmCopy = s.watcher.Confirm
 	s.balancer.Limits().Follow(s.contact)
 	return s, nil
 }
--- a/internal/view/freshness.go
+++ b/internal/view/freshness.go
@@ -32,6 +32,11 @@
 	AgeMS rollout.Millis
 }
 
+// IsRecent reports whether a leader has confirmed the copy within a time.
+func (c CopyInfo) IsRecent(maxAge rollout.Millis) bool {
+	return c.AgeMS != neverConfirmedMS && c.AgeMS <= maxAge
+}
+
 // MarshalLogObject implements zapcore.ObjectMarshaler.
 func (c CopyInfo) MarshalLogObject(enc zapcore.ObjectEncoder) error {
 	enc.AddUint64("Version", c.Version)
@@ -62,7 +67,7 @@
 		confirmed := w.confirmed
 		w.confirmedMu.Unlock()
 		age := w.CopyInfo().AgeMS
-		if age != neverConfirmedMS && age <= maxAge {
+		if w.CopyInfo().IsRecent(maxAge) {
 			return nil
 		}
 		left := maxAge + confirmationSlackMS - age
@@ -123,3 +128,38 @@
 		m.documentDelay.Observe((time.Duration(delay) * time.Millisecond).Seconds())
 	}
 }
+
+// ConfirmSince returns nil once a leader has confirmed the copy for a time after since, or an
+// error when the context ends.
+func (w *Watcher) ConfirmSince(ctx context.Context, since rollout.Millis) error {
+	for {
+		w.confirmedMu.Lock()
+		confirmed := w.confirmed
+		w.confirmedMu.Unlock()
+		if w.State().ConfirmedMS > since {
+			return nil
+		}
+		select {
+		case <-confirmed:
+		case <-ctx.Done():
+			return rollout.NewError(rollout.KindNoAuthority, "copy of the control state was last confirmed for %d, want after %d", w.State().ConfirmedMS, since).WithCause(ctx.Err())
+		}
+	}
+}
+
+// Latest asks the leader for the state as it is now. It leaves the copy as it is. It is for hosts
+// that report nothing else with their watch requests than entries do.
+func (w *Watcher) Latest(ctx context.Context) (State, error) {
+	leader := w.Leader()
+	if leader == "" {
+		return State{}, rollout.NewError(rollout.KindNoAuthority, "no leader of the control hosts replies")
+	}
+	base := w.State()
+	u, err := w.call(ctx, leader, watchRequest{Request: w.requestSince(base, 0), base: base})
+	if err != nil {
+		return State{}, err
+	}
+	next := u.base.With(u.reply)
+	next.ConfirmedMS = u.confirmedMS
+	return next, nil
+}
--- a/internal/view/watcher.go
+++ b/internal/view/watcher.go
@@ -227,9 +227,9 @@
 	sent sentReports
 }
 
-// newRequest returns a request that the leader may hold for a time.
-func (w *Watcher) newRequest(wait rollout.Millis) watchRequest {
-	base := w.State()
+// requestSince returns a request for the changes since a state, without reports, that the leader
+// may hold for a time.
+func (w *Watcher) requestSince(base State, wait rollout.Millis) Request {
 	req := Request{
 		Host: w.opts.Host, Role: w.opts.Role, Address: w.opts.Address, FailureDomain: w.opts.FailureDomain,
 		Epoch: base.Epoch, TableRevision: base.TableRevision, FactsRevision: base.FactsRevision, WaitMS: wait, AcceptsPacked: true,
@@ -241,6 +241,13 @@
 	if base.Index != nil {
 		req.DocumentVersion = base.Index.Document.Version
 	}
+	return req
+}
+
+// newRequest returns a request that the leader may hold for a time.
+func (w *Watcher) newRequest(wait rollout.Millis) watchRequest {
+	base := w.State()
+	req := w.requestSince(base, wait)
 	if w.opts.Usage != nil {
 		req.Usage = w.opts.Usage()
 	}
