Refuse announcements that hosts could not use

Operators report hosts that end, or stop following the list of engines, because of an odd entry. Here no process ended, but ports out of range, 2^63 - 1 slots, start times in the far future and IDs with line feeds were accepted: upstreams that cannot be called, sums of slots that overflow, later engines refused, and callers' requests failing with 502.

Announcements are validated by the host that gets them and by the leader, and times that others name are bounded the same on every machine.

TestOddAnnouncementsNameNoEngine failed before (13 entries and an end accepted, requests reached the engine of an odd entry). FuzzAnnouncement ran for 15 s without a finding.

--- a/internal/director/operator.go
+++ b/internal/director/operator.go
@@ -112,7 +112,7 @@
 	return err
 }
 
-// Announce records an announcement of an upstream.
+// Announce records an announcement of an upstream, which must be valid.
 func (d *Director) Announce(ctx context.Context, u discovery.Upstream) error {
 	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
 	defer cancel()
@@ -208,6 +208,11 @@
 func (d *Director) recordAnnouncements(ctx context.Context, us []discovery.Upstream) error {
 	var departures []registry.Departure
 	for _, u := range us {
+		if err := u.Validate(wallClockMS()); err != nil {
+			// A control host of another release has accepted it.
+			d.opts.Log.Warn("AnnouncementInvalid", zap.Error(err))
+			continue
+		}
 		accepted, changed := d.recordAnnouncement(u)
 		if changed || !accepted {
 			d.opts.Log.Info("UpstreamAnnounced", zap.String("Upstream", u.ID), zap.Int64("Born", u.Born), zap.Uint64("Seq", u.Seq),
@@ -240,6 +245,11 @@
 }
 
 func (d *Director) leave(ctx context.Context, dep Departure) (empty, error) {
+	if dep.Born != 0 {
+		if err := discovery.ValidateBorn(dep.Born, wallClockMS()); err != nil {
+			return empty{}, err
+		}
+	}
 	d.mu.Lock()
 	departure := d.departureOf(dep)
 	changed := !departure.Presumed && d.table.Leave(d.clock.Now(), departure.ID, departure.Born)
