Check that a run goes on with a stream where it broke off

Operators report the text of an error in the middle of streams, and streams that end as complete after it. Here error statuses were kept out, but events were not checked: one without an ID (an error's text with status 200) was passed on, a run that left events out too, and the job store took the end of such a run for the end of the text.

A run that goes on begins with the event after the last one, and events of items follow each other without gaps; anything else ends the run.

--- a/Makefile
+++ b/Makefile
@@ -67,6 +67,6 @@
 	$(GO) test ./internal/disk -run '^$$' -fuzz FuzzDecodeRecords -fuzztime 20s
 	$(GO) test ./internal/language -run '^$$' -fuzz FuzzParse -fuzztime 20s
 	$(GO) test ./internal/settings -run '^$$' -fuzz FuzzLoad -fuzztime 20s
-	$(GO) test ./platform -run '^1459' -fuzz FuzzAnnouncement -fuzztime 20s
+	$(GO) test ./platform -run '^$$' -fuzz FuzzAnnouncement -fuzztime 20s
 
 check: lint test demo
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -66,6 +66,9 @@
 	current balance.Response
 	// lastID is the ID of the last event that the caller has received, or 0.
 	lastID uint64
+	// unnumbered is true if the caller has received an event without an ID, after which no
+	// upstream can go on.
+	unnumbered bool
 	// runs counts the attempts that may have run the request.
 	runs int
 	// begun receives whether the software version of the first run is certain. It is nil once
@@ -95,21 +98,22 @@
 // another upstream could go on. Bytes that complete no event do not count, nor does the time
 // for which the caller does not read.
 func (s *stream) copyRun(write func([]byte) error) error {
-	run := s.current
+	run, isFirst := s.current, true
 	silence := time.NewTimer(silentAfter)
 	ended, watched := make(chan struct{}), make(chan bool, 1)
 	go func() { watched <- s.endSilentRun(run, silence, ended) }()
 	err := s.gateway.opts.Upstreams.ReadRawEvents(run.Head.Body, func(id uint64, raw []byte) error {
 		silence.Stop()
 		defer silence.Reset(silentAfter)
-		if id > 0 && id <= s.lastID {
-			return rollout.NewError(rollout.KindUpstreamFailed, "event %d of upstream %s follows event %d", id, run.Upstream, s.lastID)
+		if err := s.checkNext(id, isFirst); err != nil {
+			return err
 		}
+		isFirst = false
 		if err := write(raw); err != nil {
 			s.callerGone = true
 			return err
 		}
-		s.lastID = max(s.lastID, id)
+		s.lastID, s.unnumbered = max(s.lastID, id), s.unnumbered || id == 0
 		return nil
 	})
 	close(ended)
@@ -119,6 +123,16 @@
 	return err
 }
 
+// checkNext returns an error if an event of the current run cannot be the next one of the stream.
+// The first event of a run that goes on is the one after the last that the caller has. Anything
+// else is none of the stream, like the text of an error.
+func (s *stream) checkNext(id uint64, isFirst bool) error {
+	if (isFirst && s.lastID > 0 && id != s.lastID+1) || (id > 0 && id <= s.lastID) {
+		return rollout.NewError(rollout.KindUpstreamFailed, "event %d of upstream %s follows event %d", id, s.current.Upstream, s.lastID)
+	}
+	return nil
+}
+
 // endSilentRun ends a run once its silence has lasted while another upstream could go on
 // with the stream, and reports whether it did. It returns when the run has ended.
 func (s *stream) endSilentRun(run balance.Response, silence *time.Timer, ended <-chan struct{}) bool {
@@ -140,7 +154,7 @@
 // mayRunAgain reports whether the route allows another run and the software version of the
 // stream is known.
 func (s *stream) mayRunAgain() bool {
-	return s.request.Software != "" && s.runs < s.request.MaxAttempts
+	return s.request.Software != "" && !s.unnumbered && s.runs < s.request.MaxAttempts
 }
 
 // next starts the next run after one that ended with an error. It returns false if no
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -34,6 +34,8 @@
 	silentRuns int
 	// onSend is called with each request. It may be nil.
 	onSend func()
+	// status returns the status of a run, from 1. It may be nil for 200.
+	status func(run int) int
 	// body returns the body of a run, from 1.
 	body func(ctx context.Context, run int, r rollout.UpstreamRequest) io.ReadCloser
 }
@@ -53,7 +55,11 @@
 	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return rollout.UpstreamResponse{Status: 200, Streaming: true, Body: u.body(ctx, len(u.runs), r)}, nil
+	resp := rollout.UpstreamResponse{Status: 200, Streaming: true, Body: u.body(ctx, len(u.runs), r)}
+	if u.status != nil {
+		resp.Status = u.status(len(u.runs))
+	}
+	return resp, nil
 }
 
 // ReadRawEvents implements rollout.UpstreamClient.
@@ -243,6 +249,64 @@
 	u.assertRuns(t, 3)
 }
 
+// Guards against the text of an error in the middle of a stream, and against streams that end as
+// complete after it: the upstream that is to go on answers with an error, in whichever form.
+func TestErrorOfNextUpstreamNeverReachesTheCaller(t *testing.T) {
+	for name, tc := range map[string]struct {
+		status int
+		body   string
+	}{
+		"status 500":                {500, "4 error\n"},
+		"status 503":                {503, "4 error\n"},
+		"error as an event":         {200, "0 error\n"},
+		"error and then events":     {200, "0 error\n4 e4\n5 e5\n6 e6\n"},
+		"events are missing":        {200, "5 e5\n6 e6\n"},
+		"bytes that are no event":   {200, "error\n"},
+		"the stream from its start": {200, "1 e1\n2 e2\n3 e3\n4 e4\n5 e5\n6 e6\n"},
+	} {
+		for _, upstreams := range []int{2, 3} {
+			t.Run(fmt.Sprintf("%s, %d upstreams", name, upstreams), func(t *testing.T) {
+				t.Parallel()
+				u := &scriptedStreams{}
+				u.status = func(run int) int {
+					if run == 2 {
+						return tc.status
+					}
+					return 200
+				}
+				u.body = func(ctx context.Context, run int, _ rollout.UpstreamRequest) io.ReadCloser {
+					switch run {
+					case 1:
+						return &lineBody{events(1, 3), ctx, errBroken}
+					case 2:
+						return &lineBody{strings.NewReader(tc.body), ctx, io.EOF}
+					}
+					return &lineBody{events(4, 6), ctx, io.EOF}
+				}
+				got, err := copyAll(openStream(t, u, map[string]string{"a": "v1", "b": "v1", "c": "v1"}, upstreams))
+				if wantComplete := upstreams == 3; (err == nil) != wantComplete {
+					t.Fatalf("complete: %v, want %v; error %v, events %v, runs %v", err == nil, wantComplete, err, got, u.runs)
+				}
+				assertEvents(t, got, 3*(upstreams-1))
+			})
+		}
+	}
+}
+
+// Guards against events that the caller gets twice: nobody knows where to go on after events
+// without IDs.
+func TestStreamWithoutEventIDsBreaksOff(t *testing.T) {
+	u := &scriptedStreams{body: func(ctx context.Context, _ int, _ rollout.UpstreamRequest) io.ReadCloser {
+		return &lineBody{strings.NewReader("0 e1\n0 e2\n"), ctx, errBroken}
+	}}
+	got, err := copyAll(openStream(t, u, map[string]string{"a": "v1", "b": "v1"}, 2))
+	if err == nil {
+		t.Fatal("the stream looks complete")
+	}
+	assertEvents(t, got, 2)
+	u.assertRuns(t, 1)
+}
+
 // trickle delivers bytes that complete no event, one after another, for as long as it is read.
 type trickle struct{ first io.Reader }
 
--- a/internal/jobstore/item.go
+++ b/internal/jobstore/item.go
@@ -1,6 +1,7 @@
 package jobstore
 
 import (
+	"cmp"
 	"context"
 	"strconv"
 	"time"
@@ -112,6 +113,9 @@
 		r.mu.Unlock()
 		return dispatch.OutcomeTurnedAway
 	}
+	r.mu.Lock()
+	w.text.discardUnnumbered()
+	r.mu.Unlock()
 	x := r.newExchange(w, a)
 	if x.ResumeAfter != "" {
 		r.recordContinuation(w, a, x.ResumeAfter)
@@ -143,17 +147,7 @@
 		return r.recordErrorStatus(w, resp.Status)
 	}
 	w.begun = true
-	version := resp.WeightVersion
-	err = r.store.opts.Upstreams.ReadEvents(resp.Body, func(e rollout.StreamEvent) {
-		if e.WeightVersion != 0 {
-			version = e.WeightVersion
-		}
-		r.mu.Lock()
-		w.text.add(e, version, a.Software)
-		r.saveIfLong(w)
-		r.sched.EventReceived(r.store.clock.Now(), a.Task)
-		r.mu.Unlock()
-	})
+	err = r.readEvents(w, a, resp)
 	r.logRun(w, a, started, resp.Status, err)
 	// A text that one run has generated whole is of one version, whichever that is.
 	isCertain := (err == nil && x.ResumeAfter == "") || r.store.confirmCopy(ctx, maxUpstreamsAgeMS) == nil
@@ -173,6 +167,36 @@
 	return dispatch.OutcomeDone
 }
 
+// readEvents appends the events of a stream to the text of an item. It returns nil only if the
+// stream is complete and ends where the text does.
+func (r *runner) readEvents(w *workItem, a dispatch.Assignment, resp rollout.UpstreamResponse) error {
+	version, last := resp.WeightVersion, uint64(0)
+	var misplaced error
+	err := r.store.opts.Upstreams.ReadEvents(resp.Body, func(e rollout.StreamEvent) {
+		if misplaced != nil {
+			return
+		}
+		if e.WeightVersion != 0 {
+			version = e.WeightVersion
+		}
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if misplaced = w.text.checkNext(e, last); misplaced != nil {
+			return
+		}
+		last = e.ID
+		w.text.add(e, version, a.Software)
+		r.saveIfLong(w)
+		r.sched.EventReceived(r.store.clock.Now(), a.Task)
+	})
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if misplaced == nil && last > 0 && last < w.text.lastID {
+		misplaced = rollout.NewError(rollout.KindTruncated, "the stream ends with event %d, the text with event %d", last, w.text.lastID)
+	}
+	return cmp.Or(err, misplaced)
+}
+
 // discardText discards the text of an item, so that it runs from the start. The caller holds
 // r.mu.
 func (r *runner) discardText(w *workItem) {
--- a/internal/jobstore/runner_test.go
+++ b/internal/jobstore/runner_test.go
@@ -67,6 +67,9 @@
 	// breakAfter is the number of events after which the stream breaks, or 0 for
 	// no stream.
 	breakAfter int
+	// ids are those of the events of the stream, or nil. It ends as complete unless breakAfter
+	// is set.
+	ids []uint64
 }
 
 // fakeStream is the body of a fake response: the events from first to last.
@@ -75,6 +78,7 @@
 	first, last    int
 	broken         bool
 	changesVersion bool
+	ids            []uint64
 }
 
 func (f *fakeEngines) SendRequest(_ context.Context, x rollout.UpstreamRequest) (rollout.UpstreamResponse, error) {
@@ -92,6 +96,10 @@
 			if ft.err != nil {
 				return rollout.UpstreamResponse{}, ft.err
 			}
+			if ft.ids != nil {
+				body.ids, body.broken = ft.ids, ft.breakAfter > 0
+				return rollout.UpstreamResponse{Status: 200, Streaming: true, WeightVersion: 1, Body: body}, nil
+			}
 			if ft.breakAfter > 0 {
 				body.last, body.broken = ft.breakAfter, true
 				return rollout.UpstreamResponse{Status: 200, Streaming: true, WeightVersion: 1, Body: body}, nil
@@ -125,6 +133,15 @@
 
 func (f *fakeEngines) ReadEvents(body io.Reader, handle func(rollout.StreamEvent)) error {
 	s := body.(fakeStream)
+	if s.ids != nil {
+		for _, id := range s.ids {
+			handle(rollout.StreamEvent{ID: id, Data: []byte(fmt.Sprintf("e%d", id))})
+		}
+		if s.broken {
+			return errors.New("reset")
+		}
+		return nil
+	}
 	for id := s.first; id <= s.last; id++ {
 		e := rollout.StreamEvent{ID: uint64(id), Data: []byte(fmt.Sprintf("e%d", id))}
 		if s.changesVersion && id == s.last {
--- a/internal/jobstore/text.go
+++ b/internal/jobstore/text.go
@@ -76,6 +76,24 @@
 	}
 }
 
+// checkNext returns an error if an event cannot be the next of the text and of a run whose last
+// event is last, or 0. An engine that repeats events is allowed. Engines number their events
+// without gaps, so another one is missing, or the event is none of the text, like the text of an
+// error.
+func (t *textBuffer) checkNext(e rollout.StreamEvent, last uint64) error {
+	if (t.lastID == 0 || (e.ID > 0 && e.ID <= t.lastID+1)) && (last == 0 || e.ID == last+1) {
+		return nil
+	}
+	return rollout.NewError(rollout.KindUpstreamFailed, "event %d follows event %d of the run and %d of the text", e.ID, last, t.lastID)
+}
+
+// discardUnnumbered clears a text whose events have no IDs, as no run can go on with it.
+func (t *textBuffer) discardUnnumbered() {
+	if t.lastID == 0 && (len(t.unsaved) > 0 || len(t.chunks) > 0) {
+		t.discard()
+	}
+}
+
 // discardUnlessAllowed clears the text if a job does not allow the weight
 // versions that generated it.
 func (t *textBuffer) discardUnlessAllowed(minVersion uint64, single bool) {
