Give hosts a configuration after the upstreams that came with it

An entry counted as ready, and refused requests with a true 503 ("pool p has no upstream"), a moment before its balancer had the upstreams of its first copy: view.Watcher stored the state before it called OnChange. It calls OnChange first now.

TestStateIsReturnedAfterOnChange fails on the order before by construction.

--- a/internal/view/watcher.go
+++ b/internal/view/watcher.go
@@ -81,7 +81,8 @@
 	// Leaving returns the leaving upstreams to report and a revision that changes with
 	// them, or is nil.
 	Leaving func() (uint64, []discovery.Incarnation)
-	// OnChange is called after each change, on the goroutine of Run.
+	// OnChange is called with the new state at each change, on the goroutine of Run, before
+	// State returns it.
 	OnChange func(State)
 	// Active reports whether to watch. If it is nil, the watcher is always
 	// active.
@@ -316,10 +317,11 @@
 	return sent
 }
 
-// apply merges a reply into the state, logs the changes and calls OnChange.
+// apply merges a reply into the state, logs the changes and calls OnChange. State returns the new
+// state once OnChange has returned, so that a host that finds a configuration in it has the
+// upstreams that came with it.
 func (w *Watcher) apply(old State, r Reply) {
 	next := old.With(r)
-	w.state.Store(&next)
 	if r.Document != nil {
 		w.opts.Log.Info("DocumentReceived", zap.Uint64("Version", r.Document.Version), zap.Uint64("Epoch", r.Epoch), zap.Int64("DelayMS", int64(r.DocumentAgeMS)))
 		w.metrics.observeDocument(r.DocumentAgeMS)
@@ -333,6 +335,7 @@
 	if w.opts.OnChange != nil && (r.Document != nil || r.Facts != nil || len(r.Upstreams) > 0) {
 		w.opts.OnChange(next)
 	}
+	w.state.Store(&next)
 }
 
 // coldField is the log field of an upstream that is cold.
--- a/internal/view/watcher_test.go
+++ b/internal/view/watcher_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/clock"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/discovery"
+	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/document"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/poison"
 )
 
@@ -98,3 +100,23 @@
 		t.Fatalf("got error %v after %v, want NoAuthority at once", err, time.Since(started))
 	}
 }
+
+// Guards against a host that counts as ready, or refuses requests, by a configuration whose
+// upstreams its balancer does not have yet.
+func TestStateIsReturnedAfterOnChange(t *testing.T) {
+	w := newTestWatcher("a")
+	called := false
+	w.opts.OnChange = func(next State) {
+		called = true
+		if next.Index == nil || len(next.Upstreams) != 1 {
+			t.Errorf("OnChange got %+v, want a configuration and an upstream", next)
+		}
+		if w.State().Index != nil {
+			t.Error("State returned the configuration before OnChange had its upstreams")
+		}
+	}
+	w.apply(w.State(), Reply{Document: &document.Document{Version: 1}, Upstreams: []discovery.Upstream{{ID: "e", State: discovery.StateReady}}})
+	if !called || w.State().Index == nil {
+		t.Fatalf("OnChange called: %v, state %+v", called, w.State())
+	}
+}
