Try the upstream of a barred attempt again

Two callers of one request that may not be repeated were refused, truly not run, beside load: the attempt reached its agent 1.5 s after its claim, the duplicate had barred it after 1 s, and the next claim left out the upstream that was "tried", the only one of its pool. An attempt that was barred before it arrived says nothing about its upstream, so it is not left out any more.

--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -95,7 +95,7 @@
 		}}); err != nil {
 			return rollout.AsError(err).WithNotRun()
 		}
-		tried = append(tried, x.claimed.claim.Upstream)
+		tried = withFailed(tried, x.claimed.claim.Upstream, r)
 		if r.Kind == rollout.KindOverloaded {
 			x.upstreamsFull, tried, try = true, nil, 0
 			if !e.waitForCapacity(x) {
@@ -113,6 +113,21 @@
 	}
 }
 
+// withFailed returns the upstreams to leave out after an attempt that has not run. One whose
+// attempt was barred before it arrived is not among them: it did not fail, and may be the only
+// one.
+func withFailed(tried []string, upstream string, err *rollout.Error) []string {
+	if isBarred(err) {
+		return tried
+	}
+	return append(tried, upstream)
+}
+
+// isBarred reports whether an agent has said that an attempt was barred before it began.
+func isBarred(err *rollout.Error) bool {
+	return err.NotRun && (err.Kind == rollout.KindNotFound || err.Kind == rollout.KindConflict)
+}
+
 // runClaimed sends the request if this exchange owns the claim. Otherwise it
 // attaches to the attempt and waits for its response.
 func (e *entry) runClaimed(x *exchange) error {
@@ -158,8 +173,7 @@
 		s.Close()
 		return false
 	}
-	r := rollout.AsError(err)
-	return r.NotRun && (r.Kind == rollout.KindNotFound || r.Kind == rollout.KindConflict)
+	return isBarred(rollout.AsError(err))
 }
 
 // outcomeUnknownError returns the error for an attempt that may have run.
