Tell a retired host from a later one with its name

Retirements were kept by the name of the host. A host that was added later with the name of a retired one counted as being retired, and its retirement as completed at once, so that the platform would have removed it with its disk. Found by reading, as a key that can be used again. A retirement is that of the name at its address now.

TestRetirementIsThatOfTheHostAtItsAddress checks the rule, which the code before lacks.

--- a/internal/director/operator.go
+++ b/internal/director/operator.go
@@ -277,8 +277,8 @@
 
 func (d *Director) retire(ctx context.Context, r RetireRequest) (empty, error) {
 	d.mu.Lock()
-	_, alreadyRetiring := d.state.Retiring[r.Host]
 	stores := d.liveDaemons(view.RoleStore)
+	_, alreadyRetiring := d.retiringAddress(r.Host, stores)
 	waitEnded := d.clock.Now()-d.leadStartMS > hostReportWaitMS
 	address, remaining := "", 0
 	for _, s := range stores {
@@ -286,7 +286,7 @@
 			address = s.Address
 			continue
 		}
-		if _, retiring := d.state.Retiring[s.Host]; !retiring {
+		if d.state.Retiring[s.Host] != s.Address {
 			remaining++
 		}
 	}
@@ -312,14 +312,23 @@
 	return empty{}, err
 }
 
+// retiringAddress returns the address of a host that is or was to be retired. A live host that
+// has its name at another address is another one. The caller holds mu.
+func (d *Director) retiringAddress(host string, stores []view.Request) (address string, ok bool) {
+	address, ok = d.state.Retiring[host]
+	isOther := slices.ContainsFunc(stores, func(s view.Request) bool { return s.Host == host && s.Address != address })
+	return address, ok && !isOther
+}
+
 // retirementStatus reports a retirement as done once the leader of the job
 // store has reported committed members without the host. Only reports that this
 // control host received since it became the leader count.
 func (d *Director) retirementStatus(_ context.Context, r RetireRequest) (Retirement, error) {
 	d.mu.Lock()
-	address, retiring := d.state.Retiring[r.Host]
+	stores := d.liveDaemons(view.RoleStore)
+	address, retiring := d.retiringAddress(r.Host, stores)
 	done := false
-	for _, s := range d.liveDaemons(view.RoleStore) {
+	for _, s := range stores {
 		if s.Store != nil && s.Store.Leading && s.Store.Term >= d.storeTerm {
 			done = s.Store.Settled && !slices.Contains(memberAddresses(s.Store.Members), address)
 		}
