--- a/internal/callers/server_test.go
+++ b/internal/callers/server_test.go
@@ -55,26 +55,33 @@
 	return caller{conn, bufio.NewReader(conn)}
 }
 
-// send sends a request and returns the response with its body read.
-func (c caller) send(path string) (*http.Response, error) {
+// answered is what a caller sees of a response that it has read to its end.
+type answered struct {
+	status int
+	// ends is true if the response says that its connection ends.
+	ends bool
+}
+
+// send sends a request and reads the response.
+func (c caller) send(path string) (answered, error) {
 	if _, err := fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi", path); err != nil {
-		return nil, err
+		return answered{}, err
 	}
 	resp, err := http.ReadResponse(c.reader, nil)
 	if err != nil {
-		return nil, err
+		return answered{}, err
 	}
 	_, err = io.Copy(io.Discard, resp.Body)
-	return resp, errors.Join(err, resp.Body.Close())
+	return answered{resp.StatusCode, resp.Close}, errors.Join(err, resp.Body.Close())
 }
 
-func (c caller) mustSend(t *testing.T, path string) *http.Response {
+func (c caller) mustSend(t *testing.T, path string) answered {
 	t.Helper()
-	resp, err := c.send(path)
+	a, err := c.send(path)
 	if err != nil {
 		t.Fatal(err)
 	}
-	return resp
+	return a
 }
 
 func (c caller) assertEnds(t *testing.T) {
@@ -92,11 +99,11 @@
 	t.Parallel()
 	s, address := startServer(t, answer)
 	kept, unused := dial(t, address), dial(t, address)
-	if resp := kept.mustSend(t, "/"); resp.Close {
+	if resp := kept.mustSend(t, "/"); resp.ends {
 		t.Fatal("the connection is not kept before the server stops")
 	}
 	s.CloseAfterResponses()
-	if resp := kept.mustSend(t, "/"); !resp.Close {
+	if resp := kept.mustSend(t, "/"); !resp.ends {
 		t.Fatal("the response does not say that the connection ends")
 	}
 	kept.assertEnds(t)
@@ -144,8 +151,8 @@
 		<-begun
 		ended <- s.Shutdown(t.Context())
 	}()
-	if resp := dial(t, address).mustSend(t, "/"); resp.StatusCode != http.StatusOK || !resp.Close {
-		t.Fatalf("status %d, close %v, want 200 and true", resp.StatusCode, resp.Close)
+	if resp := dial(t, address).mustSend(t, "/"); resp.status != http.StatusOK || !resp.ends {
+		t.Fatalf("status %d, close %v, want 200 and true", resp.status, resp.ends)
 	}
 	if err := <-ended; err != nil {
 		t.Fatal(err)
@@ -170,8 +177,8 @@
 		}
 		s.CancelRequests()
 	}()
-	if resp := dial(t, address).mustSend(t, "/"); resp.StatusCode != http.StatusGatewayTimeout {
-		t.Fatalf("status %d, want 504", resp.StatusCode)
+	if resp := dial(t, address).mustSend(t, "/"); resp.status != http.StatusGatewayTimeout {
+		t.Fatalf("status %d, want 504", resp.status)
 	}
 }
 
@@ -204,7 +211,7 @@
 					if err != nil && wasRead {
 						t.Errorf("round %d: request %s was read and not answered: %v", round, path, err)
 					}
-					if err != nil || resp.Close {
+					if err != nil || resp.ends {
 						return
 					}
 				}
