Guard the mark of streams without event IDs against a data race

The watch over a silent run reads whether the stream may go on, while the run sets that its events have no IDs. Found by go test -race, which named endSilentRun and copyRun; the mark is atomic now. The fake control of tests is set up once, not at each change of the upstreams, for the same reason.

go test -race of the gateway's streams (8 and 100 entries), drains and software versions: no report.

--- a/internal/gateway/software_test.go
+++ b/internal/gateway/software_test.go
@@ -63,9 +63,9 @@
 	f, ok := g.news.(*fakeNews)
 	if !ok {
 		f = &fakeNews{}
+		g.news = f
 	}
 	f.upstreams.Store(&us)
-	g.news = f
 	g.balancer.Sync(us)
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -68,7 +69,7 @@
 	lastID uint64
 	// unnumbered is true if the caller has received an event without an ID, after which no
 	// upstream can go on.
-	unnumbered bool
+	unnumbered atomic.Bool
 	// runs counts the attempts that may have run the request.
 	runs int
 	// begun receives whether the software version of the first run is certain. It is nil once
@@ -113,7 +114,10 @@
 			s.callerGone = true
 			return err
 		}
-		s.lastID, s.unnumbered = max(s.lastID, id), s.unnumbered || id == 0
+		s.lastID = max(s.lastID, id)
+		if id == 0 {
+			s.unnumbered.Store(true)
+		}
 		return nil
 	})
 	close(ended)
@@ -154,7 +158,7 @@
 // mayRunAgain reports whether the route allows another run and the software version of the
 // stream is known.
 func (s *stream) mayRunAgain() bool {
-	return s.request.Software != "" && !s.unnumbered && s.runs < s.request.MaxAttempts
+	return s.request.Software != "" && !s.unnumbered.Load() && s.runs < s.request.MaxAttempts
 }
 
 // next starts the next run after one that ended with an error. It returns false if no
