End the run of an item at its first event out of place

The job store read such a run to its end, so that the engine went on with it for nothing. The body is closed, and the error names the event.

--- a/internal/jobstore/item.go
+++ b/internal/jobstore/item.go
@@ -182,6 +182,8 @@
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		if misplaced = w.text.checkNext(e, last); misplaced != nil {
+			// Ends the run, which would go on at its engine otherwise.
+			_ = resp.Body.Close()
 			return
 		}
 		last = e.ID
@@ -194,7 +196,7 @@
 	if misplaced == nil && last > 0 && last < w.text.lastID {
 		misplaced = rollout.NewError(rollout.KindTruncated, "the stream ends with event %d, the text with event %d", last, w.text.lastID)
 	}
-	return cmp.Or(err, misplaced)
+	return cmp.Or(misplaced, err)
 }
 
 // discardText discards the text of an item, so that it runs from the start. The caller holds
