--- a/internal/gateway/software.go
+++ b/internal/gateway/software.go
@@ -25,7 +25,7 @@
 	originTimeout = 3 * time.Second
 )
 
-// controlNews tells how recent the copy of the control state is. view.Watcher implements it.
+// controlNews returns how recent the copy of the control state is. view.Watcher implements it.
 type controlNews interface {
 	CopyInfo() view.CopyInfo
 	Confirm(ctx context.Context, maxAge rollout.Millis) error
--- a/internal/jobstore/routes.go
+++ b/internal/jobstore/routes.go
@@ -50,10 +50,10 @@
 	return job.RouteInForce{Route: document.Route{MaxAttempts: 1, Split: []document.Share{{Weight: 1}}}}
 }
 
-// updateRoutes applies the routes and the regions of the configuration to the open jobs. A job may have
-// been accepted by an entry with a newer copy of the configuration than this host had,
-// so its route may be unknown or outdated here at first. A job keeps a route that is
-// removed later. The caller holds r.mu.
+// updateRoutes applies the routes and the regions of the configuration to the open jobs. A job
+// may have been accepted by an entry with a newer copy of the configuration than this host had,
+// so its route may be unknown or outdated here at first. A job keeps a route that is removed
+// later. The caller holds r.mu.
 func (r *runner) updateRoutes() {
 	for jobID, items := range r.jobs {
 		first := items[0]
