--- a/Makefile
+++ b/Makefile
@@ -30,13 +30,15 @@
 
 # Tests of KNOWN-RED.txt run apart, and their failure is only shown.
 KNOWN_RED := $(shell sed -n 's/^go: \([A-Za-z0-9_]*\).*/\1/p' KNOWN-RED.txt 2>/dev/null | paste -sd '|' -)
+# Tests that measure the memory of processes run one at a time.
+ALONE := TestCrowd|TestLargestBody
+ALONE_PACKAGES := ./platform ./internal/e2e
 
 test: build
-ifeq ($(KNOWN_RED),)
-	$(GO) test ./...
-else
-	$(GO) test -skip '^($(KNOWN_RED))$$' ./...
-	-$(GO) test -count=1 -run '^($(KNOWN_RED))$$' ./... | grep -v 'no test'
+	$(GO) test -skip '^($(ALONE)$(if $(KNOWN_RED),|($(KNOWN_RED))$$))' ./...
+	$(GO) test -count=1 -p 1 -timeout 20m -run '^($(ALONE))' $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') $(ALONE_PACKAGES)
+ifneq ($(KNOWN_RED),)
+	-$(GO) test -count=1 -p 1 -timeout 20m -run '^($(KNOWN_RED))$$' ./... | grep -v 'no test'
 endif
 
 # Runs real processes under faults; docs/developer/soak.md tells how to read it.
