Judge the responses of upstreams wherever they are read

Callers got a part of a response as a complete one: an upstream answered a long upload at once with a 200 without length, sent a part and reset the connection while the upload was being written. They also got responses with the status 000, and with a blank or a control byte in the name of a header field, where a blank before the colon hides the length of the body.

Cause: the kernel reports a reset once. If the write of the upload gets the report, the read that follows sees an orderly end, which is all that marks the end of such a response. net/http accepts statuses below 100 and names with blanks, and hands on a 101 that nobody asked for.

internal/reply: connections remember the first error of a write, and return io.EOF after a part of a response only once the request was sent without one; a transport judges each head, and closes the connection of one that HTTP does not allow. All clients use it: requests, items, scorers, weight orders, reports, usage, and the own interface's upstreams, scorer, weight store and platform. A broken response is UpstreamFailed, and the request goes to another upstream where that is allowed.

--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"github.com/coltsfootspoke/coltsfootspoke/internal/reply"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/wire"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 )
@@ -29,16 +30,16 @@
 // need a client without connection reuse, because net/http resends some requests
 // over a new connection when a reused connection breaks.
 func NewClient(reuse bool) *http.Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+	dialer := net.Dialer{Timeout: dialTimeout}
 	return &http.Client{
-		Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
+		Transport: reply.NewTransport(&http.Transport{
+			DialContext:         reply.Dial(dialer),
 			MaxIdleConnsPerHost: maxIdlePerUpstream,
 			DisableKeepAlives:   !reuse,
 			DisableCompression:  true,
 
 			MaxResponseHeaderBytes: maxHeadBytes,
-		},
+		}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
