Close the oldest of too many connections in their handshake

Thousands of connections that send nothing to the address for the system's own processes took all descriptors of a control or a store host (1,513 to 1,518 of 1,000 on, 2,365 to 2,374 of 2,048 on the own interface): each may take 3 s for its handshake, and a listener that finds no descriptor ended the daemon.

An error of Accept that may pass is retried. Peers that have proved that they hold the secret are not counted.

--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -172,6 +172,8 @@
 	secret   []byte
 	listener net.Listener
 	log      *zap.Logger
+	// strangers are the connections whose peers have not proved that they hold the secret.
+	strangers strangers
 }
 
 // NewServer returns a server that accepts connections on a listener.
@@ -193,8 +195,14 @@
 			if ctx.Err() != nil {
 				return nil
 			}
+			if isTemporary(err) {
+				s.strangers.closeOldest()
+				time.Sleep(acceptRetryDelay)
+				continue
+			}
 			return rollout.NewError(rollout.KindInternal, "accept on %s", s.listener.Addr()).WithCause(err)
 		}
+		s.strangers.add(conn)
 		wait.Go(func() { s.serveConn(ctx, server, conn) })
 	}
 }
@@ -202,7 +210,9 @@
 func (s *Server) serveConn(ctx context.Context, server *drpcserver.Server, conn net.Conn) {
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
-	if err := serverHandshake(conn, s.secret); err != nil {
+	err := serverHandshake(conn, s.secret)
+	s.strangers.remove(conn)
+	if err != nil {
 		s.log.Warn("HandshakeFailed", zap.String("Peer", conn.RemoteAddr().String()), zap.Error(err))
 		_ = conn.Close()
 		return
