Bound the heads, bodies and connections of clients at every listener

An entry ended for want of memory: clients sent heads without end (60 connections, 515 MiB), bodies of legal size that stop a byte short (120 connections, 724 MiB), also with an unknown key or route and on calls that have no body, or opened connections until no descriptor was left. The same server serves the control and ready addresses; the metrics address had no limit either, and the own interface's entry and agent read bodies whole before their handlers.

Cause: of the four limits of the configuration only that of bodies was used; nothing ended a connection that stays open; bodies were read before the key, the route and the drain were looked at, by copying as they grew.

internal/callers limits each connection, for net/http and fasthttp alike: the length, the time and the memory of a head, idle time, the time in which a client must read a part of a response, and the number of connections, of which the one that has been silent for longest is closed for a new one. Bodies are read after everything that the head decides, into a buffer of their announced length or one that doubles, with memory of the account; one that nobody uses is not kept, and a long one ends its connection with the response. What was not received is refused as not run: 413, 431, 429, or 504 after the deadline. Receive buffers are small, since Linux lets that of a connection that is not read grow to megabytes.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -103,15 +103,16 @@
 	if err := wire.DRPCRegisterAgent(mux, a); err != nil {
 		return err
 	}
+	limits := cfg.Intake(log, a.metrics.registry)
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, gctx := errgroup.WithContext(serving)
 	group.Go(func() error { return a.runEventLoop(gctx) })
 	group.Go(func() error { return a.renewer.Run(gctx) })
 	group.Go(func() error { return link.NewServer(ls.Peers, cfg.Secret, mux, log).Serve(gctx) })
-	group.Go(func() error { return a.serveAnnounce(gctx, ls.Announce) })
+	group.Go(func() error { return a.serveAnnounce(gctx, ls.Announce, limits) })
 	group.Go(func() error {
-		return daemon.ServeAdmin(gctx, ls.Admin, a.metrics.registry, a.renewer.Valid)
+		return daemon.ServeAdmin(gctx, ls.Admin, a.metrics.registry, a.renewer.Valid, limits)
 	})
 	group.Go(func() error {
 		select {
--- a/internal/agent/announce.go
+++ b/internal/agent/announce.go
@@ -9,16 +9,25 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/valyala/fasthttp"
 
+	"github.com/coltsfootspoke/coltsfootspoke/internal/callers"
+	"github.com/coltsfootspoke/coltsfootspoke/internal/intake"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 )
 
+// maxAnnouncementBytes is many times the length of an announcement.
+const maxAnnouncementBytes = 1 << 20
+
 // serveAnnounce serves the HTTP endpoint for announcements of upstreams until the
 // context ends.
-func (a *agent) serveAnnounce(ctx context.Context, l net.Listener) error {
-	server := &fasthttp.Server{Handler: a.handleAnnounceRequest, Name: "coltsfootspoke", CloseOnShutdown: true}
+func (a *agent) serveAnnounce(ctx context.Context, l net.Listener, limits *intake.Intake) error {
+	server := &fasthttp.Server{
+		Handler: a.handleAnnounceRequest, Name: "coltsfootspoke", CloseOnShutdown: true, MaxRequestBodySize: maxAnnouncementBytes,
+	}
+	limited := callers.LimitFastHTTP(l, server, callers.Options{Intake: limits, MaxConnections: limits.MaxConnections()},
+		func(rc *fasthttp.RequestCtx, err *rollout.Error) { rc.Error(err.Error(), err.Kind.Response().Status) })
 	stop := context.AfterFunc(ctx, func() { _ = server.Shutdown() })
 	defer stop()
-	return server.Serve(l)
+	return server.Serve(limited)
 }
 
 func (a *agent) handleAnnounceRequest(rc *fasthttp.RequestCtx) {
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -17,6 +18,17 @@
 // reads the rest of its head. Connections in the midst of a head may be closed after it.
 const settleDelay = 100 * time.Millisecond
 
+const (
+	// lingerTimeout bounds the wait for the rest of a body that nobody reads.
+	lingerTimeout = time.Second
+	// maxUnusedBodyBytes is the length of a body that is read to keep its connection, though
+	// nobody uses it.
+	maxUnusedBodyBytes = 64 << 10
+)
+
+// connectionKey is the key of the connection in the context of a request.
+type connectionKey struct{}
+
 // Server is an HTTP server for callers. Its methods are safe for concurrent use.
 type Server struct {
 	http        http.Server
@@ -27,13 +39,18 @@
 }
 
 // NewServer returns a server that accepts the connections of a listener.
-func NewServer(l net.Listener, handler http.Handler) *Server {
-	s := &Server{connections: &connections{Listener: l, open: make(map[*connection]struct{})}}
+func NewServer(l net.Listener, handler http.Handler, opts Options) *Server {
+	s := &Server{connections: newConnections(l, opts)}
 	requests, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
 	s.http = http.Server{
-		Handler: s.closeWhenStopping(handler), ConnState: s.connections.observe,
+		Handler: s.serve(handler), ConnState: s.connections.observe,
 		BaseContext: func(net.Listener) context.Context { return requests },
+		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
+			return context.WithValue(ctx, connectionKey{}, conn)
+		},
+		// The connections limit the length of heads.
+		MaxHeaderBytes: math.MaxInt32,
 	}
 	return s
 }
@@ -91,11 +108,16 @@
 	return s.Shutdown(ctx)
 }
 
-// closeWhenStopping adds "Connection: close" to the heads of responses that are written while
-// the server is stopping.
-func (s *Server) closeWhenStopping(h http.Handler) http.Handler {
+// serve follows the requests of a connection, and adds "Connection: close" to the heads of
+// responses that are written while the server is stopping or while a long rest of the body is
+// unread.
+func (s *Server) serve(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		h.ServeHTTP(&closingWriter{ResponseWriter: w, stopping: &s.stopping}, r)
+		c, _ := r.Context().Value(connectionKey{}).(*connection)
+		c.beginServed(r.ContentLength != 0)
+		defer c.release()
+		defer c.beginRest()
+		h.ServeHTTP(&closingWriter{ResponseWriter: w, stopping: &s.stopping, request: r, connection: c}, r)
 	})
 }
 
@@ -103,7 +125,9 @@
 // the head is written.
 type closingWriter struct {
 	http.ResponseWriter
-	stopping *atomic.Bool
+	stopping   *atomic.Bool
+	request    *http.Request
+	connection *connection
 	// hasHead is true once the head has been written.
 	hasHead bool
 }
@@ -124,8 +148,11 @@
 }
 
 func (w *closingWriter) beforeHead() {
-	if !w.hasHead && w.stopping.Load() {
-		w.Header().Set("Connection", "close")
+	if w.hasHead {
+		return
 	}
 	w.hasHead = true
+	if !w.connection.skipBody(w.request) || w.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
 }
--- a/internal/callers/server_test.go
+++ b/internal/callers/server_test.go
@@ -26,7 +26,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := callers.NewServer(l, handler)
+	s := callers.NewServer(l, handler, callers.Options{})
 	served := make(chan error, 1)
 	go func() { served <- s.Serve() }()
 	t.Cleanup(func() {
@@ -234,7 +234,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := callers.NewServer(l, http.HandlerFunc(answer))
+	s := callers.NewServer(l, http.HandlerFunc(answer), callers.Options{})
 	_ = l.Close()
 	if err := s.Serve(); err == nil || !strings.Contains(err.Error(), "closed") {
 		t.Fatalf("error %v, want that of the listener", err)
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -68,7 +68,7 @@
 	group.Go(func() error { return l.run(ctx) })
 	group.Go(func() error { return link.NewServer(ls.Peers, cfg.Secret, mux, log).Serve(ctx) })
 	group.Go(func() error {
-		return daemon.ServeAdmin(ctx, ls.Admin, l.metrics.registry, l.ready.Load)
+		return daemon.ServeAdmin(ctx, ls.Admin, l.metrics.registry, l.ready.Load, cfg.Intake(log, l.metrics.registry))
 	})
 	group.Go(func() error { return l.bootstrapQuorum(ctx, dialer) })
 	if cfg.PlatformURL != "" {
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -5,22 +5,22 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
-)
 
-const (
-	adminReadTimeout  = 5 * time.Second
-	adminCloseTimeout = time.Second
+	"github.com/coltsfootspoke/coltsfootspoke/internal/callers"
+	"github.com/coltsfootspoke/coltsfootspoke/internal/intake"
 )
 
-// ServeAdmin serves /metrics, /healthz and /readyz until the context is done.
-func ServeAdmin(ctx context.Context, l net.Listener, registry *prometheus.Registry, ready func() bool) error {
+const adminCloseTimeout = time.Second
+
+// ServeAdmin serves /metrics, /healthz and /readyz until the context is done, within the limits
+// of the process.
+func ServeAdmin(ctx context.Context, l net.Listener, registry *prometheus.Registry, ready func() bool, limits *intake.Intake) error {
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
 	mux.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
@@ -32,16 +32,12 @@
 		}
 		_, _ = w.Write([]byte("ready\n"))
 	})
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: adminReadTimeout}
+	server := callers.NewServer(l, mux, callers.Options{Intake: limits})
 	stop := context.AfterFunc(ctx, func() {
 		shutdownCtx, cancel := context.WithTimeout(context.Background(), adminCloseTimeout)
 		defer cancel()
 		_ = server.Shutdown(shutdownCtx)
 	})
 	defer stop()
-	err := server.Serve(l)
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return err
+	return server.Serve()
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -19,6 +19,7 @@
 	"storj.io/drpc/drpcmux"
 
 	"github.com/coltsfootspoke/coltsfootspoke/internal/admission"
+	"github.com/coltsfootspoke/coltsfootspoke/internal/callers"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/daemon"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/link"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/payload"
@@ -38,6 +39,9 @@
 	idBytes         = 12
 	authorityCheck  = 100 * time.Millisecond
 	maxRequestBytes = 16 << 20
+	// bodyCopies is how many times its length a request takes beside its body: the body that
+	// attempts share, and the message to an agent.
+	bodyCopies = 2
 	// shutdownGrace is the time between the start of a shutdown and the closing
 	// of idle connections. In it the load balancer notices that the entry is not
 	// ready, and callers can send a last request on their connections.
@@ -106,24 +110,28 @@
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, gctx := errgroup.WithContext(serving)
-	callers := &fasthttp.Server{
+	limits := cfg.Intake(log, e.metrics.registry)
+	server := &fasthttp.Server{
 		Handler: e.handle, Name: "coltsfootspoke", CloseOnShutdown: true,
 		MaxRequestBodySize: maxRequestBytes, NoDefaultServerHeader: true,
 	}
-	group.Go(func() error { return callers.Serve(ls.Callers) })
+	limited := callers.LimitFastHTTP(ls.Callers, server, callers.Options{
+		Intake: limits, MaxConnections: limits.MaxConnections(), BodyCopies: bodyCopies,
+	}, e.refuse)
+	group.Go(func() error { return server.Serve(limited) })
 	group.Go(func() error { return e.renewer.Run(gctx) })
 	group.Go(func() error { return link.NewServer(ls.Peers, cfg.Secret, mux, log).Serve(gctx) })
 	group.Go(func() error { return e.monitorAuthority(gctx) })
 	group.Go(func() error { return e.stepRunner.run(gctx) })
 	group.Go(func() error {
-		return daemon.ServeAdmin(gctx, ls.Admin, e.metrics.registry, func() bool { return e.renewer.Valid() && !e.stopping.Load() })
+		return daemon.ServeAdmin(gctx, ls.Admin, e.metrics.registry, func() bool { return e.renewer.Valid() && !e.stopping.Load() }, limits)
 	})
 	group.Go(func() error {
 		select {
 		case <-gctx.Done():
 		case <-ctx.Done():
 		}
-		e.shutdown(callers)
+		e.shutdown(server)
 		stop()
 		return nil
 	})
@@ -216,11 +224,11 @@
 
 // shutdown reports the entry as not ready, waits for the grace period, and then
 // closes the callers' listener and waits for all of their requests.
-func (e *entry) shutdown(callers *fasthttp.Server) {
+func (e *entry) shutdown(server *fasthttp.Server) {
 	e.log.Info("ShutdownBegun")
 	e.stopping.Store(true)
 	time.Sleep(shutdownGrace)
-	_ = callers.Shutdown()
+	_ = server.Shutdown()
 	e.log.Info("ShutdownEnded")
 }
 
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -100,6 +100,13 @@
 		zap.String("Pool", x.pool), zap.Int("Status", rc.Response.StatusCode()), zap.Int64("MS", int64(e.clock.Now()-start)), zap.Error(err))
 }
 
+// refuse answers a request whose body was not received.
+func (e *entry) refuse(rc *fasthttp.RequestCtx, err *rollout.Error) {
+	x := &exchange{rc: rc, catalog: e.renewer.View(), id: newID()}
+	e.respondError(x, err)
+	e.metrics.requests.WithLabelValues(outcomeName(err)).Inc()
+}
+
 // serve processes an exchange. The response may still be streaming when it
 // returns nil; the stream then cleans the exchange up.
 func (e *entry) serve(x *exchange) error {
--- a/internal/gateway/drain_test.go
+++ b/internal/gateway/drain_test.go
@@ -133,7 +133,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := callers.NewServer(l, handler)
+	server := callers.NewServer(l, handler, callers.Options{})
 	served := make(chan error, 1)
 	go func() { served <- server.Serve() }()
 	clients := make([]*http.Client, callerCount)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -103,6 +103,17 @@
 	Received time.Time
 }
 
+// Deadline returns the time by which a request on a route must have been answered.
+func (in Inbound) Deadline(route document.Route) time.Time {
+	budget := rollout.Millis(math.MaxInt32)
+	for _, limit := range []rollout.Millis{route.TimeoutMS, in.BudgetMS} {
+		if limit > 0 {
+			budget = min(budget, limit)
+		}
+	}
+	return in.Received.Add(time.Duration(budget) * time.Millisecond)
+}
+
 // New returns an entry.
 func New(opts Options) *Gateway {
 	g := &Gateway{opts: opts, dialer: link.NewDialer(opts.Secret), metrics: newMetrics(opts.Registry), regions: residency.NewMap(opts.Regions)}
@@ -213,7 +224,7 @@
 func (g *Gateway) Do(ctx context.Context, in Inbound) (Response, error) {
 	route, account, err := g.Resolve(ctx, in)
 	if err != nil {
-		g.logFailure(in, route, err)
+		g.LogRefusal(in, route, err)
 		return Response{}, err
 	}
 	return g.forward(ctx, in, route, account)
@@ -221,12 +232,6 @@
 
 // forward sends a request on a route to an upstream and returns its response.
 func (g *Gateway) forward(ctx context.Context, in Inbound, route document.Route, account string) (Response, error) {
-	budget := rollout.Millis(math.MaxInt32)
-	for _, limit := range []rollout.Millis{route.TimeoutMS, in.BudgetMS} {
-		if limit > 0 {
-			budget = min(budget, limit)
-		}
-	}
 	clientAccount := g.accountNamed(account)
 	restrict := g.restrict(route, clientAccount)
 	req := balance.Request{
@@ -237,7 +242,7 @@
 		Pool:        g.pickPool(route, restrict()),
 		Repeatable:  isRepeatable(route),
 		MaxAttempts: max(1, route.MaxAttempts),
-		Deadline:    in.Received.Add(time.Duration(budget) * time.Millisecond),
+		Deadline:    in.Deadline(route),
 		OnStarted:   func() { g.meter.count(account) },
 		Restrict:    restrict,
 	}
@@ -263,7 +268,7 @@
 		if rollout.AsError(err).Kind == rollout.KindRegionNotAllowed {
 			g.recordRegionRefusal(refusedRequest, in.AttemptID, g.policyOf(route, clientAccount))
 		}
-		g.logFailure(in, route, err)
+		g.LogRefusal(in, route, err)
 		return response, err
 	}
 	if route.Resumable && response.Head.Streaming {
@@ -315,7 +320,8 @@
 	return rollout.NewError(rollout.KindPoisoned, "request refused: %d upstreams crashed while running it", poison.CrashLimit).WithNotRun()
 }
 
-func (g *Gateway) logFailure(in Inbound, route document.Route, err error) {
+// LogRefusal logs a request that ended with an error of the system itself.
+func (g *Gateway) LogRefusal(in Inbound, route document.Route, err error) {
 	fields := []zap.Field{
 		zap.String("Request", in.AttemptID), zap.String("Route", route.Name),
 		zap.Duration("Took", time.Since(in.Received)), zap.Error(err),
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -12,6 +12,10 @@
 	"path/filepath"
 	"strings"
 
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"github.com/coltsfootspoke/coltsfootspoke/internal/intake"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 )
 
@@ -33,6 +37,10 @@
 	AdminAddress string
 	// Control lists the addresses of the control hosts.
 	Control []string
+	// MemoryMB is the memory of the daemon, and Descriptors the number of sockets that it may
+	// have open. They default to those of the intake package.
+	MemoryMB    int64
+	Descriptors int
 	// LogLevel is debug, info, warn or error. It defaults to info.
 	LogLevel string
 }
@@ -90,6 +98,7 @@
 }
 
 const (
+	bytesPerMB             = 1 << 20
 	defaultUsageWindowMS   = 60_000
 	defaultSnapshotEntries = 20_000
 	defaultMaxInFlight     = 2_048
@@ -97,6 +106,11 @@
 	defaultKeptBytes       = 48 << 20
 )
 
+// Intake returns the limits of what clients may use up.
+func (c Common) Intake(log *zap.Logger, registry *prometheus.Registry) *intake.Intake {
+	return intake.New(intake.Options{MemoryBytes: c.MemoryMB * bytesPerMB, Descriptors: c.Descriptors, Log: log, Registry: registry})
+}
+
 // PeerListenAddress returns the address to listen on for connections from other
 // processes of the deployment.
 func (c Common) PeerListenAddress() string {
@@ -238,6 +252,8 @@
 		v.address("BindAddress", s.BindAddress)
 	}
 	v.address("AdminAddress", s.AdminAddress)
+	v.notNegative("MemoryMB", s.MemoryMB)
+	v.notNegative("Descriptors", int64(s.Descriptors))
 	if len(s.Control) == 0 {
 		v.fail("Control", "at least one control host is required")
 	}
@@ -252,6 +268,12 @@
 	}
 }
 
+func (v *validator) notNegative(field string, value int64) {
+	if value < 0 {
+		v.fail(field, fmt.Sprintf("%d must not be negative", value))
+	}
+}
+
 func (v *validator) positive(field string, value int64) {
 	if value <= 0 {
 		v.fail(field, fmt.Sprintf("%d must be positive", value))
--- a/pkg/rollout/errors.go
+++ b/pkg/rollout/errors.go
@@ -44,6 +44,10 @@
 	// KindRegionNotAllowed means that only hosts in regions that the route and the client
 	// account do not allow could take the request.
 	KindRegionNotAllowed
+	// KindBodyTooLarge and KindHeaderTooLarge mean that a request exceeds the limits of the
+	// configuration.
+	KindBodyTooLarge
+	KindHeaderTooLarge
 	kindCount
 )
 
@@ -79,6 +83,8 @@
 	KindStorage:          {"Storage", 507, 10_000},
 	KindNotResumable:     {"NotResumable", 503, 0},
 	KindRegionNotAllowed: {"RegionNotAllowed", 503, 2_000},
+	KindBodyTooLarge:     {"BodyTooLarge", 413, 0},
+	KindHeaderTooLarge:   {"HeaderTooLarge", 431, 0},
 }
 
 // Response returns the response for the kind. An unknown kind gets the response
