Hold one form of a job at a time at an entry

The largest legal job (31 MiB of text, bodies that do not compress) took 190 MiB of 160 at an entry in calm, so it could end the process by itself.

Cause: the text stayed while the job store was called; the decoder of the standard library copied it whole; the encoder took a multiple of the length and copied its result; each of the repeated calls encoded and packed the job anew, and each connection kept a buffer of that size.

The bytes on the wire are the same. Daemons of the own interface set a soft limit of memory, three quarters of MemoryMB.

--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/alecthomas/kong"
@@ -71,6 +72,7 @@
 		_, err := fmt.Fprintf(streams.Out, "%s: ok\n", f.Config)
 		return nil, nil, err
 	}
+	debug.SetMemoryLimit(common.SoftMemoryLimit())
 	var listeners []net.Listener
 	for _, a := range addresses {
 		l, err := settings.Listen(f.Config, a.field, a.address)
--- a/internal/fabric/fabric.go
+++ b/internal/fabric/fabric.go
@@ -16,6 +16,9 @@
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 )
 
+// maxKeptBytes is the size up to which a connection keeps its buffer.
+const maxKeptBytes = 1 << 20
+
 // packer is shared by all connections because it keeps no state between bodies.
 var packer = pack.New()
 
@@ -26,13 +29,47 @@
 // jsonEncoding implements drpc.Encoding with JSON that is packed by packer.
 type jsonEncoding struct{}
 
+// Encoded is a body that is encoded once and may be sent several times.
+type Encoded struct{ packed []byte }
+
+// Encode encodes a body.
+func Encode(body any) (Encoded, error) {
+	packed, err := jsonEncoding{}.Marshal(body)
+	return Encoded{packed}, err
+}
+
+// selfEncoder is a body that may be large and encodes itself in less memory than the encoder of
+// the standard library takes.
+type selfEncoder interface{ EncodeJSON() ([]byte, error) }
+
 // Marshal implements drpc.Encoding.
-func (jsonEncoding) Marshal(msg drpc.Message) ([]byte, error) {
-	data, err := json.Marshal(msg)
+func (e jsonEncoding) Marshal(msg drpc.Message) ([]byte, error) { return e.MarshalAppend(nil, msg) }
+
+// MarshalAppend appends a message to a buffer, which connections use again. A large buffer is
+// not kept for small messages.
+func (jsonEncoding) MarshalAppend(buf []byte, msg drpc.Message) ([]byte, error) {
+	if cap(buf) > maxKeptBytes && len(buf) == 0 {
+		buf = nil
+	}
+	if encoded, ok := msg.(Encoded); ok {
+		if len(buf) == 0 && cap(encoded.packed) > maxKeptBytes {
+			// The connection does not write to a buffer of this size again.
+			return encoded.packed, nil
+		}
+		return append(buf, encoded.packed...), nil
+	}
+	data, err := encodeJSON(msg)
 	if err != nil {
 		return nil, rollout.NewError(rollout.KindInternal, "encode body").WithCause(err)
 	}
-	return packer.Pack(data), nil
+	return packer.AppendPack(buf, data), nil
+}
+
+func encodeJSON(msg drpc.Message) ([]byte, error) {
+	if large, ok := msg.(selfEncoder); ok {
+		return large.EncodeJSON()
+	}
+	return json.Marshal(msg)
 }
 
 // Unmarshal implements drpc.Encoding.
--- a/internal/gateway/jobs.go
+++ b/internal/gateway/jobs.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/coltsfootspoke/coltsfootspoke/internal/fabric"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/jobstore"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/document"
@@ -35,11 +36,17 @@
 	if policy.IsRestricted() {
 		call.permit = func(address string) error { return g.checkStore(policy, address) }
 	}
-	err := callStore(ctx, g, call, spec, &jobstore.Empty{})
+	id := spec.ID
+	about := []zap.Field{zap.String("Job", id), zap.String("Account", spec.Account), zap.Int("Items", len(spec.Items))}
+	// Calls are repeated, and each would encode the items anew.
+	body, err := fabric.Encode(spec)
+	if err == nil {
+		err = callStore(ctx, g, call, body, &jobstore.Empty{})
+	}
 	if err != nil && rollout.AsError(err).Kind == rollout.KindRegionNotAllowed {
-		g.recordRegionRefusal(refusedJob, spec.ID, policy)
+		g.recordRegionRefusal(refusedJob, id, policy)
 	}
-	g.opts.Log.Info("JobForwarded", zap.String("Job", spec.ID), zap.String("Account", spec.Account), zap.Int("Items", len(spec.Items)), zap.Error(err))
+	g.opts.Log.Info("JobForwarded", append(about, zap.Error(err))...)
 	return err
 }
 
--- a/internal/pack/pack.go
+++ b/internal/pack/pack.go
@@ -3,6 +3,8 @@
 package pack
 
 import (
+	"slices"
+
 	"github.com/klauspost/compress/zstd"
 
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
@@ -12,6 +14,9 @@
 	// minCompressBytes is the smallest body that is compressed; compression
 	// saves nothing below it.
 	minCompressBytes = 256
+	// largeBytes is the size from which a buffer is made for the whole of a packed body, instead
+	// of growing by copies.
+	largeBytes = 1 << 20
 	// encoderWindowBytes limits the memory of the encoder.
 	encoderWindowBytes = 256 << 10
 	// maxUnpackedBytes limits the size of an unpacked body.
@@ -41,17 +46,25 @@
 	return &Packer{encoder: encoder, decoder: decoder}
 }
 
-// Pack returns data with a leading format byte, compressed if that saves space.
-func (p *Packer) Pack(data []byte) []byte {
+// AppendPack appends what Pack returns to a buffer.
+func (p *Packer) AppendPack(buf, data []byte) []byte {
+	start := len(buf)
 	if len(data) >= minCompressBytes {
-		packed := p.encoder.EncodeAll(data, []byte{formatZstd})
-		if len(packed) < len(data) {
+		if len(data) > largeBytes {
+			buf = slices.Grow(buf, len(data)+1)
+		}
+		packed := p.encoder.EncodeAll(data, append(buf, formatZstd))
+		if len(packed)-start < len(data) {
 			return packed
 		}
+		buf = packed[:start]
 	}
-	return append([]byte{formatPlain}, data...)
+	return append(append(buf, formatPlain), data...)
 }
 
+// Pack returns data with a leading format byte, compressed if that saves space.
+func (p *Packer) Pack(data []byte) []byte { return p.AppendPack(nil, data) }
+
 // Unpack returns the data that Pack was given. Data that was not compressed is
 // returned as a part of packed, not as a copy.
 func (p *Packer) Unpack(packed []byte) ([]byte, error) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -99,6 +99,7 @@
 
 const (
 	bytesPerMB             = 1 << 20
+	softLimitParts         = 4
 	defaultUsageWindowMS   = 60_000
 	defaultSnapshotEntries = 20_000
 	defaultMaxInFlight     = 2_048
@@ -111,6 +112,15 @@
 	return intake.New(intake.Options{MemoryBytes: c.MemoryMB * bytesPerMB, Descriptors: c.Descriptors, Log: log, Registry: registry})
 }
 
+// SoftMemoryLimit returns the memory above which the runtime collects garbage more often.
+func (c Common) SoftMemoryLimit() int64 {
+	limit := int64(intake.DefaultMemoryBytes)
+	if c.MemoryMB > 0 {
+		limit = c.MemoryMB * bytesPerMB
+	}
+	return limit / softLimitParts * (softLimitParts - 1)
+}
+
 // PeerListenAddress returns the address to listen on for connections from other
 // processes of the deployment.
 func (c Common) PeerListenAddress() string {
