--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -5,6 +5,7 @@
 	"context"
 
 	"github.com/coltsfootspoke/coltsfootspoke/internal/link"
+	"github.com/coltsfootspoke/coltsfootspoke/internal/reply"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/wire"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 )
@@ -84,6 +85,10 @@
 		return nil, rollout.NewError(rollout.KindInternal, "received a chunk of attempt %s on the stream of attempt %s", c.Attempt, s.attempt)
 	}
 	if c.Head != nil {
+		// fasthttp sends a status of 0 as 200.
+		if !reply.IsFinalStatus(int(c.Head.Status)) {
+			return nil, rollout.NewError(rollout.KindUpstreamFailed, "answer of attempt %s has the invalid status %d", s.attempt, c.Head.Status)
+		}
 		s.Head = c.Head
 	}
 	s.received += uint64(len(c.Data))
--- a/internal/attempt/attempt_test.go
+++ b/internal/attempt/attempt_test.go
@@ -61,6 +61,7 @@
 		{"head of another attempt", []*wire.RunChunk{headChunk("other"), dataChunk("other", "x"), endChunk("other", 1, "")}, rollout.KindInternal},
 		{"data of another attempt", []*wire.RunChunk{headChunk("mine"), dataChunk("other", "x"), endChunk("mine", 1, "")}, rollout.KindInternal},
 		{"end marker of another attempt", []*wire.RunChunk{headChunk("mine"), dataChunk("mine", "x"), endChunk("other", 1, "")}, rollout.KindInternal},
+		{"status 0", []*wire.RunChunk{{Attempt: "mine", Head: &wire.Head{}}, dataChunk("mine", "x"), endChunk("mine", 1, "")}, rollout.KindUpstreamFailed},
 		{"no end marker", []*wire.RunChunk{headChunk("mine"), dataChunk("mine", "x")}, rollout.KindTruncated},
 		{"short answer", []*wire.RunChunk{headChunk("mine"), dataChunk("mine", "x"), endChunk("mine", 2, "")}, rollout.KindTruncated},
 		{"error in the end marker", []*wire.RunChunk{headChunk("mine"), dataChunk("mine", "x"), endChunk("mine", 1, "Truncated: cut")}, rollout.KindTruncated},
--- a/internal/reply/transport.go
+++ b/internal/reply/transport.go
@@ -83,11 +83,14 @@
 	}
 }
 
+// IsFinalStatus reports whether HTTP allows a status as that of a final response.
+func IsFinalStatus(status int) bool { return status >= minStatus && status <= maxStatus }
+
 // Judge returns an error if HTTP does not allow the head of a response. net/http accepts some
 // of what it judges: statuses below 100, and names of fields with blanks, behind which the
 // length of the body may be hidden.
 func Judge(resp *http.Response) error {
-	if resp.StatusCode < minStatus || resp.StatusCode > maxStatus {
+	if !IsFinalStatus(resp.StatusCode) {
 		return rollout.NewError(rollout.KindUpstreamFailed, "response has status %q, want %d to %d", resp.Status, minStatus, maxStatus)
 	}
 	for name, values := range resp.Header {
