Give a grant time to make progress, and make room for all that wait

A request that had waited for its memory could be evicted at the next tick, as its time without progress counted from its arrival; and a tick evicted for the first that waits only, so behind a crowd of 900 stalled small requests an ordinary one waited for most of them in turn. Large requests that wait could also use up the number that may wait.

The time to make progress begins with a grant; a tick evicts stalled holders for all that wait, without counting what an evicted one wanted itself; the number that may wait is for each size.

Evidence: TestGrantGivesTimeToMakeProgress and TestStalledSmallHoldersYieldToAllThatWait.

--- a/pkg/rollout/memory/account.go
+++ b/pkg/rollout/memory/account.go
@@ -30,7 +30,7 @@
 	SmallBytes int64
 	// SmallLimit is the size up to which a holder is small.
 	SmallLimit int64
-	// MaxWaiting is the number of holders that may wait.
+	// MaxWaiting is the number of holders of each size that may wait.
 	MaxWaiting int
 	// StallMS is how long a transfer may make no progress while others wait.
 	StallMS rollout.Millis
@@ -65,6 +65,8 @@
 	unmoved int64
 	// progressMS is the time of the last progress.
 	progressMS rollout.Millis
+	// fresh is true from a grant until the next tick, at which the time to make progress begins.
+	fresh bool
 	// settled is true once nothing more is transferred. It is not evicted then.
 	settled bool
 	evicted bool
@@ -145,8 +147,8 @@
 		a.setHeld(h, bytes)
 		return true, nil
 	}
-	if len(a.waiting) >= a.cfg.MaxWaiting {
-		return false, rollout.NewError(rollout.KindOverloaded, "%d requests wait for memory, limit %d", len(a.waiting), a.cfg.MaxWaiting).WithNotRun()
+	if n := a.waitingOf(a.isLarge(bytes)); n >= a.cfg.MaxWaiting {
+		return false, rollout.NewError(rollout.KindOverloaded, "%d requests of this size wait for memory, limit %d", n, a.cfg.MaxWaiting).WithNotRun()
 	}
 	h.wanted = bytes
 	at := len(a.waiting)
@@ -189,17 +191,17 @@
 	return a.grant()
 }
 
-// Tick evicts holders that make no progress while others wait for memory: of each size, as
-// many as the first that waits needs. Holders that wait themselves come last, as they cannot
-// make progress.
+// Tick evicts holders that make no progress while others wait for memory, as many as those that
+// wait need. Holders that wait themselves come last, as they cannot make progress.
 func (a *Account) Tick(now rollout.Millis) Outcome {
 	out := a.grant()
-	for _, large := range []bool{false, true} {
-		i := slices.IndexFunc(a.waiting, func(w *holder) bool { return a.isLarge(w.wanted) == large })
-		if i < 0 {
-			continue
+	for _, h := range a.holders {
+		if h.fresh {
+			h.fresh, h.unmoved, h.progressMS = false, progressBytes, now
 		}
-		out.Evicted = append(out.Evicted, a.evictFor(now, a.waiting[i])...)
+	}
+	for _, large := range []bool{false, true} {
+		out.Evicted = append(out.Evicted, a.evictFor(now, large)...)
 	}
 	return out
 }
@@ -220,20 +222,26 @@
 	return bytes
 }
 
-// evictFor evicts stalled holders until a waiting one would fit.
-func (a *Account) evictFor(now rollout.Millis, w *holder) []ID {
-	missing := a.missing(w, w.wanted)
-	for _, h := range a.holders {
-		if h.evicted && h != w && a.helps(h, w) {
-			missing -= a.charge(h.held)
-		}
+// evictFor evicts stalled holders until the waiting ones of a size would fit.
+func (a *Account) evictFor(now rollout.Millis, large bool) []ID {
+	missing := a.missingFor(large)
+	if missing <= 0 {
+		return nil
 	}
 	var stalled []*holder
 	for _, h := range a.holders {
-		if h != w && !h.settled && !h.evicted && h.held > 0 && now-h.progressMS >= a.cfg.StallMS && a.helps(h, w) {
+		switch {
+		case !a.helps(h, large):
+		case h.evicted:
+			missing -= a.charge(h.held)
+		case !h.settled && h.held > 0 && now-h.progressMS >= a.cfg.StallMS:
 			stalled = append(stalled, h)
 		}
 	}
+	// One that waits does not have to yield for itself.
+	if len(stalled) == 1 && len(a.waiting) == 1 && stalled[0] == a.waiting[0] {
+		return nil
+	}
 	slices.SortFunc(stalled, func(x, y *holder) int {
 		return cmp.Or(
 			cmp.Compare(min(x.wanted, 1), min(y.wanted, 1)),
@@ -247,6 +255,9 @@
 			break
 		}
 		missing -= a.charge(h.held)
+		if h.wanted > 0 && a.isLarge(h.wanted) == large {
+			missing -= a.charge(h.wanted) - a.charge(h.held)
+		}
 		h.evicted = true
 		a.stopWaiting(h)
 		evicted = append(evicted, h.id)
@@ -274,16 +285,16 @@
 			continue
 		}
 		a.setHeld(w, w.wanted)
-		w.wanted = 0
+		w.wanted, w.fresh = 0, true
 		out.Granted = append(out.Granted, w.id)
 	}
 	a.waiting = rest
 	return out
 }
 
-// helps reports whether the memory of a holder could go to a waiting one.
-func (a *Account) helps(h, w *holder) bool {
-	return !a.isLarge(w.wanted) || a.isLarge(h.held) || a.smallUsed > a.cfg.SmallBytes
+// helps reports whether the memory of a holder could go to a waiting one of a size.
+func (a *Account) helps(h *holder, large bool) bool {
+	return !large || a.isLarge(h.held) || a.smallUsed > a.cfg.SmallBytes
 }
 
 // isBehind reports whether a reservation must wait for others of its size.
@@ -295,6 +306,41 @@
 
 func (a *Account) isLarge(bytes int64) bool { return bytes > a.cfg.SmallLimit }
 
+// missingFor returns how many bytes too few are free for all waiting holders of a size, or 0 if
+// none waits.
+func (a *Account) missingFor(large bool) int64 {
+	missing, waits := -a.free(large), false
+	for _, w := range a.waiting {
+		if a.isLarge(w.wanted) == large {
+			missing += a.charge(w.wanted) - a.charge(w.held)
+			waits = true
+		}
+	}
+	if !waits {
+		return 0
+	}
+	return missing
+}
+
+// free returns the bytes that holders of a size can still have.
+func (a *Account) free(large bool) int64 {
+	if large {
+		return a.cfg.Bytes - a.cfg.SmallBytes - a.largeUsed - max(0, a.smallUsed-a.cfg.SmallBytes)
+	}
+	return a.cfg.Bytes - a.smallUsed - a.largeUsed
+}
+
+// waitingOf returns the number of waiting holders of a size.
+func (a *Account) waitingOf(large bool) int {
+	n := 0
+	for _, w := range a.waiting {
+		if a.isLarge(w.wanted) == large {
+			n++
+		}
+	}
+	return n
+}
+
 // missing returns how many bytes too few are free for a holder to have a total of bytes.
 func (a *Account) missing(h *holder, bytes int64) int64 {
 	small, large := a.smallUsed, a.largeUsed
--- a/pkg/rollout/memory/account_test.go
+++ b/pkg/rollout/memory/account_test.go
@@ -131,6 +131,30 @@
 	}
 }
 
+// Guards against a small request that waits behind a crowd of small ones that stall.
+func TestStalledSmallHoldersYieldToAllThatWait(t *testing.T) {
+	x := newAccountTest(t, testConfig)
+	x.account.Settle(x.mustOpen(48 * mib))
+	var ids []ID
+	for range 900 {
+		id, _ := x.open(60 * kib)
+		ids = append(ids, id)
+	}
+	ordinary, _ := x.open(2 * kib)
+	rounds := 0
+	for ; !x.granted[ordinary]; rounds++ {
+		if rounds > 10 {
+			t.Fatalf("a small request still waits after %d s: %+v", rounds, x.account.Stats())
+		}
+		x.pass(1_200)
+		x.closeEvicted()
+		x.apply(x.account.Tick(x.now))
+	}
+	if x.evicted[ordinary] || len(ids) == 0 {
+		t.Fatal("the ordinary request was evicted")
+	}
+}
+
 func TestHoldersWaitInTheirOrder(t *testing.T) {
 	x := newAccountTest(t, testConfig)
 	first := x.mustOpen(40 * mib)
@@ -212,6 +236,26 @@
 	}
 }
 
+// Guards against a request that waited for long and is evicted before it could move anything.
+func TestGrantGivesTimeToMakeProgress(t *testing.T) {
+	x := newAccountTest(t, testConfig)
+	first := x.mustOpen(48 * mib)
+	x.account.Settle(first)
+	waited, _ := x.open(40 * mib)
+	x.open(40 * mib)
+	x.pass(20_000)
+	x.apply(x.account.Close(first))
+	x.assertGranted(waited)
+	x.pass(1_000)
+	if x.evicted[waited] {
+		t.Fatal("evicted right after the grant")
+	}
+	x.pass(200)
+	if !x.evicted[waited] {
+		t.Fatal("a stalled holder kept its memory")
+	}
+}
+
 func TestSettledHolderIsNotEvicted(t *testing.T) {
 	x := newAccountTest(t, testConfig)
 	settled := x.mustOpen(48 * mib)
