--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -116,7 +116,8 @@
 		MaxRequestBodySize: maxRequestBytes, NoDefaultServerHeader: true,
 	}
 	limited := callers.LimitFastHTTP(ls.Callers, server, callers.Options{
-		Intake: limits, MaxConnections: limits.MaxConnections(), BodyCopies: bodyCopies,
+		Intake: limits, MaxConnections: limits.MaxConnections(), BodyCopies: bodyCopies, Log: log,
+		ErrorBody: func(err *rollout.Error) []byte { return []byte(errorJSON(&exchange{id: newID()}, err)) },
 	}, e.refuse)
 	group.Go(func() error { return server.Serve(limited) })
 	group.Go(func() error { return e.renewer.Run(gctx) })
