--- a/internal/callers/connection.go
+++ b/internal/callers/connection.go
@@ -265,4 +265,3 @@
 		}
 	}
 }
-
--- a/internal/callers/head.go
+++ b/internal/callers/head.go
@@ -93,4 +93,3 @@
 		status, http.StatusText(status), len(body), body)
 	c.interrupt()
 }
-
