Admit a job only if the items of open jobs fit the memory of the job store

Legal jobs sent by one caller ended a host of the job store: 60 whole jobs of 4 MiB take 484 MiB of 160 on. Each is kept until it ends, in the state and in the log, and nothing bounded their sum.

A job that was accepted before is acknowledged as always. An entry hands the refusal on at once.

--- a/internal/gateway/jobs.go
+++ b/internal/gateway/jobs.go
@@ -116,7 +116,7 @@
 
 // callStore calls the leader of the job store and follows redirects to another
 // leader. It retries until the call succeeds, is rejected with KindNotFound,
-// KindConflict or KindRegionNotAllowed, is not permitted any more, or times out, so
+// KindConflict, KindRegionNotAllowed or KindOverloaded, is not permitted any more, or times out, so
 // all methods must be idempotent. Unless it succeeds or is rejected, the kind of
 // the error shows whether an attempt may have been executed.
 func callStore(ctx context.Context, g *Gateway, call storeCall, in, out any) error {
@@ -143,7 +143,7 @@
 		switch last.Kind {
 		case rollout.KindNotFound, rollout.KindConflict:
 			return last
-		case rollout.KindRegionNotAllowed:
+		case rollout.KindRegionNotAllowed, rollout.KindOverloaded:
 			return call.withOutcome(last, maybeExecuted)
 		case rollout.KindNotLeader:
 			if next := strings.TrimPrefix(last.Message, "leader is "); next != "" && next != address && !failed[next] {
--- a/internal/jobstore/calls.go
+++ b/internal/jobstore/calls.go
@@ -100,6 +100,14 @@
 			return Empty{}, err
 		}
 	}
+	if !s.hasJob(spec.ID) {
+		done, err := s.admit(spec)
+		if err != nil {
+			s.opts.Log.Warn("JobNotAdmitted", zap.String("Job", spec.ID), zap.String("Account", spec.Account), zap.Error(err))
+			return Empty{}, err
+		}
+		defer done()
+	}
 	spec.OwnTexts = true
 	err = s.propose(ctx, job.Command{Submit: &spec})
 	s.opts.Log.Info("JobSubmitted", zap.String("Job", spec.ID), zap.String("Account", spec.Account), zap.String("Model", spec.Model),
--- a/internal/jobstore/store.go
+++ b/internal/jobstore/store.go
@@ -61,6 +61,9 @@
 	// OrderCooldownMS is the minimum time between two orders of this host under
 	// different terms if another host has sent orders in between.
 	OrderCooldownMS rollout.Millis
+	// MemoryBytes is the memory of the process, of which the items of open jobs may take a part.
+	// 0 sets no limit.
+	MemoryBytes int64
 	// ColdBound bounds the requests that a cold upstream gets.
 	ColdBound limit.ColdBound
 	Upstreams rollout.UpstreamClient
@@ -100,6 +103,8 @@
 	runner *runner
 	// orderCooldown limits the weight orders of this host.
 	orderCooldown authority.Cooldown
+	// submitting is the memory of the items of jobs that are being accepted.
+	submitting int64
 }
 
 // New opens the data directory of a store host.
--- a/pkg/rollout/job/encode.go
+++ b/pkg/rollout/job/encode.go
@@ -57,6 +57,21 @@
 	return append(append(buf, '"'), after...), nil
 }
 
+// Bytes returns the memory of the items of a spec.
+func (s Spec) Bytes() int64 {
+	var n int64
+	for _, it := range s.Items {
+		n += itemBytes + int64(len(it.Body))
+		for _, h := range it.Headers {
+			n += int64(len(h.Name) + len(h.Value))
+		}
+		if it.Scorer != nil {
+			n += int64(len(it.Scorer.Body))
+		}
+	}
+	return n
+}
+
 // encodedBytes estimates the length of the encoding of an item.
 func (it Item) encodedBytes() int {
 	n := itemBytes + base64.StdEncoding.EncodedLen(len(it.Body))
