Show that one legal job ends the stores of a deployment again and again

The store that leads exceeds its 164 MB and is killed by the platform, then the next one, as the client sends the job again.

How: review/7/run.sh starts the processes and a stand-in of the platform that reads the anonymous memory of each, kills those above memoryMb and starts them again.

--- a/review/.standins-2/cluster.go
+++ b/review/.standins-2/cluster.go
@@ -47,7 +47,10 @@
 	dir    string
 	subnet int
 	// zones holds the zone of each host of a class.
-	zones     []string
+	zones []string
+	// frontMB and storeMB are the memory of the hosts.
+	frontMB, storeMB int
+
 	mu        sync.Mutex
 	processes map[string]*process
 	engines   []*engine
@@ -55,12 +58,15 @@
 	stop      chan struct{}
 }
 
-func newCluster(rec *record) (*cluster, error) {
+func newCluster(rec *record) (*cluster, error) { return newClusterOf(rec, 284, 324) }
+
+// newClusterOf is newCluster with hosts of other memory.
+func newClusterOf(rec *record, frontMB, storeMB int) (*cluster, error) {
 	dir, err := os.MkdirTemp("", "review-")
 	if err != nil {
 		return nil, err
 	}
-	c := &cluster{rec: rec, dir: dir, zones: []string{"paraiso", "turrialba", "oreamuno"}, processes: map[string]*process{}, stop: make(chan struct{})}
+	c := &cluster{rec: rec, dir: dir, zones: []string{"paraiso", "turrialba", "oreamuno"}, frontMB: frontMB, storeMB: storeMB, processes: map[string]*process{}, stop: make(chan struct{})}
 	if c.subnet, err = freeSubnet(); err != nil {
 		return c, err
 	}
@@ -118,12 +124,12 @@
 }
 
 func (c *cluster) settings(role, ip string, zone int, bootstrap bool) string {
-	class, serves, memory, fds := "frontend", `["frontend"]`, 284, 4100
+	class, serves, memory, fds := "frontend", `["frontend"]`, c.frontMB, 4100
 	switch role {
 	case "control":
 		serves = `["control_plane"]`
 	case "store":
-		class, serves, memory, fds = "storage", `["storage"]`, 324, 8200
+		class, serves, memory, fds = "storage", `["storage"]`, c.storeMB, 8200
 	}
 	var b strings.Builder
 	fmt.Fprintf(&b, "nodeName = \"%s-%s-1\"\nrole = %q\nmachineClass = %q\nserves = %s\nip = %q\nzone = %q\nregion = \"cartago\"\n", class, c.zones[zone], role, class, serves, ip, c.zones[zone])
--- a/review/.standins-2/main.go
+++ b/review/.standins-2/main.go
@@ -18,6 +18,7 @@
 // cases are the cases by name. Each returns how often the rule was broken.
 var cases = map[string]func(rec *record, trouble bool) (broken int, err error){
 	"repeated": repeatedAnswer,
+	"memory":   memory,
 	"refusal":  refusal,
 	"wiped":    wiped,
 }
--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -4,4 +4,4 @@
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
 [ -x target/coltsfootspoke ] && [ -x target/review-standins-2 ] || exit 2
-exec target/review-standins-2 refusal "$here/record.txt"
+exec target/review-standins-2 memory "$here/record.txt"
