Let no status promise "not run" for a request that may have run

What callers saw: an upstream ran a request that may run once and answered 503 (or 429, 408) without the field that says "not run".

Cause: the rule that such a status needs certainty was applied to errors of the system only, where they are written. Responses of upstreams left by other ways, on both interfaces.

Change: rollout.TruthfulStatus decides, applied where a response is judged (UpstreamResponse.ForCaller) and where an error gets its status (Error.Status). 502 keeps the upstream's text, not its Retry-After or stamp; the log keeps its status. Such a response is tried elsewhere where the request may be repeated.

--- a/internal/agent/announce.go
+++ b/internal/agent/announce.go
@@ -24,7 +24,7 @@
 		Handler: a.handleAnnounceRequest, Name: "coltsfootspoke", CloseOnShutdown: true, MaxRequestBodySize: maxAnnouncementBytes,
 	}
 	limited := callers.LimitFastHTTP(l, server, callers.Options{Intake: limits, MaxConnections: limits.MaxConnections()},
-		func(rc *fasthttp.RequestCtx, err *rollout.Error) { rc.Error(err.Error(), err.Kind.Response().Status) })
+		func(rc *fasthttp.RequestCtx, err *rollout.Error) { rc.Error(err.Error(), err.Status()) })
 	stop := context.AfterFunc(ctx, func() { _ = server.Shutdown() })
 	defer stop()
 	return server.Serve(limited)
--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -17,8 +17,11 @@
 	ctx     context.Context
 	stream  wire.DRPCAgent_RunClient
 	cancel  context.CancelFunc
-	// Head is set once the head of the answer has been received.
+	// Head is set once the head of the answer has been received. It is the head as a caller
+	// gets it.
 	Head *wire.Head
+	// UpstreamStatus is the status of the upstream, which Head may replace.
+	UpstreamStatus int
 	// received is the number of data bytes received.
 	received uint64
 	// End is set once the end marker has been received.
@@ -89,7 +92,7 @@
 		if !reply.IsFinalStatus(int(c.Head.Status)) {
 			return nil, rollout.NewError(rollout.KindUpstreamFailed, "answer of attempt %s has the invalid status %d", s.attempt, c.Head.Status)
 		}
-		s.Head = c.Head
+		s.Head, s.UpstreamStatus = callerHead(c.Head), int(c.Head.Status)
 	}
 	s.received += uint64(len(c.Data))
 	if c.End != nil {
@@ -98,6 +101,21 @@
 	return c.Data, nil
 }
 
+// callerHead returns the head of an answer as a caller gets it. An upstream that answers may
+// have run the request.
+func callerHead(head *wire.Head) *wire.Head {
+	r := rollout.UpstreamResponse{Status: int(head.Status)}
+	for _, h := range head.Headers {
+		r.Header = append(r.Header, rollout.HeaderField{Name: h.Name, Value: h.Value})
+	}
+	r = r.ForCaller()
+	out := &wire.Head{Status: int32(r.Status)}
+	for _, f := range r.Header {
+		out.Headers = append(out.Headers, &wire.Header{Name: f.Name, Value: f.Value})
+	}
+	return out
+}
+
 // More reports whether there is more to read.
 func (s *Stream) More() bool { return s.firstData != nil || s.End == nil }
 
--- a/internal/attempt/attempt_test.go
+++ b/internal/attempt/attempt_test.go
@@ -103,3 +103,18 @@
 		t.Fatal("retry.Allowed returned false, want true")
 	}
 }
+
+// Guards against a status of an upstream that tells a caller that its request has not run, of a
+// new answer as well as of a remembered one.
+func TestStatusOfAnswerPromisesNothing(t *testing.T) {
+	for _, status := range []int32{408, 421, 429, 503} {
+		head := &wire.RunChunk{Attempt: "mine", Head: &wire.Head{Status: status, Headers: []*wire.Header{{Name: "retry-after", Value: "1"}, {Name: "X", Value: "y"}}}}
+		s := &Stream{attempt: "mine", ctx: t.Context(), cancel: func() {}, stream: &fakeStream{chunks: []*wire.RunChunk{head, endChunk("mine", 0, "")}}}
+		if _, err := s.ReadAll(nil); err != nil {
+			t.Fatal(err)
+		}
+		if s.Head.Status != 502 || s.UpstreamStatus != int(status) || len(s.Head.Headers) != 1 {
+			t.Errorf("status %d: got head %v, upstream status %d, want 502 without a Retry-After", status, s.Head, s.UpstreamStatus)
+		}
+	}
+}
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -228,9 +228,11 @@
 	return a.err != nil && (!a.err.NotRun || a.err.Kind != rollout.KindOverloaded)
 }
 
-// isFinal reports whether the response goes to the caller without further
-// attempts.
-func (a attempt) isFinal() bool { return a.err == nil && a.response.Head.Status < 500 }
+// isFinal reports whether the response goes to the caller without further attempts. Another
+// upstream may serve a request that one has failed or refused.
+func (a attempt) isFinal() bool {
+	return a.err == nil && a.response.Head.Status < 500 && !a.response.Head.IsRefusal()
+}
 
 // call is the state of one request.
 type call struct {
@@ -453,6 +455,12 @@
 	a.response.Runs = c.possibleRuns + c.running
 	a.response.Born = bornOf(a.incarnation)
 	a.response.Software = c.balancer.SoftwareOf(a.upstream, a.response.Born)
+	upstreamStatus := a.response.Head.Status
+	a.response.Head = a.response.Head.ForCaller()
+	if a.response.Head.Status != upstreamStatus {
+		c.balancer.log.Warn("UpstreamStatusReplaced", zap.String("Request", c.req.UpstreamRequest.AttemptID), zap.String("Upstream", a.upstream),
+			zap.Int("UpstreamStatus", upstreamStatus), zap.Int("Status", a.response.Head.Status))
+	}
 	body := a.response.Head.Body
 	if a.response.Head.Streaming {
 		a.response.Head.Body = &observedStream{ReadCloser: body, onEnd: func(err error) { c.recordStreamEnd(a, err) }}
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -445,3 +446,27 @@
 		t.Fatalf("both suspects ran at %s, want one at each upstream", last[0])
 	}
 }
+
+// Guards against statuses that promise that a request has not run, of upstreams that do not say
+// so, and against such a response as the final one where another upstream may be tried.
+func TestRefusalWithoutStatementMayHaveRun(t *testing.T) {
+	for _, status := range []int{408, 429, 503} {
+		refuses := behavior{status: status}
+		t.Run(strconv.Itoa(status)+" once", func(t *testing.T) {
+			b, f := newBalancer(map[string]behavior{"a": refuses, "b": succeeds})
+			b.Sync(readyUpstreams(map[string]behavior{"a": refuses}))
+			response, err := b.Do(t.Context(), request(false, 3))
+			if err != nil || response.Head.Status != 502 || string(response.Body) != "a" {
+				t.Errorf("got status %d, body %q, error %v, want 502 and the body", response.Head.Status, response.Body, err)
+			}
+			assertSends(t, f, 1)
+		})
+		t.Run(strconv.Itoa(status)+" repeatable", func(t *testing.T) {
+			b, f := newBalancer(map[string]behavior{"a": refuses, "b": refuses, "c": refuses})
+			if response, err := b.Do(t.Context(), request(true, 3)); err != nil || response.Head.Status != 502 {
+				t.Errorf("got status %d, error %v, want 502", response.Head.Status, err)
+			}
+			assertSends(t, f, 3)
+		})
+	}
+}
--- a/internal/callers/head.go
+++ b/internal/callers/head.go
@@ -87,7 +87,7 @@
 // refuseHead writes a response to a request whose head is not read to its end.
 func (c *connection) refuseHead(err *rollout.Error) {
 	body := c.owner.opts.ErrorBody(err)
-	status := err.Kind.Response().Status
+	status := err.Status()
 	_ = c.SetWriteDeadline(time.Now().Add(refusalTimeout))
 	_, _ = fmt.Fprintf(c.Conn, "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s",
 		status, http.StatusText(status), len(body), body)
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -199,6 +199,9 @@
 
 // respond sends the caller a complete response.
 func (e *entry) respond(x *exchange, s *attempt.Stream, body []byte) {
+	if s.UpstreamStatus != int(s.Head.Status) {
+		e.log.Warn("UpstreamStatusReplaced", zap.String("Request", x.id), zap.Int("UpstreamStatus", s.UpstreamStatus), zap.Int32("Status", s.Head.Status))
+	}
 	writeHead(x.rc, s)
 	x.rc.Response.SetBodyRaw(body)
 }
@@ -288,7 +291,7 @@
 	r := rollout.AsError(err)
 	rc := x.rc
 	rc.Response.ResetBody()
-	rc.Response.SetStatusCode(r.Kind.Response().Status)
+	rc.Response.SetStatusCode(r.Status())
 	rc.Response.Header.SetContentType("application/json")
 	if retryAfter := r.RetryDelay(); retryAfter > 0 {
 		seconds := (int64(retryAfter) + msPerSecond - 1) / msPerSecond
--- a/internal/replytest/server.go
+++ b/internal/replytest/server.go
@@ -3,6 +3,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -22,12 +23,27 @@
 // it becomes the value of the header field idField. If reset is true, the connection is reset
 // while the rest of the request is being sent.
 func Start(t *testing.T, head, idField string, reset bool) *Server {
+	t.Helper()
+	s := &Server{reset: reset}
+	s.Address = Listen(t, func(conn net.Conn) { s.serve(conn, head, idField) })
+	return s
+}
+
+// StartSequence starts a server that answers the requests of each connection with the given
+// responses in turn, as Start does, and then closes it. It returns its address.
+func StartSequence(t *testing.T, idField string, responses ...string) string {
+	t.Helper()
+	return Listen(t, func(conn net.Conn) { serveSequence(conn, idField, responses) })
+}
+
+// Listen starts a server that passes each connection to serve, which must close it. It returns
+// its address.
+func Listen(t *testing.T, serve func(conn net.Conn)) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &Server{Address: listener.Addr().String(), reset: reset}
 	var connections sync.WaitGroup
 	done := make(chan struct{})
 	go func() {
@@ -37,7 +53,7 @@
 			if err != nil {
 				return
 			}
-			connections.Go(func() { s.serve(conn, head, idField) })
+			connections.Go(func() { serve(conn) })
 		}
 	}()
 	t.Cleanup(func() {
@@ -45,7 +61,24 @@
 		<-done
 		connections.Wait()
 	})
-	return s
+	return listener.Addr().String()
+}
+
+func serveSequence(conn net.Conn, idField string, responses []string) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for _, response := range responses {
+		req, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return
+		}
+		if _, err := conn.Write([]byte(strings.ReplaceAll(response, "{id}", req.Header.Get(idField)))); err != nil {
+			return
+		}
+	}
 }
 
 func (s *Server) serve(conn net.Conn, head, idField string) {
--- a/pkg/rollout/upstream.go
+++ b/pkg/rollout/upstream.go
@@ -63,7 +63,7 @@
 	Leaving bool
 	// Limit is what the upstream takes from all hosts together.
 	Limit RateLimit
-	// Stamp is the upstream's signature of the response.
+	// Stamp is the upstream's signature of the response. It is not among Header.
 	Stamp string
 	// WeightVersion is the version that generates the first event, or 0.
 	WeightVersion uint64
