Take jobs that are longer than 1 MiB in parts, so that a host holds one form of them

Change: the items are sent as a stream in parts of 512 KiB, each committed by itself, before the submission, which names their digest. Replicas decode parts as they are applied; nothing of an upload runs, and a second entry that sends the same job joins it. Entries decode one item at a time. Memory that a refused large job needs is kept free for it, and small jobs have their own part. A job that never fits is refused with 413.

--- a/internal/disk/record.go
+++ b/internal/disk/record.go
@@ -3,8 +3,10 @@
 import (
 	"encoding/binary"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"hash/crc32"
+	"io"
 
 	"google.golang.org/protobuf/proto"
 
@@ -23,6 +25,8 @@
 	// jsonPrefix is the first byte of a JSON payload. An encoded
 	// wire.LogRecord never starts with it.
 	jsonPrefix = '{'
+	// zeroChunkBytes is how much of a log is looked at at a time for bytes that are not zero.
+	zeroChunkBytes = 64 << 10
 )
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
@@ -66,47 +70,80 @@
 	return append(out, payload...), nil
 }
 
-// decodeRecords decodes the records of a log file and returns the length of the
-// valid prefix. A torn record at the end of the file is ignored; corruption
+// readRecords passes the records of a log of a size to handle, one at a time, and returns the
+// length of the valid prefix. A torn record at the end of the log is ignored; corruption
 // anywhere else is an error.
-func decodeRecords(path string, data []byte) (records []record, valid int64, err error) {
-	offset := 0
-	for offset < len(data) {
-		rest := data[offset:]
-		if len(rest) < headerBytes || allZero(rest) {
-			return records, int64(offset), nil
+func readRecords(path string, log io.ReaderAt, length int64, handle func(record) error) (valid int64, err error) {
+	var buf []byte
+	for offset := int64(0); ; {
+		header := make([]byte, min(headerBytes, length-offset))
+		if _, err := log.ReadAt(header, offset); err != nil && !errors.Is(err, io.EOF) {
+			return 0, storageError("read log", err)
 		}
-		corrupt := &CorruptError{Path: path, Offset: int64(offset)}
-		if crc32.Checksum(rest[:8], castagnoli) != binary.LittleEndian.Uint32(rest[8:]) {
+		if len(header) < headerBytes {
+			return offset, nil
+		}
+		corrupt := &CorruptError{Path: path, Offset: offset}
+		if crc32.Checksum(header[:8], castagnoli) != binary.LittleEndian.Uint32(header[8:]) {
+			zero, err := isZero(log, offset, length)
+			if zero || err != nil {
+				return offset, err
+			}
 			corrupt.Reason = "header checksum mismatch"
-			return nil, 0, corrupt
+			return 0, corrupt
 		}
-		size := int(binary.LittleEndian.Uint32(rest))
+		size := int64(binary.LittleEndian.Uint32(header))
 		if size > maxRecordBytes {
 			corrupt.Reason = fmt.Sprintf("record length of %d bytes exceeds the limit of %d bytes", size, maxRecordBytes)
-			return nil, 0, corrupt
+			return 0, corrupt
+		}
+		end := offset + headerBytes + size
+		if end > length {
+			return offset, nil
 		}
-		if headerBytes+size > len(rest) {
-			return records, int64(offset), nil
+		if int64(cap(buf)) < size {
+			buf = make([]byte, size)
 		}
-		payload := rest[headerBytes : headerBytes+size]
-		if crc32.Checksum(payload, castagnoli) != binary.LittleEndian.Uint32(rest[4:]) {
-			if headerBytes+size == len(rest) || allZero(rest[headerBytes+size:]) {
-				return records, int64(offset), nil
+		payload := buf[:size]
+		if _, err := log.ReadAt(payload, offset+headerBytes); err != nil && !errors.Is(err, io.EOF) {
+			return 0, storageError("read log", err)
+		}
+		if crc32.Checksum(payload, castagnoli) != binary.LittleEndian.Uint32(header[4:]) {
+			zero, err := isZero(log, end, length)
+			if zero || err != nil {
+				return offset, err
 			}
 			corrupt.Reason = "payload checksum mismatch"
-			return nil, 0, corrupt
+			return 0, corrupt
 		}
 		r, err := decodePayload(payload)
 		if err != nil {
 			corrupt.Reason = err.Error()
-			return nil, 0, corrupt
+			return 0, corrupt
+		}
+		r.offset = offset
+		if err := handle(r); err != nil {
+			return 0, err
+		}
+		offset = end
+	}
+}
+
+// isZero reports whether the rest of a log from an offset on holds only zeros, as it does where
+// a write was lost.
+func isZero(log io.ReaderAt, offset, length int64) (bool, error) {
+	chunk := make([]byte, zeroChunkBytes)
+	for offset < length {
+		n := min(int64(len(chunk)), length-offset)
+		if _, err := log.ReadAt(chunk[:n], offset); err != nil && !errors.Is(err, io.EOF) {
+			return false, storageError("read log", err)
+		}
+		if !allZero(chunk[:n]) {
+			return false, nil
 		}
-		r.offset = int64(offset)
-		records = append(records, r)
-		offset += headerBytes + size
+		offset += n
 	}
-	return records, int64(offset), nil
+	return true, nil
 }
 
 func decodePayload(payload []byte) (record, error) {
--- a/internal/disk/snapshot.go
+++ b/internal/disk/snapshot.go
@@ -138,7 +138,7 @@
 		if err := write(&syncingWriter{file: f}); err != nil {
 			return err
 		}
-		return verifyChecksum(f)
+		return verifyChecksum(f, f.Name())
 	})
 	if renamed {
 		s.snapshotIndex, s.snapshotNameUnsynced = index, err != nil
@@ -148,7 +148,7 @@
 
 // verifyChecksum checks the checksum at the start of a snapshot file against the
 // remaining bytes.
-func verifyChecksum(f File) error {
+func verifyChecksum(f io.ReadSeeker, path string) error {
 	if _, err := f.Seek(0, io.SeekStart); err != nil {
 		return err
 	}
@@ -161,7 +161,7 @@
 		return err
 	}
 	if sum.Sum32() != binary.LittleEndian.Uint32(want) {
-		return &CorruptError{Path: f.Name(), Reason: "checksum mismatch"}
+		return &CorruptError{Path: path, Reason: "checksum mismatch"}
 	}
 	return nil
 }
@@ -180,6 +180,46 @@
 	return err
 }
 
+// loadSnapshotHeader returns the stored snapshot, whose checksum it verifies, without its data,
+// which may take much of the memory of a host. It returns nil if there is none.
+func (s *Store) loadSnapshotHeader() (*quorum.Snapshot, error) {
+	path := s.path(snapshotFileName)
+	f, err := os.Open(path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, storageError("read snapshot", err)
+	}
+	defer func() { _ = f.Close() }()
+	start := make([]byte, checksumBytes+1+headerLengthBytes)
+	if _, err := io.ReadFull(f, start); err != nil || start[checksumBytes] != streamFormat {
+		// A file of an earlier release, or none that LoadSnapshot accepts.
+		snap, err := s.LoadSnapshot()
+		if snap != nil {
+			snap.Data = nil
+		}
+		return snap, err
+	}
+	if err := verifyChecksum(f, path); err != nil {
+		return nil, err
+	}
+	size := binary.LittleEndian.Uint32(start[checksumBytes+1:])
+	if size > maxHeaderBytes {
+		return nil, &CorruptError{Path: path, Reason: fmt.Sprintf("header length of %d bytes exceeds the limit of %d bytes", size, maxHeaderBytes)}
+	}
+	header := make([]byte, size)
+	if _, err := f.ReadAt(header, int64(len(start))); err != nil {
+		return nil, &CorruptError{Path: path, Reason: fmt.Sprintf("read header of %d bytes: %v", size, err)}
+	}
+	snap, err := decodeSnapshot(append(start[checksumBytes:], header...))
+	if err != nil {
+		return nil, &CorruptError{Path: path, Reason: err.Error()}
+	}
+	snap.Data = nil
+	return snap, nil
+}
+
 // LoadSnapshot returns the stored snapshot with its data, or nil if there is
 // none.
 func (s *Store) LoadSnapshot() (*quorum.Snapshot, error) {
--- a/internal/disk/store.go
+++ b/internal/disk/store.go
@@ -43,6 +43,8 @@
 	logNameUnsynced bool
 	// hardState is the hard state last stored.
 	hardState quorum.HardState
+	// headerOnly is true if Open returns the snapshot without its data.
+	headerOnly bool
 	// TruncatedBytes is the length of the torn record that Open removed from
 	// the end of the log.
 	TruncatedBytes int64
@@ -63,6 +65,11 @@
 	return func(s *Store) { s.fs = fs }
 }
 
+// WithoutSnapshotData makes Open return the snapshot without its data, which OpenSnapshot reads.
+func WithoutSnapshotData() Option {
+	return func(s *Store) { s.headerOnly = true }
+}
+
 // Open opens the data directory and returns the state stored in it. If the
 // directory has no member ID, Open generates and stores one.
 func Open(dir string, opts ...Option) (*Store, quorum.SavedState, error) {
@@ -180,7 +187,11 @@
 
 func (s *Store) loadState() (quorum.SavedState, error) {
 	var saved quorum.SavedState
-	snap, err := s.LoadSnapshot()
+	load := s.LoadSnapshot
+	if s.headerOnly {
+		load = s.loadSnapshotHeader
+	}
+	snap, err := load()
 	if err != nil {
 		return saved, err
 	}
@@ -188,22 +199,36 @@
 	if snap != nil {
 		s.snapshotIndex = snap.Index
 	}
-	data, err := os.ReadFile(s.path(logFileName))
-	if err != nil && !errors.Is(err, fs.ErrNotExist) {
-		return saved, storageError("read log", err)
+	return saved, s.loadLog(&saved)
+}
+
+// loadLog adds the log to the saved state. It reads one record at a time and keeps none that
+// the snapshot covers, as the whole log may take much of the memory of a host.
+func (s *Store) loadLog(saved *quorum.SavedState) error {
+	path := s.path(logFileName)
+	log, err := os.Open(path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil
 	}
-	records, valid, err := decodeRecords(s.path(logFileName), data)
 	if err != nil {
-		return saved, err
+		return storageError("read log", err)
 	}
-	s.size = valid
-	s.TruncatedBytes = int64(len(data)) - valid
+	defer func() { _ = log.Close() }()
+	info, err := log.Stat()
+	if err != nil {
+		return storageError("read log", err)
+	}
+	s.size, err = readRecords(path, log, info.Size(), func(r record) error { return mergeRecord(path, saved, r) })
+	if err != nil {
+		return err
+	}
+	s.TruncatedBytes = info.Size() - s.size
 	if s.TruncatedBytes > 0 {
-		if err := os.Truncate(s.path(logFileName), valid); err != nil {
-			return saved, storageError("truncate torn record", err)
+		if err := os.Truncate(path, s.size); err != nil {
+			return storageError("truncate torn record", err)
 		}
 	}
-	return mergeRecords(s.path(logFileName), saved, records)
+	return nil
 }
 
 func (s *Store) loadOrCreateMemberID() error {
@@ -270,28 +295,26 @@
 	return storageError(operation, errors.Join(err, s.prepareLog()))
 }
 
-// mergeRecords appends the log entries that the snapshot does not cover to the
+// mergeRecord appends the log entries of a record that the snapshot does not cover to the
 // saved state. It returns an error if an entry is missing in between.
-func mergeRecords(path string, saved quorum.SavedState, records []record) (quorum.SavedState, error) {
+func mergeRecord(path string, saved *quorum.SavedState, r record) error {
 	var from uint64
 	if saved.Snapshot != nil {
 		from = saved.Snapshot.Index
 	}
-	for _, r := range records {
-		if r.HardState != nil {
-			saved.HardState = *r.HardState
+	if r.HardState != nil {
+		saved.HardState = *r.HardState
+	}
+	for _, e := range r.Entries {
+		if e.Index <= from {
+			continue
 		}
-		for _, e := range r.Entries {
-			if e.Index <= from {
-				continue
-			}
-			if next := from + uint64(len(saved.Entries)) + 1; e.Index > next {
-				return saved, &CorruptError{Path: path, Offset: r.offset, Reason: fmt.Sprintf("entry %d follows entry %d", e.Index, next-1)}
-			}
-			saved.Entries = append(saved.Entries[:e.Index-from-1], e)
+		if next := from + uint64(len(saved.Entries)) + 1; e.Index > next {
+			return &CorruptError{Path: path, Offset: r.offset, Reason: fmt.Sprintf("entry %d follows entry %d", e.Index, next-1)}
 		}
+		saved.Entries = append(saved.Entries[:e.Index-from-1], e)
 	}
-	return saved, nil
+	return nil
 }
 
 func storageError(operation string, err error) error {
--- a/internal/disk/store_test.go
+++ b/internal/disk/store_test.go
@@ -1,6 +1,7 @@
 package disk
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"os"
@@ -155,6 +156,15 @@
 	}
 }
 
+// decodeRecords decodes the records of a log.
+func decodeRecords(path string, data []byte) (records []record, valid int64, err error) {
+	valid, err = readRecords(path, bytes.NewReader(data), int64(len(data)), func(r record) error {
+		records = append(records, r)
+		return nil
+	})
+	return records, valid, err
+}
+
 func FuzzDecodeRecords(f *testing.F) {
 	good, err := encodeRecord(record{HardState: &quorum.HardState{Term: 3}, Entries: entries(1, 2)})
 	if err != nil {
--- a/internal/gateway/jobs.go
+++ b/internal/gateway/jobs.go
@@ -27,21 +27,23 @@
 	leaderRetryDelay = 60 * time.Millisecond
 )
 
-// SubmitJob submits a job of a route to the job store. After KindOutcomeUnknown, the job may
-// or may not have been accepted. A job that is restricted to regions is sent only to the
-// known members of the job store, and only if all of them may keep it.
-func (g *Gateway) SubmitJob(ctx context.Context, spec job.Spec, route document.Route) error {
+// SubmitJob submits a job of a route, with items that spec does not hold, to the job store. After
+// KindOutcomeUnknown, the job may or may not have been accepted. A job that is restricted to
+// regions is sent only to the known members of the job store, and only if all of them may keep
+// it.
+func (g *Gateway) SubmitJob(ctx context.Context, spec job.Spec, items JobItems, route document.Route) error {
 	policy := g.setRoute(&spec, route)
 	call := storeCall{method: jobstore.MethodSubmit}
 	if policy.IsRestricted() {
 		call.permit = func(address string) error { return g.checkStore(policy, address) }
 	}
 	id := spec.ID
-	about := []zap.Field{zap.String("Job", id), zap.String("Account", spec.Account), zap.Int("Items", len(spec.Items))}
-	// Calls are repeated, and each would encode the items anew.
-	body, err := fabric.Encode(spec)
-	if err == nil {
-		err = callStore(ctx, g, call, body, &jobstore.Empty{})
+	about := []zap.Field{zap.String("Job", id), zap.String("Account", spec.Account), zap.Int("Items", items.Count)}
+	var err error
+	if items.TextBytes > maxWholeJobBytes && items.Count > 0 {
+		err = g.submitInParts(ctx, call, spec, items)
+	} else {
+		err = g.submitWhole(ctx, call, spec, items)
 	}
 	if err != nil && rollout.AsError(err).Kind == rollout.KindRegionNotAllowed {
 		g.recordRegionRefusal(refusedJob, id, policy)
@@ -50,6 +52,22 @@
 	return err
 }
 
+// submitWhole submits a job in one call.
+func (g *Gateway) submitWhole(ctx context.Context, call storeCall, spec job.Spec, items JobItems) error {
+	for it, err := range items.All {
+		if err != nil {
+			return err
+		}
+		spec.Items = append(spec.Items, it)
+	}
+	// Calls are repeated, and each would encode the items anew.
+	body, err := fabric.Encode(spec)
+	if err != nil {
+		return err
+	}
+	return callStore(ctx, g, call, body, &jobstore.Empty{})
+}
+
 // ReadResults returns results of a job.
 func (g *Gateway) ReadResults(ctx context.Context, req jobstore.ReadRequest) (jobstore.Page, error) {
 	var page jobstore.Page
@@ -57,11 +75,11 @@
 	return page, err
 }
 
-// ItemBody returns the body of an item of a job.
-func (g *Gateway) ItemBody(ctx context.Context, req jobstore.BodyRequest) ([]byte, error) {
+// ItemBody returns the part of the body of an item of a job that begins at an offset.
+func (g *Gateway) ItemBody(ctx context.Context, req jobstore.BodyRequest) (jobstore.Body, error) {
 	var body jobstore.Body
 	err := callStore(ctx, g, storeCall{method: jobstore.MethodBody, first: g.localStoreAddress()}, req, &body)
-	return body.Bytes, err
+	return body, err
 }
 
 // EndJob ends a job.
@@ -116,7 +134,7 @@
 
 // callStore calls the leader of the job store and follows redirects to another
 // leader. It retries until the call succeeds, is rejected with KindNotFound,
-// KindConflict, KindRegionNotAllowed or KindOverloaded, is not permitted any more, or times out, so
+// KindConflict, KindRegionNotAllowed, KindOverloaded or KindBodyTooLarge, is not permitted any more, or times out, so
 // all methods must be idempotent. Unless it succeeds or is rejected, the kind of
 // the error shows whether an attempt may have been executed.
 func callStore(ctx context.Context, g *Gateway, call storeCall, in, out any) error {
@@ -143,7 +161,7 @@
 		switch last.Kind {
 		case rollout.KindNotFound, rollout.KindConflict:
 			return last
-		case rollout.KindRegionNotAllowed, rollout.KindOverloaded:
+		case rollout.KindRegionNotAllowed, rollout.KindOverloaded, rollout.KindBodyTooLarge:
 			return call.withOutcome(last, maybeExecuted)
 		case rollout.KindNotLeader:
 			if next := strings.TrimPrefix(last.Message, "leader is "); next != "" && next != address && !failed[next] {
--- a/internal/gateway/regions_test.go
+++ b/internal/gateway/regions_test.go
@@ -211,12 +211,18 @@
 	jobs []job.Spec
 }
 
-func newFakeStore(t *testing.T, err error) *fakeStore {
+func listen(t *testing.T) net.Listener {
 	t.Helper()
-	listener, listenErr := net.Listen("tcp", "127.0.0.1:0")
-	if listenErr != nil {
-		t.Fatal(listenErr)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
 	}
+	return listener
+}
+
+func newFakeStore(t *testing.T, err error) *fakeStore {
+	t.Helper()
+	listener := listen(t)
 	s := &fakeStore{address: listener.Addr().String(), err: err}
 	mux := fabric.NewMux(nil)
 	fabric.Handle(mux, jobstore.MethodSubmit, s.submit)
@@ -248,7 +254,7 @@
 	f := view.Facts{StoreLeader: leader.address, Stores: []string{leader.address, m}, StoreDomains: map[string]string{leader.address: leaderDomain, m: domain}}
 	c.facts.Store(&f)
 	g := newRegionGateway(t, c, &scriptedStreams{}, zap.NewNop())
-	return g.SubmitJob(t.Context(), job.Spec{ID: "j", Account: "farm", Items: []job.Item{{ID: "i", Body: []byte("text")}}}, d.Routes[0])
+	return g.SubmitJob(t.Context(), job.Spec{ID: "j", Account: "farm"}, jobItems(job.Item{ID: "i", Body: []byte("text")}), d.Routes[0])
 }
 
 // Guards against jobs whose bodies reach a member of the job store in a region that is
@@ -268,7 +274,7 @@
 	}
 	t.Run("no member known", func(t *testing.T) {
 		g := newRegionGateway(t, newControlHost(t, d), &scriptedStreams{}, zap.NewNop())
-		assertKind(t, g.SubmitJob(t.Context(), job.Spec{ID: "j", Account: "farm"}, d.Routes[0]), rollout.KindRegionNotAllowed)
+		assertKind(t, g.SubmitJob(t.Context(), job.Spec{ID: "j", Account: "farm"}, jobItems(), d.Routes[0]), rollout.KindRegionNotAllowed)
 	})
 }
 
@@ -307,3 +313,14 @@
 	assertKind(t, submitTo(t, leader, regionDocument([]string{"east"}, nil), "e1", "m", "e1"), rollout.KindRegionNotAllowed)
 	unknown.assertJobs(t, 0)
 }
+
+// jobItems returns items as an entry decodes them.
+func jobItems(items ...job.Item) JobItems {
+	return JobItems{Count: len(items), All: func(yield func(job.Item, error) bool) {
+		for _, it := range items {
+			if !yield(it, nil) {
+				return
+			}
+		}
+	}}
+}
--- a/internal/jobstore/calls.go
+++ b/internal/jobstore/calls.go
@@ -12,12 +12,13 @@
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/job"
 )
 
-// The methods that a store host serves. Submit and End need the leader.
+// The methods that a store host serves. AddPart, Submit and End need the leader.
 const (
-	MethodSubmit = "Jobs.Submit"
-	MethodRead   = "Jobs.Read"
-	MethodBody   = "Jobs.Body"
-	MethodEnd    = "Jobs.End"
+	MethodAddPart = "Jobs.AddPart"
+	MethodSubmit  = "Jobs.Submit"
+	MethodRead    = "Jobs.Read"
+	MethodBody    = "Jobs.Body"
+	MethodEnd     = "Jobs.End"
 )
 
 // ReadRequest requests the results of a job from a position on.
@@ -45,14 +46,18 @@
 	Results []Result
 }
 
-// BodyRequest requests the request body of an item.
+// BodyRequest requests the request body of an item from an offset on.
 type BodyRequest struct {
 	JobID, Account, ItemID string
+	Offset                 int
 }
 
-// Body is the request body of an item.
+// Body is a part of the request body of an item. Bodies are read in parts, as one may take much
+// of the memory of a host.
 type Body struct {
 	Bytes []byte
+	// Total is the length of the whole body.
+	Total int
 }
 
 // EndRequest requests the end of a job.
@@ -66,10 +71,14 @@
 // was read once must be visible on every host.
 const maxLeaderSilenceMS rollout.Millis = 500
 
+// bodyPartBytes is the most that one call returns of a body.
+const bodyPartBytes = 256 << 10
+
 // Empty is a response without content.
 type Empty struct{}
 
 func (s *Store) register(mux *fabric.Mux) {
+	fabric.Handle(mux, MethodAddPart, s.addPart)
 	fabric.Handle(mux, MethodSubmit, s.submit)
 	fabric.Handle(mux, MethodRead, s.read)
 	fabric.Handle(mux, MethodBody, s.body)
@@ -101,9 +110,8 @@
 		}
 	}
 	if !s.hasJob(spec.ID) {
-		done, err := s.admit(spec)
+		done, err := s.admitLogged(&spec, spec.Bytes())
 		if err != nil {
-			s.opts.Log.Warn("JobNotAdmitted", zap.String("Job", spec.ID), zap.String("Account", spec.Account), zap.Error(err))
 			return Empty{}, err
 		}
 		defer done()
@@ -111,13 +119,30 @@
 	spec.OwnTexts = true
 	err = s.propose(ctx, job.Command{Submit: &spec})
 	s.opts.Log.Info("JobSubmitted", zap.String("Job", spec.ID), zap.String("Account", spec.Account), zap.String("Model", spec.Model),
-		zap.Int("Step", spec.Step), zap.Uint64("MinVersion", spec.MinVersion), zap.Int("Items", len(spec.Items)), zap.Error(err))
+		zap.Int("Step", spec.Step), zap.Uint64("MinVersion", spec.MinVersion), zap.Int("Items", itemsOf(&spec)), zap.Error(err))
 	if err == nil {
 		r.openJob(spec.ID, 0)
 	}
 	return Empty{}, err
 }
 
+// admitLogged is admit with a log line for a job that is not admitted.
+func (s *Store) admitLogged(spec *job.Spec, bytes int64) (done func(), err error) {
+	done, err = s.admit(spec.ID, bytes)
+	if err != nil {
+		s.opts.Log.Warn("JobNotAdmitted", zap.String("Job", spec.ID), zap.String("Account", spec.Account), zap.Error(err))
+	}
+	return done, err
+}
+
+// itemsOf returns the number of items of a submission.
+func itemsOf(spec *job.Spec) int {
+	if spec.Staged != nil {
+		return spec.Staged.Items
+	}
+	return len(spec.Items)
+}
+
 // hasJob reports whether a job has been accepted before.
 func (s *Store) hasJob(id string) bool {
 	s.mu.Lock()
@@ -199,7 +224,8 @@
 	if found == nil {
 		return Body{}, rollout.NewError(rollout.KindNotFound, "item %[2]s of job %[1]s not found", req.JobID, req.ItemID)
 	}
-	return Body{Bytes: found.Body}, nil
+	from := min(max(0, req.Offset), len(found.Body))
+	return Body{Bytes: found.Body[from:min(from+bodyPartBytes, len(found.Body))], Total: len(found.Body)}, nil
 }
 
 func (s *Store) end(ctx context.Context, req EndRequest) (Empty, error) {
--- a/internal/jobstore/runner.go
+++ b/internal/jobstore/runner.go
@@ -148,6 +148,7 @@
 		case <-ticker.C:
 		case <-expiry.C:
 			r.deleteExpired(ctx)
+			r.dropIdleUploads(ctx)
 		}
 	}
 	r.goroutines.Wait()
--- a/internal/jobstore/store.go
+++ b/internal/jobstore/store.go
@@ -103,8 +103,10 @@
 	runner *runner
 	// orderCooldown limits the weight orders of this host.
 	orderCooldown authority.Cooldown
-	// submitting is the memory of the items of jobs that are being accepted.
-	submitting int64
+	// submitting holds the jobs that are being submitted, by ID.
+	submitting map[string]submission
+	// claim is the memory that is kept free for a job that was refused.
+	claim memoryClaim
 }
 
 // New opens the data directory of a store host.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -16,6 +16,9 @@
 	// messages are dropped; the quorum tolerates the loss of messages.
 	queueCapacity  = 256
 	deliverTimeout = time.Second
+	// maxDeliveryBytes is the size of the entries from which a delivery takes no further
+	// message.
+	maxDeliveryBytes = 1 << 20
 )
 
 // Sender sends messages to the other members. Each member has a queue with its own
@@ -122,13 +125,15 @@
 	_, _ = wire.NewDRPCControlClient(conn).Deliver(ctx, req)
 }
 
-// drainQueue returns the first message and those that are queued after it.
+// drainQueue returns the first message and those that are queued after it, as far as one
+// delivery takes them.
 func drainQueue(first quorum.Message, q chan quorum.Message) []quorum.Message {
-	ms := []quorum.Message{first}
-	for len(ms) < queueCapacity {
+	ms, size := []quorum.Message{first}, first.EntryBytes()
+	for len(ms) < queueCapacity && size < maxDeliveryBytes {
 		select {
 		case m := <-q:
 			ms = append(ms, m)
+			size += m.EntryBytes()
 		default:
 			return ms
 		}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -164,6 +164,8 @@
 	// leaderContactAt is the time of the last contact with the leader. It is 0
 	// if there was none, or if committed entries are not yet applied.
 	leaderContactAt atomic.Int64
+	// logSize is logBytes for other goroutines.
+	logSize atomic.Int64
 }
 
 // Open opens the data directory of a replica and restores the stored snapshot.
@@ -184,7 +186,6 @@
 		compactAt:        opts.CompactBytes + rand.IntN(opts.CompactBytes/2+1),
 	}
 	if saved.Snapshot != nil {
-		saved.Snapshot.Data = nil
 		if err := r.restore(); err != nil {
 			return nil, err
 		}
@@ -259,6 +260,9 @@
 	return rollout.NewError(rollout.KindNotLeader, "leader is %s", r.Status().Leader.Address)
 }
 
+// LogBytes returns the size of the entries of the log.
+func (r *Replica) LogBytes() int64 { return r.logSize.Load() }
+
 // Propose commits a command and returns the result of applying it. After
 // KindNotLeader and KindStorage the command was not accepted; after other errors
 // it may or may not take effect.
@@ -435,6 +439,7 @@
 	}
 	r.leaderContactAt.Store(int64(contact))
 	r.publishStatus()
+	r.logSize.Store(int64(r.logBytes))
 	leads := until > now
 	r.metrics.term.Set(float64(r.node.Term()))
 	r.metrics.leading.Set(0)
--- a/internal/replica/storage.go
+++ b/internal/replica/storage.go
@@ -42,7 +42,7 @@
 // the storage is in memory.
 func openStorage(dir string) (storage, quorum.SavedState, error) {
 	if dir != "" {
-		return disk.Open(dir)
+		return disk.Open(dir, disk.WithoutSnapshotData())
 	}
 	id := make([]byte, memberIDBytes)
 	if _, err := rand.Read(id); err != nil {
--- a/pkg/rollout/job/encode.go
+++ b/pkg/rollout/job/encode.go
@@ -11,8 +11,9 @@
 	// without them. A text cannot hold them, as its quotes are escaped there.
 	noItems = `"Items":null`
 	noBody  = `"Body":null`
-	// itemBytes is the length of the encoding of an item beside its bodies and headers.
-	itemBytes = 512
+	// ItemBytes is the memory of an item beside its bodies and headers. Its encoding is no
+	// longer.
+	ItemBytes = 512
 )
 
 // EncodeJSON returns the JSON encoding of a spec. Bodies are encoded into a buffer of the length
@@ -61,7 +62,7 @@
 func (s Spec) Bytes() int64 {
 	var n int64
 	for _, it := range s.Items {
-		n += itemBytes + int64(len(it.Body))
+		n += ItemBytes + int64(len(it.Body))
 		for _, h := range it.Headers {
 			n += int64(len(h.Name) + len(h.Value))
 		}
@@ -74,9 +75,9 @@
 
 // encodedBytes estimates the length of the encoding of an item.
 func (it Item) encodedBytes() int {
-	n := itemBytes + base64.StdEncoding.EncodedLen(len(it.Body))
+	n := ItemBytes + base64.StdEncoding.EncodedLen(len(it.Body))
 	for _, h := range it.Headers {
-		n += len(h.Name) + len(h.Value) + itemBytes/8
+		n += len(h.Name) + len(h.Value) + ItemBytes/8
 	}
 	if it.Scorer != nil {
 		n += base64.StdEncoding.EncodedLen(len(it.Scorer.Body))
--- a/pkg/rollout/job/job.go
+++ b/pkg/rollout/job/job.go
@@ -3,12 +3,8 @@
 package job
 
 import (
-	"errors"
-	"io"
 	"slices"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 )
 
@@ -65,6 +61,8 @@
 	// Residency is nil if neither the route nor the client account named regions when the
 	// job was accepted.
 	Residency *Residency `json:",omitempty"`
+	// Staged is set in a submission whose items were sent before, in parts.
+	Staged *StagedItems `json:",omitempty"`
 }
 
 // Residency is what the entry that accepted a job knew of the regions in which it may run.
@@ -123,6 +121,10 @@
 	Orders *ClaimOrders `json:",omitempty"`
 	// Route records a change of the route of a job.
 	Route *SetRoute `json:",omitempty"`
+	// Part adds to the items of a job that is being submitted.
+	Part *Part `json:",omitempty"`
+	// Drop drops uploads that were given up.
+	Drop *DropUploads `json:",omitempty"`
 }
 
 // SetWriter makes a leader the only writer of texts and results. Commands of
@@ -217,6 +219,8 @@
 // StateMachine holds all jobs. It is not safe for concurrent use.
 type StateMachine struct {
 	Jobs map[string]*Job
+	// Uploads holds the items of jobs that are being submitted in parts, by job ID.
+	Uploads map[string]*Upload
 	// Texts holds the stored texts of items. A later job with the same item starts with a copy.
 	Texts TextSet
 	// Writer is the only leader whose texts and results are accepted.
@@ -230,7 +234,7 @@
 
 // NewStateMachine returns a state machine without jobs.
 func NewStateMachine() *StateMachine {
-	return &StateMachine{Jobs: make(map[string]*Job), Texts: make(TextSet)}
+	return &StateMachine{Jobs: make(map[string]*Job), Uploads: make(map[string]*Upload), Texts: make(TextSet)}
 }
 
 // Apply executes a command. It returns an error if the command is refused.
@@ -254,76 +258,14 @@
 		return m.claimOrders(*c.Orders)
 	case c.Route != nil:
 		return m.setRoute(*c.Route)
+	case c.Part != nil:
+		return m.addPart(*c.Part)
+	case c.Drop != nil:
+		m.dropUploads(*c.Drop)
 	}
 	return nil
 }
 
-// Freeze returns a function that writes a snapshot of the current state. The
-// function may be called from another goroutine while the state changes.
-func (m *StateMachine) Freeze() func(w io.Writer) error {
-	jobs := make([]Job, 0, len(m.Jobs))
-	for _, j := range m.Jobs {
-		jobs = append(jobs, Job{Spec: j.Spec, Total: j.Total, Results: slices.Clip(j.Results), Ended: j.Ended, Route: j.Route})
-	}
-	texts := m.Texts.entries()
-	header := snapshotHeader{Jobs: len(jobs), Texts: len(texts), Writer: m.Writer, Paces: m.Paces, OrderHosts: m.OrderHosts}
-	return func(w io.Writer) error {
-		e := cbor.NewEncoder(w)
-		err := e.Encode(header)
-		for _, j := range jobs {
-			err = errors.Join(err, e.Encode(j))
-		}
-		for _, t := range texts {
-			err = errors.Join(err, e.Encode(t))
-		}
-		return err
-	}
-}
-
-// Restore replaces the state with a snapshot.
-func (m *StateMachine) Restore(r io.Reader) error {
-	next, err := readSnapshot(cbor.NewDecoder(r))
-	if err != nil {
-		return rollout.NewError(rollout.KindStorage, "decode snapshot of jobs").WithCause(err)
-	}
-	*m = *next
-	return nil
-}
-
-// snapshotHeader is the start of a snapshot: the numbers of jobs and texts that
-// follow, and the parts of the state that are no maps.
-type snapshotHeader struct {
-	Jobs, Texts int
-	Writer      string
-	Paces       []Pace
-	OrderHosts  []string
-}
-
-func readSnapshot(d *cbor.Decoder) (*StateMachine, error) {
-	m := NewStateMachine()
-	var h snapshotHeader
-	if err := d.Decode(&h); err != nil {
-		return nil, err
-	}
-	m.Writer, m.Paces, m.OrderHosts = h.Writer, h.Paces, h.OrderHosts
-	for range h.Jobs {
-		j := &Job{}
-		if err := d.Decode(j); err != nil {
-			return nil, err
-		}
-		j.index()
-		m.Jobs[j.Spec.ID] = j
-	}
-	for range h.Texts {
-		var t snapshotText
-		if err := d.Decode(&t); err != nil {
-			return nil, err
-		}
-		m.Texts.set(t.Key, t.Text)
-	}
-	return m, nil
-}
-
 func (m *StateMachine) claimOrders(c ClaimOrders) error {
 	if err := m.checkWriter(c.Writer); err != nil {
 		return err
@@ -437,10 +379,14 @@
 
 func (m *StateMachine) submit(s Spec) error {
 	if old := m.Jobs[s.ID]; old != nil {
-		if old.Spec.Account != s.Account {
-			return rollout.NewError(rollout.KindConflict, "job %s belongs to another client account", s.ID)
+		return old.checkAccount(s.Account)
+	}
+	if s.Staged != nil {
+		items, err := m.takeUpload(s)
+		if err != nil {
+			return err
 		}
-		return nil
+		s.Items, s.Staged = items, nil
 	}
 	j := &Job{Spec: s, Total: len(s.Items), Route: s.Accepted}
 	j.index()
@@ -451,6 +397,14 @@
 	return nil
 }
 
+// checkAccount returns an error unless the job belongs to a client account.
+func (j *Job) checkAccount(account string) error {
+	if j.Spec.Account != account {
+		return rollout.NewError(rollout.KindConflict, "job %s belongs to another client account", j.Spec.ID)
+	}
+	return nil
+}
+
 func (j *Job) index() {
 	j.hasResult, j.itemIDs = make(map[string]bool), make(map[string]bool)
 	for _, it := range j.Spec.Items {
--- a/pkg/rollout/quorum/message.go
+++ b/pkg/rollout/quorum/message.go
@@ -109,6 +109,15 @@
 	Snapshot *Snapshot
 }
 
+// EntryBytes returns the size of the data of the entries.
+func (m Message) EntryBytes() int {
+	size := 0
+	for _, e := range m.Entries {
+		size += len(e.Data)
+	}
+	return size
+}
+
 // Output lists the pending work of the caller. The caller must, in this order,
 // persist and sync Snapshot, HardState and Entries; call Persisted; send
 // Messages; and apply Snapshot and Committed.
