--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -13,6 +13,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/coltsfootspoke/coltsfootspoke/internal/budget"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/catalog"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/discovery"
@@ -117,7 +118,7 @@
 	// leaving holds the upstreams whose responses said that they leave.
 	leaving *discovery.LeavingLog
 	// buffered counts the bytes of the bodies that are being read.
-	buffered byteBudget
+	buffered *budget.Bytes
 	// limits holds requests to upstreams that name a limit.
 	limits *limit.Gate
 	// known holds the upstreams as control knows them.
@@ -138,7 +139,7 @@
 	cfg := routing.DefaultConfig(domain)
 	cfg.EjectAfter, cfg.EjectMS, cfg.MaxEjectMS = ejectAfter, ejectMS, maxEjectMS
 	cfg.LocalLoadLimit, cfg.ReuseMS = localLoadLimit, reuseMS
-	return &Balancer{upstreams: upstreams, clock: clock, log: log, router: routing.New(cfg, globalRandom{}), leaving: discovery.NewLeavingLog(), limits: limit.NewGate(clock), crashes: poison.NewDetector(), suspectRuns: make(map[string]int), crashRecorded: make(chan struct{}, 1), metrics: newMetrics()}
+	return &Balancer{upstreams: upstreams, clock: clock, log: log, router: routing.New(cfg, globalRandom{}), leaving: discovery.NewLeavingLog(), buffered: budget.New(maxBufferedBytes), limits: limit.NewGate(clock), crashes: poison.NewDetector(), suspectRuns: make(map[string]int), crashRecorded: make(chan struct{}, 1), metrics: newMetrics()}
 }
 
 const (
@@ -506,7 +507,7 @@
 		return a
 	}
 	a.response.Head.Streaming = false
-	a.response.Body, err = b.buffered.readAll(head.Body)
+	a.response.Body, err = readAll(head.Body, b.buffered)
 	if err = errors.Join(err, head.Body.Close()); err != nil {
 		a.response.Body = nil
 		a.err = rollout.NewError(rollout.KindTruncated, "read response of upstream %s to request %s", req.Instance, req.AttemptID).WithCause(err)
--- a/internal/balance/body.go
+++ b/internal/balance/body.go
@@ -4,8 +4,8 @@
 	"errors"
 	"io"
 	"sync"
-	"sync/atomic"
 
+	"github.com/coltsfootspoke/coltsfootspoke/internal/budget"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
 )
 
@@ -25,25 +25,21 @@
 // the garbage collector, which lets the heap grow to twice its size first.
 var chunks = sync.Pool{New: func() any { return new([chunkBytes]byte) }}
 
-// byteBudget bounds the memory of the bodies that are being read.
-type byteBudget struct{ used atomic.Int64 }
-
 // readAll reads a body to its end. It fails if the body is too long, or if too many long
 // bodies are being read.
-func (b *byteBudget) readAll(body io.Reader) ([]byte, error) {
+func readAll(body io.Reader, buffered *budget.Bytes) ([]byte, error) {
 	var read []*[chunkBytes]byte
-	total, reserved := 0, int64(0)
+	total, lease := 0, buffered.Open()
 	defer func() {
-		b.used.Add(-reserved)
+		lease.Release()
 		for _, c := range read {
 			chunks.Put(c)
 		}
 	}()
 	for {
 		if total >= freeResponseBytes {
-			reserved += chunkBytes
-			if used := b.used.Add(chunkBytes); used > maxBufferedBytes {
-				return nil, rollout.NewError(rollout.KindTruncated, "%d bytes of responses are being read, the limit is %d", used, maxBufferedBytes)
+			if err := lease.Take(chunkBytes); err != nil {
+				return nil, err
 			}
 		}
 		c := chunks.Get().(*[chunkBytes]byte)
