Bound the answers that hosts of the own interface hold together

Here: an agent held up to 64 MiB of each answer, the parser of its usage as much again, and the entry once more.

Change: the answers that an agent or entry holds share a quarter of its memory, with those kept for repeated requests; one that finds nothing left is truncated. A document is parsed from the chunks that hold it, a line of over 256 KiB is skipped by the parser. Long answers travel in chunks of 256 KiB, so messages between hosts are bounded to 64 MiB (256 before). Weights may take a third of the memory.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -20,6 +20,7 @@
 	"storj.io/drpc/drpcmux"
 
 	"github.com/coltsfootspoke/coltsfootspoke/internal/answer"
+	"github.com/coltsfootspoke/coltsfootspoke/internal/budget"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/daemon"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/link"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/settings"
@@ -85,6 +86,8 @@
 	gate      *gate.Gate
 	meter     *usage.Meter
 	answers   *answer.Cache
+	// responses bounds the responses of upstreams that are held.
+	responses *budget.Bytes
 	targets   atomic.Pointer[map[string]target]
 
 	blobMu sync.Mutex
@@ -147,6 +150,7 @@
 		fetching:  make(map[weights.Blob]bool),
 		meter:     usage.NewMeter(),
 		answers:   answer.NewCache(cfg.KeptBytes),
+		responses: budget.New(cfg.ResponseBytes()),
 		blobs:     make(map[weights.Blob]fetchedBlob),
 	}
 	a.gate = gate.New(a.incarnation)
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -140,7 +140,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { tc.serve(w) }))
 			defer server.Close()
-			outcome := upstream.Call(t.Context(), upstream.NewClient(true), server.URL, &wire.RunRequest{Method: "POST", Path: "/"}, answer.New().Add, &upstream.Observer{})
+			outcome := upstream.Call(t.Context(), upstream.NewClient(true), server.URL, &wire.RunRequest{Method: "POST", Path: "/"}, answer.New().Add, &upstream.Observer{}, nil)
 			if outcome.Err == nil || outcome.Err.Kind != tc.want || outcome.Err.NotRun {
 				t.Fatalf("error %v, want %v that may have run", outcome.Err, tc.want)
 			}
@@ -149,7 +149,7 @@
 	t.Run("no connection", func(t *testing.T) {
 		server := httptest.NewServer(nil)
 		server.Close()
-		outcome := upstream.Call(t.Context(), upstream.NewClient(true), server.URL, &wire.RunRequest{Method: "POST", Path: "/"}, answer.New().Add, &upstream.Observer{})
+		outcome := upstream.Call(t.Context(), upstream.NewClient(true), server.URL, &wire.RunRequest{Method: "POST", Path: "/"}, answer.New().Add, &upstream.Observer{}, nil)
 		if outcome.Err == nil || !outcome.Err.NotRun || !outcome.ConnectionBroken {
 			t.Fatalf("outcome %+v, want a broken connection and not run", outcome)
 		}
@@ -172,7 +172,7 @@
 	client := upstream.NewClient(false)
 	headers := []*wire.Header{{Name: "Idempotency-Key", Value: "order-1"}}
 	for _, path := range []string{"/warm", "/order"} {
-		upstream.Call(t.Context(), client, server.URL, &wire.RunRequest{Method: "POST", Path: path, Headers: headers}, answer.New().Add, &upstream.Observer{})
+		upstream.Call(t.Context(), client, server.URL, &wire.RunRequest{Method: "POST", Path: path, Headers: headers}, answer.New().Add, &upstream.Observer{}, nil)
 	}
 	if runs != 1 {
 		t.Fatalf("the request ran %d times, want 1", runs)
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -23,6 +23,8 @@
 	// the attempt to begin.
 	attachTimeout      = time.Second
 	attachPollInterval = 10 * time.Millisecond
+	// maxMergedBytes limits the data of a message that holds several chunks.
+	maxMergedBytes = 1 << 20
 	// defaultDeadline limits a request that has no deadline of its own.
 	defaultDeadline = 10 * time.Minute
 )
@@ -48,7 +50,17 @@
 		return a.execute(ctx, req, stream.Send)
 	case verdict == gate.VerdictRun:
 		a.background.Go(func() {
-			_ = a.execute(ctx, req, ans.Add)
+			kept := a.responses.Open()
+			defer kept.Release()
+			_ = a.execute(ctx, req, func(c *wire.RunChunk) error {
+				if err := kept.Take(len(c.Data)); err != nil {
+					if c.End == nil {
+						return err
+					}
+					c.Data, c.End.Error = nil, callerErrorText(c.End.Error, err)
+				}
+				return ans.Add(c)
+			})
 			a.answers.Finish(req.Attempt)
 		})
 	}
@@ -63,10 +75,12 @@
 		if err != nil {
 			return err
 		}
-		for _, c := range mergeChunks(chunks) {
-			if err := stream.Send(c); err != nil {
+		for rest := chunks; len(rest) > 0; {
+			n := mergeable(rest)
+			if err := stream.Send(mergeChunks(rest[:n])); err != nil {
 				return err
 			}
+			rest = rest[n:]
 		}
 		from += len(chunks)
 		if ended {
@@ -75,10 +89,21 @@
 	}
 }
 
+// mergeable returns the number of chunks, at least one, that fit into one message.
+func mergeable(chunks []*wire.RunChunk) int {
+	size := len(chunks[0].Data)
+	for i, c := range chunks[1:] {
+		if size += len(c.Data); size > maxMergedBytes {
+			return i + 1
+		}
+	}
+	return len(chunks)
+}
+
 // mergeChunks merges consecutive chunks into one, to send fewer messages.
-func mergeChunks(chunks []*wire.RunChunk) []*wire.RunChunk {
+func mergeChunks(chunks []*wire.RunChunk) *wire.RunChunk {
 	if len(chunks) == 1 {
-		return chunks
+		return chunks[0]
 	}
 	merged := &wire.RunChunk{Attempt: chunks[0].Attempt}
 	for _, c := range chunks {
@@ -90,7 +115,7 @@
 		}
 		merged.Data = append(merged.Data, c.Data...)
 	}
-	return []*wire.RunChunk{merged}
+	return merged
 }
 
 // begin checks the authority of the agent and passes the request through the
@@ -164,17 +189,33 @@
 	t := (*a.targets.Load())[req.Upstream]
 	obs := &upstream.Observer{}
 	start := a.clock.Now()
-	outcome := upstream.Call(ctx, client, t.url, req, sink, obs)
+	held := a.responses.Open()
+	defer held.Release()
+	outcome := upstream.Call(ctx, client, t.url, req, sink, obs, held)
 	end := a.finishAttempt(req, t, obs, outcome, a.clock.Now()-start)
 	a.metrics.attempts.WithLabelValues(outcomeLabel(outcome.Err)).Inc()
-	last := outcome.Buffered
-	if last == nil {
-		last = &wire.RunChunk{Attempt: req.Attempt}
+	last := &wire.RunChunk{Attempt: req.Attempt}
+	if n := len(outcome.Buffered); n > 0 {
+		for _, c := range outcome.Buffered[:n-1] {
+			if err := sink(c); err != nil {
+				end.Error = callerErrorText(end.Error, err)
+				return sink(&wire.RunChunk{Attempt: req.Attempt, End: end})
+			}
+		}
+		last = outcome.Buffered[n-1]
 	}
 	last.End = end
 	return sink(last)
 }
 
+// callerErrorText returns the error of an answer that the caller has not taken: the first one.
+func callerErrorText(text string, err error) string {
+	if text != "" {
+		return text
+	}
+	return rollout.AsError(err).Error()
+}
+
 // finishAttempt removes an attempt from the gate, meters it and returns its end
 // marker. If the connection to the upstream broke, it first waits for a crash to
 // be reported.
--- a/internal/agent/weights.go
+++ b/internal/agent/weights.go
@@ -115,6 +115,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if int64(len(data)+len(c.Data)) > a.cfg.WeightsBytes() {
+			return nil, a.weightsTooLong(f)
+		}
 		data = append(data, c.Data...)
 		if c.Total > 0 && c.Total == uint64(len(data)) {
 			return data, nil
@@ -139,7 +142,16 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, rollout.NewError(rollout.KindUnavailable, "weight store returned HTTP status %d for group %s version %d", resp.StatusCode, f.Group, f.Version)
 	}
-	return io.ReadAll(resp.Body)
+	limit := a.cfg.WeightsBytes()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+	if err == nil && int64(len(data)) > limit {
+		return nil, a.weightsTooLong(f)
+	}
+	return data, err
+}
+
+func (a *agent) weightsTooLong(f weights.Fetch) error {
+	return rollout.NewError(rollout.KindTruncated, "weights of group %s version %d are longer than %d bytes", f.Group, f.Version, a.cfg.WeightsBytes())
 }
 
 // startSwap starts a swap. A swap that the leader allowed before an evacuation is
--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 
+	"github.com/coltsfootspoke/coltsfootspoke/internal/budget"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/link"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/reply"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/wire"
@@ -30,6 +31,8 @@
 	firstData []byte
 	// OpenedMS is the time at which the attempt was opened.
 	OpenedMS rollout.Millis
+	// Held is the memory that ReadAll takes. It may be nil.
+	Held *budget.Lease
 	// sent is true once the request may have reached the agent.
 	sent bool
 }
@@ -156,6 +159,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := s.Held.Take(len(data)); err != nil {
+			return nil, err
+		}
 		if observe != nil {
 			observe(data)
 		}
@@ -167,6 +173,7 @@
 // Close closes the stream. Unless the attempt is detached, the agent then ends it.
 func (s *Stream) Close() {
 	s.cancel()
+	s.Held.Release()
 	if s.stream != nil {
 		_ = s.stream.Close()
 	}
--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -23,7 +23,8 @@
 // Open returns a lease without bytes.
 func (b *Bytes) Open() *Lease { return &Lease{budget: b} }
 
-// Lease is the part of a budget that one reader has taken. It is not safe for concurrent use.
+// Lease is the part of a budget that one reader has taken. It is not safe for concurrent use. A
+// nil *Lease sets no limit.
 type Lease struct {
 	budget *Bytes
 	held   int64
@@ -32,7 +33,7 @@
 // Take takes a number of bytes. It fails with KindTruncated, and takes nothing, if the budget has
 // not as many left.
 func (l *Lease) Take(n int) error {
-	if l.budget == nil {
+	if l == nil || l.budget == nil {
 		return nil
 	}
 	if used := l.budget.used.Add(int64(n)); used > l.budget.limit {
@@ -45,8 +46,9 @@
 
 // Release gives back all bytes of the lease.
 func (l *Lease) Release() {
-	if l.budget != nil {
-		l.budget.used.Add(-l.held)
+	if l == nil || l.budget == nil {
+		return
 	}
+	l.budget.used.Add(-l.held)
 	l.held = 0
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -19,6 +19,7 @@
 	"storj.io/drpc/drpcmux"
 
 	"github.com/coltsfootspoke/coltsfootspoke/internal/admission"
+	"github.com/coltsfootspoke/coltsfootspoke/internal/budget"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/callers"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/daemon"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/link"
@@ -82,6 +83,8 @@
 	payloads   *payload.Store
 	stepRunner *stepRunner
 	scorer     *scorer.Scorer
+	// responses bounds the responses that are held until they are complete.
+	responses *budget.Bytes
 
 	routeMu sync.Mutex
 	router  *routing.Router
@@ -148,7 +151,7 @@
 	control := daemon.NewClient(dialer, cfg.Control)
 	random := mrand.New(mrand.NewPCG(mrand.Uint64(), mrand.Uint64()))
 	e := &entry{
-		cfg: cfg, log: log, clock: clock, dialer: dialer, control: control,
+		cfg: cfg, log: log, clock: clock, dialer: dialer, control: control, responses: budget.New(cfg.ResponseBytes()),
 		metrics:   newMetrics(),
 		sessions:  session.New(),
 		sampling:  session.New(),
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -95,7 +95,11 @@
 
 // openAttempt opens the stream of an attempt at an agent.
 func (e *entry) openAttempt(ctx context.Context, address string, req *wire.RunRequest) (*attempt.Stream, error) {
-	return attempt.Open(ctx, e.dialer, e.clock, address, req)
+	s, err := attempt.Open(ctx, e.dialer, e.clock, address, req)
+	if s != nil {
+		s.Held = e.responses.Open()
+	}
+	return s, err
 }
 
 // route chooses an upstream and logs the decision.
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -21,9 +21,9 @@
 
 const (
 	dialTimeout = time.Second
-	// maxMessageBytes limits the size of one message. A message may hold a whole
-	// snapshot.
-	maxMessageBytes = 256 << 20
+	// maxMessageBytes limits the size of one message. The longest hold the body of a request, or a
+	// snapshot of the control state.
+	maxMessageBytes = 64 << 20
 	// idleTimeout is the time after which an unused connection is closed.
 	idleTimeout       = time.Minute
 	maxIdlePerAddress = 64
--- a/internal/replytest/server.go
+++ b/internal/replytest/server.go
@@ -3,6 +3,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -141,3 +142,20 @@
 		"whole JSON, no length": "HTTP/1.1 200 OK\r\n" + fields + "Connection: close\r\n\r\n{}",
 	}
 }
+
+// StoppedHeads holds responses that stop within their head or before the end of their chunks, by
+// how many bytes there are. The fields are added to the head.
+func StoppedHeads(fields string) map[string]string {
+	stopped := make(map[string]string)
+	for name, whole := range map[string]string{
+		"empty":    "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: 0\r\n\r\n",
+		"short":    "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: 2\r\n\r\nab",
+		"HTTP/1.0": "HTTP/1.0 200 OK\r\n" + fields + "\r\n",
+		"chunked":  "HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
+	} {
+		for n := range len(whole) {
+			stopped[fmt.Sprintf("%s, %d bytes", name, n)] = whole[:n]
+		}
+	}
+	return stopped
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -100,6 +100,8 @@
 const (
 	bytesPerMB             = 1 << 20
 	softLimitParts         = 4
+	responseParts          = 4
+	weightsParts           = 3
 	defaultUsageWindowMS   = 60_000
 	defaultSnapshotEntries = 20_000
 	defaultMaxInFlight     = 2_048
@@ -112,15 +114,26 @@
 	return intake.New(intake.Options{MemoryBytes: c.MemoryMB * bytesPerMB, Descriptors: c.Descriptors, Log: log, Registry: registry})
 }
 
-// SoftMemoryLimit returns the memory above which the runtime collects garbage more often.
-func (c Common) SoftMemoryLimit() int64 {
-	limit := int64(intake.DefaultMemoryBytes)
+// memoryBytes returns the memory of the daemon.
+func (c Common) memoryBytes() int64 {
 	if c.MemoryMB > 0 {
-		limit = c.MemoryMB * bytesPerMB
+		return c.MemoryMB * bytesPerMB
 	}
-	return limit / softLimitParts * (softLimitParts - 1)
+	return intake.DefaultMemoryBytes
+}
+
+// SoftMemoryLimit returns the memory above which the runtime collects garbage more often.
+func (c Common) SoftMemoryLimit() int64 {
+	return c.memoryBytes() / softLimitParts * (softLimitParts - 1)
 }
 
+// ResponseBytes returns the memory that responses of upstreams and peers may take while they are
+// read.
+func (c Common) ResponseBytes() int64 { return c.memoryBytes() / responseParts }
+
+// WeightsBytes returns the memory that the weights of one version may take.
+func (c Common) WeightsBytes() int64 { return c.memoryBytes() / weightsParts }
+
 // PeerListenAddress returns the address to listen on for connections from other
 // processes of the deployment.
 func (c Common) PeerListenAddress() string {
--- a/internal/upstream/broken_test.go
+++ b/internal/upstream/broken_test.go
@@ -14,7 +14,7 @@
 func callUpstream(t *testing.T, address string, bodyBytes int) Outcome {
 	t.Helper()
 	req := &wire.RunRequest{Method: "POST", Path: "/x", Body: bytes.Repeat([]byte("b"), bodyBytes)}
-	return Call(t.Context(), NewClient(true), "http://"+address, req, func(*wire.RunChunk) error { return nil }, &Observer{})
+	return Call(t.Context(), NewClient(true), "http://"+address, req, func(*wire.RunChunk) error { return nil }, &Observer{}, nil)
 }
 
 // Guards against heads that HTTP does not allow and that callers got as responses.
@@ -42,3 +42,17 @@
 		})
 	}
 }
+
+// Guards against an answer whose head or chunks stop early that counts as one without a body or
+// with a short one.
+func TestStoppedHeadIsNoAnswer(t *testing.T) {
+	for name, head := range replytest.StoppedHeads("") {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			outcome := callUpstream(t, replytest.Start(t, head, "X-Id", false).Address, 10)
+			if outcome.Err == nil || outcome.Err.NotRun {
+				t.Fatalf("error %v, want one that does not say that the request has not run", outcome.Err)
+			}
+		})
+	}
+}
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -8,9 +8,11 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
+	"github.com/coltsfootspoke/coltsfootspoke/internal/budget"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/reply"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/wire"
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout"
@@ -22,6 +24,8 @@
 	readBufferBytes    = 32 << 10
 	// maxAnswerBytes limits the size of one answer.
 	maxAnswerBytes = 64 << 20
+	// maxChunkBytes limits the data of one chunk of an answer.
+	maxChunkBytes = 256 << 10
 	// maxHeadBytes is the maximum length of the head of a response.
 	maxHeadBytes = 64 << 10
 )
@@ -57,15 +61,16 @@
 	// Bytes is the length of the body.
 	Bytes uint64
 	// Buffered holds the head and the data of an answer that is not an event
-	// stream. It is not passed to the sink, so that the caller can send it in one
+	// stream. It is not passed to the sink, so that the caller can send the last
 	// chunk with the end marker.
-	Buffered *wire.RunChunk
+	Buffered []*wire.RunChunk
 }
 
 // Call sends a request to an upstream. It passes an event stream to sink as it is
 // received and returns any other answer in Outcome.Buffered. Versions and token
-// counts of the answer are recorded in obs.
-func Call(ctx context.Context, client *http.Client, baseURL string, req *wire.RunRequest, sink Sink, obs *Observer) Outcome {
+// counts of the answer are recorded in obs. What is held of the answer is taken from held, which
+// may be nil; the caller releases it.
+func Call(ctx context.Context, client *http.Client, baseURL string, req *wire.RunRequest, sink Sink, obs *Observer, held *budget.Lease) Outcome {
 	httpReq, err := http.NewRequestWithContext(ctx, req.Method, baseURL+req.Path, bytes.NewReader(req.Body))
 	if err != nil {
 		return Outcome{Err: rollout.NewError(rollout.KindInvalidInput, "invalid request %s %s to upstream %s", req.Method, req.Path, req.Upstream).WithCause(err).WithNotRun()}
@@ -81,41 +86,80 @@
 	defer func() { _ = resp.Body.Close() }()
 	obs.Streamed = strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
 	if obs.Streamed {
-		return forwardStream(ctx, req.Attempt, resp, sink, obs)
+		return forwardStream(ctx, req.Attempt, resp, sink, obs, held)
 	}
-	buffered := &wire.RunChunk{Attempt: req.Attempt, Head: responseHead(resp)}
-	outcome := copyBody(ctx, resp, obs, func(data []byte) error {
-		buffered.Data = append(buffered.Data, data...)
+	buffered := []*wire.RunChunk{{Attempt: req.Attempt, Head: responseHead(resp)}}
+	outcome := copyBody(ctx, resp, func(data []byte) error {
+		if err := held.Take(len(data)); err != nil {
+			return err
+		}
+		last := buffered[len(buffered)-1]
+		if len(last.Data)+len(data) > maxChunkBytes {
+			last = &wire.RunChunk{Attempt: req.Attempt}
+			buffered = append(buffered, last)
+		}
+		if len(last.Data) > 0 {
+			last.Data = slices.Grow(last.Data, maxChunkBytes-len(last.Data))
+		}
+		last.Data = append(last.Data, data...)
 		return nil
 	})
 	outcome.Buffered = buffered
+	if outcome.Err != nil {
+		return outcome
+	}
+	// The decoder holds the document once more.
+	if err := held.Take(int(outcome.Bytes)); err != nil {
+		outcome.Err = rollout.AsError(err)
+		return outcome
+	}
+	var document []io.Reader
+	for _, c := range buffered {
+		document = append(document, bytes.NewReader(c.Data))
+	}
+	obs.finishDocument(io.MultiReader(document...))
 	return outcome
 }
 
-func forwardStream(ctx context.Context, attempt string, resp *http.Response, sink Sink, obs *Observer) Outcome {
+func forwardStream(ctx context.Context, attempt string, resp *http.Response, sink Sink, obs *Observer, held *budget.Lease) Outcome {
 	if err := sink(&wire.RunChunk{Attempt: attempt, Head: responseHead(resp)}); err != nil {
 		return Outcome{Err: callerError(err)}
 	}
-	return copyBody(ctx, resp, obs, func(data []byte) error {
-		return sink(&wire.RunChunk{Attempt: attempt, Data: data})
+	taken := 0
+	outcome := copyBody(ctx, resp, func(data []byte) error {
+		obs.Add(data)
+		if more := len(obs.pending) - taken; more > 0 {
+			if err := held.Take(more); err != nil {
+				return err
+			}
+			taken += more
+		}
+		return sink(&wire.RunChunk{Attempt: attempt, Data: bytes.Clone(data)})
 	})
+	if outcome.Err == nil && !obs.done {
+		outcome.Err = rollout.NewError(rollout.KindTruncated, "the stream of the upstream ended after %d bytes without an end marker", outcome.Bytes)
+	}
+	return outcome
 }
 
+// callerError returns the error of a chunk that the caller did not take.
 func callerError(err error) *rollout.Error {
+	var typed *rollout.Error
+	if errors.As(err, &typed) {
+		return typed
+	}
 	return rollout.NewError(rollout.KindUnavailable, "the caller disconnected").WithCause(err)
 }
 
-// copyBody reads a body and passes each piece of it to obs and forward.
-func copyBody(ctx context.Context, resp *http.Response, obs *Observer, forward func(data []byte) error) Outcome {
+// copyBody reads a body and passes each piece of it to forward, which must not keep it.
+func copyBody(ctx context.Context, resp *http.Response, forward func(data []byte) error) Outcome {
 	var outcome Outcome
 	buf := make([]byte, readBufferBytes)
 	for {
 		n, err := resp.Body.Read(buf)
 		if n > 0 {
-			data := bytes.Clone(buf[:n])
-			obs.Add(data)
 			outcome.Bytes += uint64(n)
-			if err := forward(data); err != nil {
+			if err := forward(buf[:n]); err != nil {
 				outcome.Err = callerError(err)
 				return outcome
 			}
@@ -125,10 +169,6 @@
 			return outcome
 		}
 		if errors.Is(err, io.EOF) {
-			obs.finish()
-			if !obs.done {
-				outcome.Err = rollout.NewError(rollout.KindTruncated, "the stream of the upstream ended after %d bytes without an end marker", outcome.Bytes)
-			}
 			return outcome
 		}
 		if err != nil {
--- a/internal/upstream/call_test.go
+++ b/internal/upstream/call_test.go
@@ -23,7 +23,7 @@
 				t.Cleanup(server.Close)
 				req := &wire.RunRequest{Attempt: "a", Method: http.MethodGet, Path: "/"}
 				sink := func(*wire.RunChunk) error { return nil }
-				outcome := upstream.Call(t.Context(), upstream.NewClient(reuse), server.URL, req, sink, &upstream.Observer{})
+				outcome := upstream.Call(t.Context(), upstream.NewClient(reuse), server.URL, req, sink, &upstream.Observer{}, nil)
 				if (outcome.Err != nil) != fails {
 					t.Fatalf("error %v, want one: %v", outcome.Err, fails)
 				}
--- a/internal/upstream/observer.go
+++ b/internal/upstream/observer.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"io"
 	"slices"
 )
 
@@ -10,8 +11,8 @@
 	eventPrefix = "data:"
 	endMarker   = "[DONE]"
 	// maxLineBytes limits the bytes of an incomplete line that are buffered until
-	// the next call of Add. If there are more, they are discarded.
-	maxLineBytes = 4 << 20
+	// the next call of Add. A longer line is discarded.
+	maxLineBytes = 256 << 10
 )
 
 // engineEvent holds the fields of an engine's answer that the agent reads. The
@@ -30,8 +31,10 @@
 	// Streamed is true if the answer is a stream of server-sent events, and false
 	// if it is one JSON document.
 	Streamed bool
-	// pending holds the received bytes that are not parsed yet.
+	// pending holds the received bytes of a stream that are not parsed yet.
 	pending []byte
+	// skipping is true within a line that is too long, whose beginning was discarded.
+	skipping bool
 	// Versions lists the weight versions in the order of their first use.
 	Versions []uint64
 	// InputTokens and OutputTokens are the last token counts in the answer.
@@ -41,12 +44,16 @@
 	done bool
 }
 
-// Add processes the next bytes of the answer.
+// Add processes the next bytes of a stream.
 func (o *Observer) Add(data []byte) {
-	o.pending = append(o.pending, data...)
-	if !o.Streamed {
-		return
+	if o.skipping {
+		i := bytes.IndexByte(data, '\n')
+		if i < 0 {
+			return
+		}
+		data, o.skipping = data[i+1:], false
 	}
+	o.pending = append(o.pending, data...)
 	for {
 		i := bytes.IndexByte(o.pending, '\n')
 		if i < 0 {
@@ -56,17 +63,17 @@
 		o.pending = o.pending[i+1:]
 	}
 	if len(o.pending) > maxLineBytes {
-		o.pending = nil
+		o.pending, o.skipping = nil, true
 	}
 }
 
-// finish ends the answer. It parses an answer that is one document.
-func (o *Observer) finish() {
-	if !o.Streamed {
-		o.parseEvent(o.pending)
-		o.done = true
+// finishDocument parses an answer that is one document.
+func (o *Observer) finishDocument(document io.Reader) {
+	var e engineEvent
+	if err := json.NewDecoder(document).Decode(&e); err == nil {
+		o.record(e)
 	}
-	o.pending = nil
+	o.done = true
 }
 
 func (o *Observer) parseLine(line []byte) {
@@ -88,6 +95,11 @@
 	if err := json.Unmarshal(data, &e); err != nil {
 		return
 	}
+	o.record(e)
+}
+
+// record records the fields of an event or document.
+func (o *Observer) record(e engineEvent) {
 	if e.WeightVersion != nil && !slices.Contains(o.Versions, *e.WeightVersion) {
 		o.Versions = append(o.Versions, *e.WeightVersion)
 	}
