--- a/internal/disk/snapshot.go
+++ b/internal/disk/snapshot.go
@@ -58,22 +58,44 @@
 // called concurrently with the methods that write the log. A snapshot that is
 // older than the stored one is discarded.
 func (s *Store) SaveSnapshot(snap quorum.Snapshot, write WriteFunc) error {
-	s.snapshotMu.Lock()
-	defer s.snapshotMu.Unlock()
-	if snap.Index < s.snapshotIndex {
-		return s.syncSnapshotName()
-	}
 	header, err := snapshotHeader(snap)
 	if err != nil {
 		return storageError("encode snapshot", err)
 	}
-	renamed, err := s.replaceFileWith(snapshotFileName, func(f File) error { return writeSnapshot(f, header, write) })
+	return s.replaceSnapshot(snap.Index, func(f File) error { return writeSnapshot(f, header, write) })
+}
+
+// replaceSnapshot replaces the stored snapshot unless it is newer. The stored one can be read
+// until the new one is complete.
+func (s *Store) replaceSnapshot(index uint64, write func(f File) error) error {
+	s.snapshotWriteMu.Lock()
+	defer s.snapshotWriteMu.Unlock()
+	if isOld, err := s.isOldSnapshot(index); isOld {
+		return err
+	}
+	if err := s.writeTemporary(snapshotFileName, write); err != nil {
+		return err
+	}
+	s.snapshotMu.Lock()
+	defer s.snapshotMu.Unlock()
+	renamed, err := s.renameTemporary(snapshotFileName)
 	if renamed {
-		s.snapshotIndex, s.snapshotNameUnsynced = snap.Index, err != nil
+		s.snapshotIndex, s.snapshotNameUnsynced = index, err != nil
 	}
 	return err
 }
 
+// isOldSnapshot reports whether the stored snapshot is newer than one at an index. It then makes
+// its name durable.
+func (s *Store) isOldSnapshot(index uint64) (bool, error) {
+	s.snapshotMu.Lock()
+	defer s.snapshotMu.Unlock()
+	if index >= s.snapshotIndex {
+		return false, nil
+	}
+	return true, s.syncSnapshotName()
+}
+
 // syncSnapshotName makes the name of the stored snapshot durable if an earlier
 // attempt failed. The caller holds snapshotMu.
 func (s *Store) syncSnapshotName() error {
@@ -129,21 +151,12 @@
 // its checksum matches. A snapshot that is older than the stored one is
 // discarded without calling write.
 func (s *Store) InstallSnapshot(index uint64, write WriteFunc) error {
-	s.snapshotMu.Lock()
-	defer s.snapshotMu.Unlock()
-	if index < s.snapshotIndex {
-		return s.syncSnapshotName()
-	}
-	renamed, err := s.replaceFileWith(snapshotFileName, func(f File) error {
+	return s.replaceSnapshot(index, func(f File) error {
 		if err := write(&syncingWriter{file: f}); err != nil {
 			return err
 		}
 		return verifyChecksum(f, f.Name())
 	})
-	if renamed {
-		s.snapshotIndex, s.snapshotNameUnsynced = index, err != nil
-	}
-	return err
 }
 
 // verifyChecksum checks the checksum at the start of a snapshot file against the
--- a/internal/disk/store.go
+++ b/internal/disk/store.go
@@ -48,7 +48,10 @@
 	// TruncatedBytes is the length of the torn record that Open removed from
 	// the end of the log.
 	TruncatedBytes int64
-	// snapshotMu guards the snapshot file and the fields below.
+	// snapshotWriteMu is held while a snapshot is written, which may take seconds.
+	snapshotWriteMu sync.Mutex
+	// snapshotMu guards the name of the snapshot file and the fields below. It is not held while
+	// a snapshot is written, so that the stored one can be read meanwhile.
 	snapshotMu sync.Mutex
 	// snapshotIndex is the index of the newest stored snapshot.
 	snapshotIndex uint64
@@ -264,22 +267,33 @@
 // produces: it writes and syncs a temporary file, renames it and syncs the
 // directory. It reports whether the new file has the name.
 func (s *Store) replaceFileWith(name string, write func(f File) error) (renamed bool, err error) {
+	if err := s.writeTemporary(name, write); err != nil {
+		return false, err
+	}
+	return s.renameTemporary(name)
+}
+
+// writeTemporary writes and syncs the temporary file that is to replace a file.
+func (s *Store) writeTemporary(name string, write func(f File) error) error {
 	tmp := s.path(name + ".tmp")
 	f, err := s.fs.Create(tmp)
 	if err != nil {
-		return false, storageError("create "+name, err)
+		return storageError("create "+name, err)
 	}
 	err = write(f)
 	if err == nil {
 		err = f.Sync()
 	}
-	err = errors.Join(err, f.Close())
-	if err == nil {
-		err = s.fs.Rename(tmp, s.path(name))
+	if err = errors.Join(err, f.Close()); err != nil {
+		return s.removeTemporary(name, err)
 	}
-	if err != nil {
-		// Without the remains a full disk may have space for the log again.
-		return false, storageError("write "+name, errors.Join(err, s.fs.Remove(tmp)))
+	return nil
+}
+
+// renameTemporary replaces a file with its temporary file. It reports whether that has the name.
+func (s *Store) renameTemporary(name string) (renamed bool, err error) {
+	if err := s.fs.Rename(s.path(name+".tmp"), s.path(name)); err != nil {
+		return false, s.removeTemporary(name, err)
 	}
 	if err := s.fs.SyncDir(s.dir); err != nil {
 		return true, storageError("write "+name, err)
@@ -287,6 +301,12 @@
 	return true, nil
 }
 
+// removeTemporary removes a temporary file after an error, which it returns. Without the remains
+// a full disk may have space for the log again.
+func (s *Store) removeTemporary(name string, err error) error {
+	return storageError("write "+name, errors.Join(err, s.fs.Remove(s.path(name+".tmp"))))
+}
+
 // rollbackWrite truncates the log to its length before a failed write, so that
 // later records follow a complete one. If that fails too, the next write tries
 // it again first.
--- a/internal/disk/store_test.go
+++ b/internal/disk/store_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"testing"
+	"time"
 
 	"github.com/coltsfootspoke/coltsfootspoke/pkg/rollout/quorum"
 )
@@ -281,3 +282,46 @@
 	saveState(t, s, 5, "older")
 	assertState(t, s, "newer")
 }
+
+// Guards against a member that cannot fetch the stored snapshot while the next one is written.
+func TestSnapshotIsReadWhileTheNextOneIsWritten(t *testing.T) {
+	s, _ := open(t, t.TempDir())
+	text := func(text string) WriteFunc {
+		return func(w io.Writer) error {
+			_, err := io.WriteString(w, text)
+			return err
+		}
+	}
+	if err := s.SaveSnapshot(quorum.Snapshot{Index: 3, Term: 1}, text("old")); err != nil {
+		t.Fatal(err)
+	}
+	writing, finish, done := make(chan struct{}), make(chan struct{}), make(chan error)
+	go func() {
+		done <- s.SaveSnapshot(quorum.Snapshot{Index: 5, Term: 1}, func(w io.Writer) error {
+			close(writing)
+			<-finish
+			return text("new")(w)
+		})
+	}()
+	<-writing
+	read := make(chan uint64, 1)
+	go func() {
+		_, index, _, _ := s.ReadSnapshotPiece(0, 1<<20)
+		read <- index
+	}()
+	select {
+	case index := <-read:
+		if index != 3 {
+			t.Errorf("read a piece of the snapshot at %d, want 3", index)
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("no piece was read while the next snapshot was written")
+	}
+	close(finish)
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+	if _, index, _, err := s.ReadSnapshotPiece(0, 1<<20); index != 5 || err != nil {
+		t.Errorf("snapshot at %d, error %v, want 5", index, err)
+	}
+}
