Do not take a late second copy of a failure for the answer to the next run

Cause: runs of an item share their attempt ID. The second copy of a 500 without a body came on the pooled connection that carried the next run, with the ID that was expected there.

The next run at an engine that has failed the item takes a new connection.

--- a/internal/jobstore/item.go
+++ b/internal/jobstore/item.go
@@ -144,7 +144,7 @@
 		return dispatch.OutcomeTurnedAway
 	case resp.Status >= 300 || !resp.Streaming:
 		r.logRun(w, a, started, resp.Status, nil)
-		return r.recordErrorStatus(w, resp.Status)
+		return r.recordErrorStatus(w, a.Engine, resp.Status)
 	}
 	w.begun = true
 	err = r.readEvents(w, a, resp)
@@ -217,9 +217,13 @@
 
 // recordErrorStatus records an error response of an engine. After a 422 the item
 // is abandoned without another run.
-func (r *runner) recordErrorStatus(w *workItem, status int) dispatch.Outcome {
+func (r *runner) recordErrorStatus(w *workItem, engine string, status int) dispatch.Outcome {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if w.failedBy == nil {
+		w.failedBy = make(map[string]bool)
+	}
+	w.failedBy[engine] = true
 	switch status {
 	case statusUnprocessable:
 		w.failures = max(1, w.route.MaxAttempts)
@@ -264,6 +268,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	x.NewConnection = w.failedBy[a.Engine]
 	if w.text.lastID > 0 {
 		x.ResumeAfter = strconv.FormatUint(w.text.lastID, 10)
 	}
--- a/internal/jobstore/runner.go
+++ b/internal/jobstore/runner.go
@@ -70,6 +70,8 @@
 	text          *textBuffer
 	// begun is true once an engine has started to run the item.
 	begun bool
+	// failedBy holds the engines that have answered a run of the item with a failure.
+	failedBy map[string]bool
 	// failures counts responses with status 500. A response with status 422 sets
 	// it to the maximum.
 	failures int
--- a/internal/reply/conn.go
+++ b/internal/reply/conn.go
@@ -27,6 +27,9 @@
 	// writeErr is the first error of a write.
 	writeErr error
 
+	// failedID is the ID of the last request if its response was a failure, or nil.
+	failedID atomic.Pointer[string]
+
 	mu sync.Mutex
 	// sent is closed once the request has been sent, and nil before the first request.
 	sent chan struct{}
@@ -48,6 +51,17 @@
 // Written returns the number of bytes that have been written.
 func (c *Conn) Written() int64 { return c.written.Load() }
 
+// BeginID records that a request with an ID is about to be sent. It reports whether the last one
+// had the same ID and failed: a late second copy of that failure could then not be told from the
+// response.
+func (c *Conn) BeginID(id string) (again bool) {
+	failed := c.failedID.Swap(nil)
+	return failed != nil && *failed == id
+}
+
+// FailID records that the response to the request with an ID was a failure.
+func (c *Conn) FailID(id string) { c.failedID.Store(&id) }
+
 // beginRequest records that a request is about to be sent. The returned function records that
 // it was sent, or why not.
 func (c *Conn) beginRequest() (end func(err error)) {
--- a/pkg/rollout/promise.go
+++ b/pkg/rollout/promise.go
@@ -42,6 +42,9 @@
 // request would refuse it. Unless NotRun is true, the upstream may have run it all the same.
 func (r UpstreamResponse) IsRefusal() bool { return PromisesNotRun(r.Status) }
 
+// IsFailure reports whether the upstream has run the request and failed.
+func (r UpstreamResponse) IsFailure() bool { return r.Status >= statusBadRequest && !r.NotRun }
+
 // ForCaller returns the head of the response as the caller gets it. The upstream may have run
 // the request unless NotRun is true, so the caller gets neither a status nor a delay that
 // invites it to send a request again that may run only once. The stamp vouches for the status
--- a/pkg/rollout/upstream.go
+++ b/pkg/rollout/upstream.go
@@ -31,6 +31,9 @@
 	Body     []byte
 	// WeightVersion is the version that the engine must serve, or 0 for any.
 	WeightVersion uint64
+	// NewConnection is true if the request must not go over a connection that was used before.
+	// An upstream that has failed the same AttemptID may send that answer again, late.
+	NewConnection bool
 	// ResumeAfter is the ID of the last event that the caller has received, or
 	// empty.
 	ResumeAfter string
