--- a/internal/gateway/jobs.go
+++ b/internal/gateway/jobs.go
@@ -77,6 +77,7 @@
 
 // ItemBody returns the part of the body of an item of a job that begins at an offset.
 func (g *Gateway) ItemBody(ctx context.Context, req jobstore.BodyRequest) (jobstore.Body, error) {
+	req.InParts = true
 	var body jobstore.Body
 	err := callStore(ctx, g, storeCall{method: jobstore.MethodBody, first: g.localStoreAddress()}, req, &body)
 	return body, err
--- a/internal/jobstore/calls.go
+++ b/internal/jobstore/calls.go
@@ -46,10 +46,13 @@
 	Results []Result
 }
 
-// BodyRequest requests the request body of an item from an offset on.
+// BodyRequest requests the request body of an item.
 type BodyRequest struct {
 	JobID, Account, ItemID string
-	Offset                 int
+	// InParts is true if the caller reads the body in parts, from Offset on. Entries of earlier
+	// releases expect the whole body.
+	InParts bool
+	Offset  int
 }
 
 // Body is a part of the request body of an item. Bodies are read in parts, as one may take much
@@ -224,6 +227,9 @@
 	if found == nil {
 		return Body{}, rollout.NewError(rollout.KindNotFound, "item %[2]s of job %[1]s not found", req.JobID, req.ItemID)
 	}
+	if !req.InParts {
+		return Body{Bytes: found.Body, Total: len(found.Body)}, nil
+	}
 	from := min(max(0, req.Offset), len(found.Body))
 	return Body{Bytes: found.Body[from:min(from+bodyPartBytes, len(found.Body))], Total: len(found.Body)}, nil
 }
--- a/internal/jobstore/runner_test.go
+++ b/internal/jobstore/runner_test.go
@@ -736,3 +736,36 @@
 		t.Fatalf("reported to control: %v, want a", marked)
 	}
 }
+
+// Guards against a body that arrives cut, and against one that takes the memory of a host when it
+// is read whole. Entries of earlier releases get it whole.
+func TestBodyIsReadInParts(t *testing.T) {
+	s, _ := newLeader(t, nil)
+	spec := newSpec("j", 1, "i")
+	spec.Items[0].Body = []byte(strings.Repeat("b", 2*bodyPartBytes+1))
+	submitJob(t, s, spec)
+	read := func(req BodyRequest) (body Body) {
+		eventually(t, "the leader answers", func() bool {
+			var err error
+			body, err = s.body(t.Context(), req)
+			return err == nil
+		})
+		return body
+	}
+	req := BodyRequest{JobID: "j", Account: spec.Account, ItemID: "i", InParts: true}
+	var got []byte
+	for range 4 {
+		body := read(req)
+		if len(body.Bytes) > bodyPartBytes || body.Total != len(spec.Items[0].Body) {
+			t.Fatalf("part at %d: %d bytes of %d", req.Offset, len(body.Bytes), body.Total)
+		}
+		got = append(got, body.Bytes...)
+		req.Offset = len(got)
+	}
+	if string(got) != string(spec.Items[0].Body) {
+		t.Errorf("got %d bytes, want %d", len(got), len(spec.Items[0].Body))
+	}
+	if body := read(BodyRequest{JobID: "j", Account: spec.Account, ItemID: "i"}); len(body.Bytes) != len(got) {
+		t.Errorf("got %d bytes for an earlier release, want %d", len(body.Bytes), len(got))
+	}
+}
--- a/internal/upstream/endless_test.go
+++ b/internal/upstream/endless_test.go
@@ -8,14 +8,13 @@
 	"math"
 	"net"
 	"net/http"
-	"runtime"
 	"runtime/debug"
 	"strings"
 	"sync"
 	"testing"
-	"time"
 
 	"github.com/coltsfootspoke/coltsfootspoke/internal/budget"
+	"github.com/coltsfootspoke/coltsfootspoke/internal/processtest"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/replytest"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/settings"
 	"github.com/coltsfootspoke/coltsfootspoke/internal/wire"
@@ -48,28 +47,6 @@
 	})
 }
 
-// heapGrowth returns the most memory that the heap grows by while a function runs.
-func heapGrowth(run func()) uint64 {
-	var before, now runtime.MemStats
-	runtime.GC()
-	runtime.ReadMemStats(&before)
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		run()
-	}()
-	most := before.HeapInuse
-	for {
-		select {
-		case <-done:
-			return most - before.HeapInuse
-		case <-time.After(5 * time.Millisecond):
-		}
-		runtime.ReadMemStats(&now)
-		most = max(most, now.HeapInuse)
-	}
-}
-
 // Guards against an agent that keeps what faulty upstreams send without end, and runs out of
 // memory.
 func TestAnswersWithoutEndTakeLittleMemory(t *testing.T) {
@@ -82,7 +59,7 @@
 			address := startEndless(t, answer)
 			responses := budget.New(daemon.ResponseBytes())
 			client := NewClient(true)
-			growth := heapGrowth(func() {
+			growth := processtest.HeapGrowth(func() {
 				var running sync.WaitGroup
 				for range calls {
 					running.Go(func() {
